--- /dev/null
+++ b/src/clock.h
@@ -0,0 +1,56 @@
+// The clock of the runtime. Decision logic takes the time as an argument;
+// daemons read it from SteadyClock and tests from ManualClock, which they
+// advance.
+#ifndef SRC_CLOCK_H_
+#define SRC_CLOCK_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "src/units.h"
+
+namespace burdockhatch {
+
+// Tag for points in time that come from a Clock.
+struct RuntimeClock {};
+
+// A point in time since an arbitrary origin of this process. Never sent to
+// another process.
+using Time = std::chrono::time_point<RuntimeClock, Duration>;
+
+// Seconds since the Unix epoch. Used only for records in the object API that
+// outlive processes.
+using UnixSeconds = std::chrono::seconds;
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+
+  virtual Time Now() const = 0;
+  virtual UnixSeconds WallNow() const = 0;
+};
+
+// The monotonic clock of the machine.
+class SteadyClock : public Clock {
+ public:
+  Time Now() const override;
+  UnixSeconds WallNow() const override;
+};
+
+// A clock that stands still until a test advances it.
+class ManualClock : public Clock {
+ public:
+  Time Now() const override { return now_; }
+  UnixSeconds WallNow() const override { return wall_; }
+
+  void Advance(Duration step);
+
+ private:
+  Time now_{std::chrono::seconds(1)};
+  UnixSeconds wall_{1'700'000'000};
+  Duration wall_remainder_{0};
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_CLOCK_H_
--- /dev/null
+++ b/src/messages.h
@@ -0,0 +1,252 @@
+// Typed messages between the processes of the system. The codec in wire.h turns
+// them into protobuf and back; decision logic sees only these types.
+#ifndef SRC_MESSAGES_H_
+#define SRC_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/errors.h"
+#include "src/ids.h"
+#include "src/units.h"
+
+namespace burdockhatch {
+
+enum class WorkKind : uint8_t { kCompletion, kServiceCall };
+
+// Classes of prompt length. Each has its own share of a target's budget.
+enum class LengthClass : uint8_t { kShort, kMedium, kLong, kHuge };
+inline constexpr int kLengthClassCount = 4;
+
+inline constexpr Tokens kShortLimit{4'000};
+inline constexpr Tokens kMediumLimit{32'000};
+inline constexpr Tokens kLongLimit{100'000};
+
+constexpr LengthClass LengthClassOf(Tokens prompt) {
+  if (prompt <= kShortLimit) {
+    return LengthClass::kShort;
+  }
+  if (prompt <= kMediumLimit) {
+    return LengthClass::kMedium;
+  }
+  return prompt <= kLongLimit ? LengthClass::kLong : LengthClass::kHuge;
+}
+
+// What an agent says of itself in every reply and load report.
+struct AgentState {
+  uint64_t sequence =
+      0;  // Grows with each state sent; an older state is dropped.
+  TargetId target;
+  DataCentreId data_centre;
+  ModelId model;           // Empty for a plain service.
+  ServiceId service;       // Empty for a model engine.
+  bool ready = false;      // The target answers and the configuration is known.
+  bool draining = false;   // The agent was told to stop.
+  bool withdrawn = false;  // Operators took the target or its data centre out.
+  EngineIncarnation engine;
+  Tokens memory_total;
+  Tokens memory_free;  // Not booked.
+  Tokens warm_budget;  // Tokens in flight that the target may carry now.
+  Tokens full_budget;  // The same when warm.
+  Tokens in_flight;    // Tokens of the work dispatched and not ended.
+  Tokens queued;       // Tokens of the work accepted and not dispatched.
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  Duration expected_wait{
+      0};  // Until a short request that arrives now is dispatched.
+  TokensPerSecond prefill_rate;
+  // Hashes of cached prompt prefixes, most recently used first, at most
+  // kMaxReportedPrefixes.
+  std::vector<uint64_t> cached_prefixes;
+};
+inline constexpr size_t kMaxReportedPrefixes = 32;
+
+// A target that keeps part of the KV cache of a prompt that is larger than one
+// engine.
+struct GangMember {
+  PeerId agent;
+  Tokens tokens;  // Share of the prompt that this member holds.
+};
+inline constexpr int kMaxGangSize = 8;
+
+// Entry to agent: asks the agent to run one attempt.
+struct Offer {
+  AttemptId attempt;
+  WorkKind kind = WorkKind::kCompletion;
+  ClientAccountId account;
+  ModelId model;
+  ServiceId service;
+  Tokens prompt_tokens;
+  Tokens max_output_tokens;
+  std::vector<uint64_t> prefix_hashes;  // One per block of the prompt, chained.
+  Duration time_left{0};                // Until the caller's deadline.
+  bool repeatable = true;
+  std::optional<IdempotencyKey> key;
+  std::vector<GangMember> members;  // Empty unless the prompt needs a gang; the
+                                    // leader is not listed.
+  uint32_t first_chunk =
+      0;  // Index of the first chunk that the caller still needs.
+  std::string
+      generated_prefix;  // Output that the caller has, for a continued attempt.
+  std::string method;    // Plain service calls only.
+  std::string path;
+  std::string body;
+};
+
+// Entry to agent: the attempt is not needed any more.
+struct Cancel {
+  AttemptId attempt;
+};
+
+// Entry to agent: send the chunks of a running attempt again from `next_chunk`.
+// Also tells an agent that has just started that a live entry claims the
+// stream.
+struct Resume {
+  AttemptId attempt;
+  uint32_t next_chunk = 0;
+  Duration time_left{0};
+};
+
+// Entry to agent: book memory for a member of a gang for at most `ttl`.
+struct Hold {
+  AttemptId attempt;
+  Tokens tokens;
+  Duration ttl{0};
+};
+
+struct HoldRelease {
+  AttemptId attempt;
+};
+
+// Entry to agent: send load reports for the next `ttl`.
+struct Subscribe {
+  Duration ttl{0};
+};
+
+enum class Verdict : uint8_t {
+  kAccepted,  // Dispatched, or queued for at most the time the agent allows.
+  kRefused,   // See `failure`.
+};
+
+struct OfferReply {
+  AttemptId attempt;
+  Verdict verdict = Verdict::kRefused;
+  Failure failure;
+  AgentState state;
+};
+
+struct HoldReply {
+  AttemptId attempt;
+  Verdict verdict = Verdict::kRefused;
+  Failure failure;
+  AgentState state;
+};
+
+// Agent to entry: a part of the answer.
+struct Chunk {
+  AttemptId attempt;
+  uint32_t index = 0;  // From 0, counted over the whole answer.
+  uint32_t tokens = 0;
+  std::string data;
+};
+
+// Agent to entry: the attempt has ended. `failure.code` is kNone for a whole
+// answer of `chunk_count` chunks.
+struct Finish {
+  AttemptId attempt;
+  uint32_t chunk_count = 0;
+  Failure failure;
+  uint32_t http_status =
+      0;  // Plain service calls only: what the service answered.
+  std::string content_type;
+  AgentState state;
+};
+
+// Agent to entry, once a second to each subscriber.
+struct LoadReport {
+  AgentState state;
+};
+
+enum class Role : uint8_t { kEntry, kAgent };
+
+// Any to any: the sender is alive.
+struct Heartbeat {
+  Role role = Role::kEntry;
+  DataCentreId data_centre;
+  std::string address;  // "ip:port" of the sender's bus.
+  bool leaving = false;
+};
+
+// Any to any: send the configuration changes after `have`.
+struct ConfigPull {
+  ConfigVersion have;
+};
+
+// Any to any: the configuration at `version`, as JSON text: the edits since
+// `base`, or, when `base` is 0, the whole document.
+struct ConfigPush {
+  ConfigVersion base;
+  ConfigVersion version;
+  std::string document;
+};
+
+// The sender is about to stop.
+struct Goodbye {};
+
+struct AccountDemand {
+  ClientAccountId account;
+  TokensPerSecond demand;
+};
+
+// Entry to home entry: asks for shares of account limits.
+struct ShareRequest {
+  std::vector<AccountDemand> demands;
+};
+
+struct AccountShare {
+  ClientAccountId account;
+  TokensPerSecond share;
+};
+
+// Home entry to entry: shares, valid for `lease` from when the request was
+// sent.
+struct ShareGrant {
+  Duration lease{0};
+  std::vector<AccountShare> shares;
+};
+
+using MessageBody = std::variant<Offer,
+                                 Cancel,
+                                 Resume,
+                                 Hold,
+                                 HoldRelease,
+                                 Subscribe,
+                                 OfferReply,
+                                 HoldReply,
+                                 Chunk,
+                                 Finish,
+                                 LoadReport,
+                                 Heartbeat,
+                                 ConfigPull,
+                                 ConfigPush,
+                                 Goodbye,
+                                 ShareRequest,
+                                 ShareGrant>;
+
+// What goes over the bus.
+struct Message {
+  PeerId sender;
+  // The incarnation of the receiver that the sender means; 0 when it does not
+  // know. A receiver drops a message that means another incarnation, except
+  // Resume, Subscribe, Heartbeat and configuration.
+  Incarnation receiver;
+  ConfigVersion config_version;  // Highest version that the sender knows.
+  MessageBody body;
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_MESSAGES_H_
--- /dev/null
+++ b/src/plain_service.h
@@ -0,0 +1,50 @@
+// A plain service, as its agent uses it.
+#ifndef SRC_PLAIN_SERVICE_H_
+#define SRC_PLAIN_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "src/ids.h"
+#include "src/units.h"
+
+namespace burdockhatch {
+
+struct ServiceRequest {
+  std::string method;
+  std::string path;
+  std::string body;
+  std::optional<IdempotencyKey> key;
+  Duration timeout{0};
+};
+
+enum class CallStatus : uint8_t {
+  kAnswered,
+  kNotSent,  // No byte of the request was written.
+  kUnknown,  // Written in part or whole, and no answer came.
+};
+
+struct ServiceAnswer {
+  CallStatus status = CallStatus::kUnknown;
+  uint32_t http_status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+class PlainService {
+ public:
+  virtual ~PlainService() = default;
+
+  // Returns at once; `done` runs once, on the control thread.
+  virtual void Call(ServiceRequest request,
+                    std::function<void(ServiceAnswer)> done) = 0;
+
+  // Whether the service answers its health check.
+  virtual void Probe(std::function<void(bool healthy)> done) = 0;
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_PLAIN_SERVICE_H_
--- /dev/null
+++ b/src/random.cc
@@ -0,0 +1,39 @@
+#include "src/random.h"
+
+namespace burdockhatch {
+
+namespace {
+
+constexpr uint64_t kGamma = 0x9e3779b97f4a7c15;
+
+uint64_t Finalize(uint64_t z) {
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+  return z ^ (z >> 31);
+}
+
+}  // namespace
+
+uint64_t Random::Next() {
+  state_ += kGamma;
+  return Finalize(state_);
+}
+
+uint64_t Random::Below(uint64_t bound) {
+  if (bound == 0) {
+    return 0;
+  }
+  const auto product = static_cast<unsigned __int128>(Next()) * bound;
+  return static_cast<uint64_t>(product >> 64);
+}
+
+double Random::Unit() {
+  constexpr double kScale = 1.0 / 9007199254740992.0;  // 2^-53
+  return static_cast<double>(Next() >> 11) * kScale;
+}
+
+uint64_t MixHash(uint64_t a, uint64_t b) {
+  return Finalize(a + kGamma * (b + 1));
+}
+
+}  // namespace burdockhatch
