--- a/src/fleet_config.h
+++ b/src/fleet_config.h
@@ -52,7 +52,9 @@
 struct ChangeRecord {
   ChangeId id;
   ConfigVersion version;
-  std::string edits;  // JSON text of the edits, see config_edit.h.
+  std::string edits;   // JSON text of the edits, see config_edit.h. Empty when
+                       // too old for the space that the log may take.
+  ConfigVersion base;  // The version that the change was applied to.
 };
 inline constexpr size_t kChangeLogLength = 256;
 
