--- /dev/null
+++ b/src/agent_core.cc
@@ -0,0 +1,299 @@
+#include "src/agent_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/admission.h"
+#include "src/agent_report.h"
+#include "src/agent_tables.h"
+#include "src/attempts.h"
+#include "src/booking.h"
+#include "src/claims.h"
+#include "src/dispatch.h"
+#include "src/prefix_table.h"
+#include "src/reconcile.h"
+#include "src/warmup.h"
+
+namespace burdockhatch {
+
+namespace {
+
+// Entries that were not heard of for this long are forgotten.
+constexpr Duration kEntryMemory = std::chrono::minutes(30);
+
+Tokens FullBudget(const AgentOptions& options) {
+  if (options.service.empty()) {
+    return options.full_budget;
+  }
+  return Tokens(options.max_service_calls);
+}
+
+// Whether the message means this run of the agent. Resume and Subscribe are
+// meant for whichever run there is.
+bool IsForThisRun(const AgentTables& tables, const Message& message) {
+  return message.receiver.value() == 0 ||
+         message.receiver == tables.options.self.incarnation ||
+         std::holds_alternative<Resume>(message.body) ||
+         std::holds_alternative<Subscribe>(message.body);
+}
+
+// Notes the run of an entry. Returns false for a message of an earlier run.
+bool NoteEntryRun(AgentTables& tables, const PeerId& sender) {
+  auto [it, added] = tables.entries.try_emplace(
+      sender.instance, EntryRun{sender.incarnation, tables.now});
+  EntryRun& run = it->second;
+  if (sender.incarnation < run.incarnation) {
+    return false;
+  }
+  const PeerId former{sender.instance, run.incarnation};
+  const bool restarted = sender.incarnation > run.incarnation;
+  run = {sender.incarnation, tables.now};
+  if (restarted) {
+    DropPeer(tables, former);
+  }
+  return true;
+}
+
+void OnOffer(AgentTables& tables, const Message& message, const Offer& offer) {
+  const PeerId& from = message.sender;
+  if (AnswerDuplicate(tables, from, offer)) {
+    return;
+  }
+  // The stream of this attempt is at the engine: a predecessor started it.
+  if (FindBooking(tables, StreamBooking(offer.attempt))) {
+    RefuseOffer(tables, from, offer,
+                OutcomeUnknown(ErrorCode::kOutcomeUnknown));
+    return;
+  }
+  std::optional<Failure> failure = CheckService(tables);
+  if (!failure) {
+    failure = CheckOffer(tables, offer);
+  }
+  if (failure) {
+    RefuseOffer(tables, from, offer, *failure);
+    return;
+  }
+  const Tokens load = LoadOf(tables, offer);
+  const Duration least = LeastServiceTime(tables, offer);
+  Attempt& attempt = AcceptOffer(tables, from, offer);
+  attempt.load = load;
+  const Duration wait = kMaxQueueWait[static_cast<int>(attempt.length)];
+  attempt.queue_until = std::min(tables.now + wait, attempt.deadline - least);
+  if (!IsEngineAgent(tables) && !offer.repeatable && offer.key) {
+    AwaitClaim(tables, attempt.id);
+  }
+}
+
+void OnBody(AgentTables& tables, const Message& message) {
+  const PeerId& from = message.sender;
+  if (const auto* offer = std::get_if<Offer>(&message.body)) {
+    OnOffer(tables, message, *offer);
+  } else if (const auto* cancel = std::get_if<Cancel>(&message.body)) {
+    CancelAttempt(tables, cancel->attempt);
+  } else if (const auto* resume = std::get_if<Resume>(&message.body)) {
+    OnResume(tables, from, *resume);
+  } else if (const auto* hold = std::get_if<Hold>(&message.body)) {
+    OnHold(tables, from, *hold);
+  } else if (const auto* release = std::get_if<HoldRelease>(&message.body)) {
+    ReleaseHold(tables, release->attempt);
+  } else if (const auto* subscribe = std::get_if<Subscribe>(&message.body)) {
+    AddSubscriber(tables, from, subscribe->ttl);
+  } else if (std::holds_alternative<Goodbye>(message.body)) {
+    DropPeer(tables, from);
+  }
+}
+
+bool NothingOpen(const AgentTables& tables) {
+  const bool holding =
+      std::any_of(tables.bookings.begin(), tables.bookings.end(),
+                  [](const auto& row) { return !row.second.releasing_since; });
+  return tables.attempts.empty() && tables.calls.empty() && !holding;
+}
+
+// The steps that follow every event.
+void Settle(AgentTables& tables) {
+  ExpireAttempts(tables);
+  CloseQueue(tables);
+  DispatchQueued(tables);
+  if (tables.draining && !tables.goodbye_sent && NothingOpen(tables)) {
+    tables.goodbye_sent = true;
+    SendGoodbyes(tables);
+  }
+}
+
+}  // namespace
+
+AgentCore::AgentCore(AgentOptions options)
+    : tables_(std::make_unique<AgentTables>()) {
+  tables_->options = std::move(options);
+  tables_->memory_total = tables_->options.memory;
+  StartCold(tables_->warmup, FullBudget(tables_->options));
+}
+
+AgentCore::~AgentCore() = default;
+
+void AgentCore::Tick(Time now, UnixSeconds wall) {
+  AgentTables& tables = *tables_;
+  AdvanceTime(tables, now);
+  tables.wall = wall;
+  ExpireAttempts(tables);
+  ReleaseExpiredLeases(tables);
+  RetryReleases(tables);
+  AskForList(tables);
+  ReattachStreams(tables);
+  ExpireClosed(tables);
+  ExpirePrefixes(tables.prefixes, tables.now);
+  std::erase_if(tables.entries, [&](const auto& row) {
+    return row.second.seen_at + kEntryMemory <= tables.now;
+  });
+  UpdateMeter(tables);
+  Settle(tables);
+  SendLoadReports(tables);
+}
+
+void AgentCore::OnMessage(const Message& message, Time now) {
+  AgentTables& tables = *tables_;
+  AdvanceTime(tables, now);
+  if (!IsForThisRun(tables, message) || !NoteEntryRun(tables, message.sender)) {
+    return;
+  }
+  OnBody(tables, message);
+  Settle(tables);
+}
+
+void AgentCore::OnStreamStarted(const StreamId& stream,
+                                StartStatus status,
+                                Time now) {
+  AdvanceTime(*tables_, now);
+  OnStart(*tables_, stream, status);
+  Settle(*tables_);
+}
+
+void AgentCore::OnStreamProgress(const StreamId& stream,
+                                 uint32_t next_chunk,
+                                 Tokens tokens,
+                                 Time now) {
+  AdvanceTime(*tables_, now);
+  OnProgress(*tables_, stream, next_chunk, tokens);
+}
+
+void AgentCore::OnStreamEnded(const StreamId& stream,
+                              StreamEnd end,
+                              uint32_t chunk_count,
+                              Time now) {
+  AdvanceTime(*tables_, now);
+  OnEnd(*tables_, stream, end, chunk_count);
+  Settle(*tables_);
+}
+
+void AgentCore::OnCacheImported(const StreamId& cache,
+                                StartStatus status,
+                                Time now) {
+  AdvanceTime(*tables_, now);
+  OnImportAnswer(*tables_, cache, status);
+}
+
+void AgentCore::OnEngineList(const EngineList* list, Time asked_at, Time now) {
+  AdvanceTime(*tables_, now);
+  ReadEngineList(*tables_, list, asked_at);
+  Settle(*tables_);
+}
+
+void AgentCore::OnEngineLoad(const EngineLoad* load, Time now) {
+  AgentTables& tables = *tables_;
+  AdvanceTime(tables, now);
+  if (!load) {
+    ++tables.unanswered_loads;
+    return;
+  }
+  tables.unanswered_loads = 0;
+  if (load->engine < tables.engine) {
+    return;
+  }
+  NoteEngine(tables, load->engine);
+  if (load->memory_total > Tokens(0)) {
+    tables.memory_total = load->memory_total;
+  }
+  ReadEngineLoad(tables.warmup, *load);
+  Settle(tables);
+}
+
+void AgentCore::OnCacheEvents(const std::vector<CacheEvent>& events, Time now) {
+  AdvanceTime(*tables_, now);
+  ApplyCacheEvents(tables_->prefixes, events, now);
+}
+
+void AgentCore::OnServiceProbe(bool healthy, Time now) {
+  AdvanceTime(*tables_, now);
+  if (!healthy && tables_->service_healthy) {
+    FallBack(tables_->warmup);
+  }
+  tables_->service_healthy = healthy;
+  Settle(*tables_);
+}
+
+void AgentCore::OnServiceAnswer(const AttemptId& attempt,
+                                ServiceAnswer answer,
+                                Time now) {
+  AdvanceTime(*tables_, now);
+  OnAnswer(*tables_, attempt, std::move(answer));
+  Settle(*tables_);
+}
+
+void AgentCore::OnObjectRead(const ObjectName& name,
+                             const ObjectReply& reply,
+                             Time now) {
+  AdvanceTime(*tables_, now);
+}
+
+void AgentCore::OnObjectUpdated(const ObjectName& name,
+                                const ObjectReply& reply,
+                                Time now) {
+  AdvanceTime(*tables_, now);
+}
+
+void AgentCore::OnConfig(FleetConfigPtr config, Time now) {
+  AgentTables& tables = *tables_;
+  AdvanceTime(tables, now);
+  if (!config || (tables.config && config->version <= tables.config->version)) {
+    return;
+  }
+  tables.config = std::move(config);
+  Settle(tables);
+}
+
+void AgentCore::OnPeerGone(const PeerId& peer, Time now) {
+  AdvanceTime(*tables_, now);
+  DropPeer(*tables_, peer);
+  Settle(*tables_);
+}
+
+void AgentCore::BeginDrain(Time now) {
+  AgentTables& tables = *tables_;
+  AdvanceTime(tables, now);
+  if (tables.draining) {
+    return;
+  }
+  tables.draining = true;
+  SendReportsNow(tables);
+  Settle(tables);
+}
+
+bool AgentCore::Drained() const {
+  return tables_->draining && NothingOpen(*tables_);
+}
+
+AgentState AgentCore::State(Time now) {
+  AdvanceTime(*tables_, now);
+  return MakeState(*tables_);
+}
+
+std::vector<AgentAction> AgentCore::TakeActions() {
+  return std::exchange(tables_->actions, {});
+}
+
+std::string AgentCore::Dump(Time now) const {
+  return DumpTables(*tables_);
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/agent_report.cc
@@ -0,0 +1,225 @@
+#include "src/agent_report.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <boost/json.hpp>
+
+#include "src/admission.h"
+#include "src/booking.h"
+#include "src/prefix_table.h"
+
+namespace burdockhatch {
+
+namespace {
+
+// An engine that missed this many requests in a row is taken to be down.
+constexpr int kUnansweredLimit = 2;
+
+constexpr bool IsDispatched(AttemptPhase phase) {
+  return phase == AttemptPhase::kStarting || phase == AttemptPhase::kRunning;
+}
+
+void CountAttempts(const AgentTables& tables, AgentState& state) {
+  for (const auto& [id, attempt] : tables.attempts) {
+    if (IsDispatched(attempt.phase)) {
+      ++state.running;
+    } else {
+      ++state.waiting;
+      state.queued += attempt.load;
+    }
+  }
+}
+
+std::string_view ToText(AttemptPhase phase) {
+  switch (phase) {
+    case AttemptPhase::kQueued:
+      return "queued";
+    case AttemptPhase::kAwaitingClaim:
+      return "awaiting_claim";
+    case AttemptPhase::kStarting:
+      return "starting";
+    case AttemptPhase::kRunning:
+      return "running";
+  }
+  return "";
+}
+
+int64_t MillisUntil(const AgentTables& tables, Time time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time -
+                                                               tables.now)
+      .count();
+}
+
+boost::json::array DumpAttempts(const AgentTables& tables) {
+  boost::json::array rows;
+  for (const auto& [id, attempt] : tables.attempts) {
+    rows.push_back({{"attempt", ToString(id)},
+                    {"entry", attempt.entry.instance.value()},
+                    {"phase", ToText(attempt.phase)},
+                    {"load", attempt.load.value()},
+                    {"deadline_ms", MillisUntil(tables, attempt.deadline)},
+                    {"next_chunk", attempt.next_chunk},
+                    {"adopted", attempt.adopted}});
+  }
+  return rows;
+}
+
+boost::json::array DumpBookings(const AgentTables& tables) {
+  boost::json::array rows;
+  for (const auto& [id, booking] : tables.bookings) {
+    rows.push_back({{"stream", id.stream.value()},
+                    {"cache", id.is_cache},
+                    {"memory", booking.memory.value()},
+                    {"lease_ms", MillisUntil(tables, booking.lease_end)},
+                    {"confirmed", booking.confirmed_at.has_value()},
+                    {"releasing", booking.releasing_since.has_value()},
+                    {"orphan", booking.orphan}});
+  }
+  return rows;
+}
+
+boost::json::array DumpShards(const AgentTables& tables) {
+  boost::json::array rows;
+  for (const auto& [index, shard] : tables.shards) {
+    rows.push_back({{"name", shard.name.name},
+                    {"version", shard.version.value()},
+                    {"records", shard.records.size()},
+                    {"uncertain", shard.uncertain.has_value()},
+                    {"writes", shard.writes}});
+  }
+  return rows;
+}
+
+boost::json::object DumpCounters(const AgentCounters& counters) {
+  return {{"accepted", counters.accepted},
+          {"refused", counters.refused},
+          {"dispatched", counters.dispatched},
+          {"completed", counters.completed},
+          {"orphans", counters.orphans},
+          {"duplicate_offers", counters.duplicate_offers},
+          {"foreign_claims", counters.foreign_claims},
+          {"claim_conflicts", counters.claim_conflicts}};
+}
+
+boost::json::object DumpWarmup(const WarmupState& warmup) {
+  return {{"budget", warmup.budget.value()},
+          {"full", warmup.full.value()},
+          {"completed_since_raise", warmup.completed_since_raise.value()},
+          {"falls", warmup.falls}};
+}
+
+}  // namespace
+
+bool IsReady(const AgentTables& tables) {
+  if (!tables.config) {
+    return false;
+  }
+  if (!IsEngineAgent(tables)) {
+    return tables.service_healthy;
+  }
+  return tables.listed && tables.unanswered_lists < kUnansweredLimit &&
+         tables.unanswered_loads < kUnansweredLimit;
+}
+
+bool IsTargetWithdrawn(const AgentTables& tables) {
+  return tables.config && IsWithdrawn(*tables.config, tables.options.target,
+                                      tables.options.data_centre);
+}
+
+AgentState MakeState(AgentTables& tables) {
+  const AgentOptions& options = tables.options;
+  AgentState state;
+  state.sequence = ++tables.state_sequence;
+  state.target = options.target;
+  state.data_centre = options.data_centre;
+  state.model = options.model;
+  state.service = options.service;
+  state.ready = IsReady(tables);
+  state.draining = tables.draining;
+  state.withdrawn = IsTargetWithdrawn(tables);
+  state.engine = tables.engine;
+  state.memory_total = tables.memory_total;
+  state.memory_free = FreeMemory(tables);
+  state.warm_budget = tables.warmup.budget;
+  state.full_budget = tables.warmup.full;
+  state.in_flight = InFlight(tables);
+  CountAttempts(tables, state);
+  state.expected_wait = ExpectedWait(tables, LengthClass::kShort);
+  state.prefill_rate = options.prefill_rate;
+  state.cached_prefixes = RecentPrefixes(tables.prefixes, kMaxReportedPrefixes);
+  return state;
+}
+
+void SendTo(AgentTables& tables, const PeerId& to, MessageBody body) {
+  Act(tables, SendToPeer{to, std::move(body)});
+}
+
+void AddSubscriber(AgentTables& tables, const PeerId& entry, Duration ttl) {
+  const Duration bounded = std::min(ttl, kMaxSubscription);
+  if (bounded <= Duration(0)) {
+    tables.subscribers.erase(entry);
+    return;
+  }
+  auto [it, added] = tables.subscribers.try_emplace(entry);
+  it->second.until = tables.now + bounded;
+  if (added) {
+    it->second.next_report = tables.now + kLoadReportInterval;
+    SendTo(tables, entry, LoadReport{MakeState(tables)});
+  }
+}
+
+void SendLoadReports(AgentTables& tables) {
+  std::erase_if(tables.subscribers, [&](const auto& row) {
+    return row.second.until <= tables.now;
+  });
+  for (auto& [entry, subscriber] : tables.subscribers) {
+    if (subscriber.next_report <= tables.now) {
+      // Missed reports are not made up for: only the latest state counts.
+      subscriber.next_report += kLoadReportInterval;
+      if (subscriber.next_report <= tables.now) {
+        subscriber.next_report = tables.now + kLoadReportInterval;
+      }
+      SendTo(tables, entry, LoadReport{MakeState(tables)});
+    }
+  }
+}
+
+void SendReportsNow(AgentTables& tables) {
+  for (auto& [entry, subscriber] : tables.subscribers) {
+    subscriber.next_report = tables.now + kLoadReportInterval;
+    SendTo(tables, entry, LoadReport{MakeState(tables)});
+  }
+}
+
+void SendGoodbyes(AgentTables& tables) {
+  for (const auto& [entry, subscriber] : tables.subscribers) {
+    SendTo(tables, entry, Goodbye{});
+  }
+}
+
+std::string DumpTables(const AgentTables& tables) {
+  boost::json::object root = {
+      {"instance", tables.options.self.instance.value()},
+      {"incarnation", tables.options.self.incarnation.value()},
+      {"target", tables.options.target.value()},
+      {"ready", IsReady(tables)},
+      {"draining", tables.draining},
+      {"withdrawn", IsTargetWithdrawn(tables)},
+      {"engine_incarnation", tables.engine.value()},
+      {"memory_total", tables.memory_total.value()},
+      {"memory_free", FreeMemory(tables).value()},
+      {"in_flight", InFlight(tables).value()},
+      {"warmup", DumpWarmup(tables.warmup)},
+      {"attempts", DumpAttempts(tables)},
+      {"closed_attempts", tables.closed.size()},
+      {"bookings", DumpBookings(tables)},
+      {"keys", tables.keys.size()},
+      {"claim_shards", DumpShards(tables)},
+      {"subscribers", tables.subscribers.size()},
+      {"cached_prefixes", tables.prefixes.prefixes.size()},
+      {"counters", DumpCounters(tables.counters)}};
+  return boost::json::serialize(root);
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/attempts.h
@@ -0,0 +1,95 @@
+// The attempts that an agent has accepted and the records of those that are
+// over. A record outlives the deadline of its attempt, so that a duplicate of
+// the offer is never dispatched.
+#ifndef SRC_ATTEMPTS_H_
+#define SRC_ATTEMPTS_H_
+
+#include "src/agent_tables.h"
+
+namespace burdockhatch {
+
+// How much later than its deadline a duplicate of an offer may arrive. Covers
+// the clocks' drift and the queues of the bus. The time in which this process
+// was paused does not count.
+inline constexpr Duration kTombstoneMargin = std::chrono::seconds(30);
+
+// A gap between events that counts as a pause of this process.
+inline constexpr Duration kPauseThreshold = std::chrono::seconds(1);
+
+// Messages handled this soon after a pause may have arrived before it.
+inline constexpr Duration kPauseSettle = std::chrono::milliseconds(200);
+
+// Deadlines further away are cut to this.
+inline constexpr Duration kMaxTimeLeft = std::chrono::hours(1);
+
+// Bytes of answers of plain services that are kept for retries.
+inline constexpr size_t kMaxAnswerBytes = 8 << 20;
+
+// How an attempt ended.
+struct Ending {
+  Failure failure;
+  uint32_t chunk_count = 0;
+  uint32_t http_status = 0;
+  std::string content_type;
+  uint64_t answer = 0;
+};
+
+constexpr Failure NotRun(ErrorCode code, Duration retry_after = Duration(0)) {
+  return {code, Outcome::kNotRun, retry_after};
+}
+
+constexpr Failure OutcomeUnknown(ErrorCode code) {
+  return {code, Outcome::kUnknown, Duration(0)};
+}
+
+inline bool IsDispatched(const Attempt& attempt) {
+  return attempt.phase == AttemptPhase::kStarting ||
+         attempt.phase == AttemptPhase::kRunning;
+}
+
+// Sets the time of the tables. After a pause, extends the records of closed
+// attempts: messages waited as long as the process did.
+void AdvanceTime(AgentTables& tables, Time now);
+
+// Time that an offer has left, bounded, less a pause that it may have waited
+// through.
+Duration TimeLeft(const AgentTables& tables, const Offer& offer);
+
+Attempt* FindAttempt(AgentTables& tables, const AttemptId& id);
+
+// Replies to an offer or attempt that the tables already know. Returns false
+// when they do not.
+bool AnswerDuplicate(AgentTables& tables,
+                     const PeerId& from,
+                     const Offer& offer);
+
+// Refuses an offer for good; with outcome kNotRun, the record is its tombstone.
+void RefuseOffer(AgentTables& tables,
+                 const PeerId& from,
+                 const Offer& offer,
+                 const Failure& failure);
+
+// Enters an attempt into the table and replies to its offer.
+Attempt& AcceptOffer(AgentTables& tables, const PeerId& from, Offer offer);
+
+// Sends the Finish and keeps a record. The attempt is not valid any more.
+void CloseAttempt(AgentTables& tables, const AttemptId& id, Ending ending);
+
+// Sends the Finish of a closed attempt again.
+void RepeatFinish(AgentTables& tables, ClosedAttempt& closed);
+
+// Sends the whole answer of a call as chunk 0.
+void SendAnswer(AgentTables& tables,
+                const PeerId& to,
+                const AttemptId& attempt,
+                uint64_t answer);
+
+// Keeps an answer; the oldest ones make room. Returns its number.
+uint64_t StoreAnswer(AnswerStore& store, ServiceAnswer answer);
+const ServiceAnswer* FindAnswer(const AnswerStore& store, uint64_t number);
+
+void ExpireClosed(AgentTables& tables);
+
+}  // namespace burdockhatch
+
+#endif  // SRC_ATTEMPTS_H_
--- /dev/null
+++ b/src/dispatch.cc
@@ -0,0 +1,459 @@
+#include "src/dispatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/admission.h"
+#include "src/agent_report.h"
+#include "src/attempts.h"
+#include "src/booking.h"
+#include "src/claims.h"
+#include "src/prefix_table.h"
+#include "src/warmup.h"
+
+namespace burdockhatch {
+
+namespace {
+
+// Attempts to end are collected first: ending one changes the table.
+template <class Filter>
+std::vector<AttemptId> Select(const AgentTables& tables, Filter filter) {
+  std::vector<AttemptId> ids;
+  for (const auto& [id, attempt] : tables.attempts) {
+    if (filter(attempt)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+std::vector<StreamId> CachesOf(const Offer& offer) {
+  // Each member imports the cache under the stream id of the attempt.
+  return std::vector<StreamId>(offer.members.size(), StreamIdOf(offer.attempt));
+}
+
+StreamSpec SpecOf(const Attempt& attempt) {
+  const Offer& offer = attempt.offer;
+  StreamSpec spec;
+  spec.stream = StreamIdOf(attempt.id);
+  spec.model = offer.model;
+  spec.prompt_tokens = offer.prompt_tokens;
+  spec.max_output_tokens = offer.max_output_tokens;
+  spec.priority = static_cast<int>(attempt.length);
+  spec.prefix_hashes = offer.prefix_hashes;
+  spec.imported_caches = CachesOf(offer);
+  spec.first_chunk = offer.first_chunk;
+  spec.generated_prefix = offer.generated_prefix;
+  spec.prompt = offer.body;
+  return spec;
+}
+
+void DispatchStream(AgentTables& tables, Attempt& attempt) {
+  attempt.prompt_in_flight = PromptInFlight(tables);
+  attempt.prompt_dispatched = tables.prompt_dispatched;
+  tables.prompt_dispatched += attempt.load - attempt.offer.max_output_tokens;
+  BookStream(tables, attempt);
+  attempt.phase = AttemptPhase::kStarting;
+  NotePrefixUse(tables.prefixes, attempt.offer.prefix_hashes);
+  Act(tables, StartStream{SpecOf(attempt), attempt.id, attempt.entry});
+}
+
+void DispatchServiceCall(AgentTables& tables, Attempt& attempt) {
+  Offer& offer = attempt.offer;
+  ServiceRequest request;
+  request.method = offer.method;
+  request.path = offer.path;
+  request.body = std::move(offer.body);
+  request.key = offer.key;
+  request.timeout = attempt.deadline - tables.now;
+  attempt.phase = AttemptPhase::kRunning;
+  tables.calls.insert(attempt.id);
+  Act(tables, DispatchCall{attempt.id, std::move(request), attempt.deadline});
+}
+
+// Dispatches the attempt. The checks of its deadline and claim are the last
+// steps before the action.
+void Dispatch(AgentTables& tables, Attempt& attempt) {
+  if (tables.now >= attempt.deadline) {
+    EndNotRun(tables, attempt.id, ErrorCode::kDeadlineExceeded);
+    return;
+  }
+  if (attempt.key && !UseClaim(tables, attempt)) {
+    return;
+  }
+  attempt.dispatched_at = tables.now;
+  ++tables.counters.dispatched;
+  if (IsEngineAgent(tables)) {
+    DispatchStream(tables, attempt);
+  } else {
+    DispatchServiceCall(tables, attempt);
+  }
+}
+
+// Work that the engine had to do between the attempt's dispatch and now, at the
+// speed of a warm engine.
+Duration ExpectedServiceTime(const AgentTables& tables,
+                             const Attempt& attempt) {
+  const Tokens prompt = attempt.prompt_in_flight + tables.prompt_dispatched -
+                        attempt.prompt_dispatched;
+  return TimeFor(prompt, tables.options.prefill_rate) +
+         tables.options.time_per_token * attempt.output.value();
+}
+
+void CheckServiceTime(AgentTables& tables, const Attempt& attempt) {
+  const AgentOptions& options = tables.options;
+  if (attempt.adopted || options.prefill_rate.value() <= 0 ||
+      options.time_per_token <= Duration(0)) {
+    return;
+  }
+  const Duration taken = tables.now - attempt.dispatched_at;
+  if (taken > SlowLimit(ExpectedServiceTime(tables, attempt))) {
+    FallBack(tables.warmup);
+  }
+}
+
+void NoteWorkDone(AgentTables& tables, const Attempt& attempt, Tokens work) {
+  ++tables.counters.completed;
+  MeterCompleted(tables, attempt.load);
+  NoteCompleted(tables.warmup, work);
+}
+
+void CompleteStream(AgentTables& tables,
+                    const Attempt& attempt,
+                    uint32_t chunk_count) {
+  const Tokens prompt = attempt.load - attempt.offer.max_output_tokens;
+  if (!attempt.adopted) {
+    NoteWorkDone(tables, attempt, prompt + attempt.output);
+    CheckServiceTime(tables, attempt);
+  }
+  EndBooking(tables, StreamBooking(attempt.id));
+  Ending ending;
+  ending.chunk_count = chunk_count;
+  CloseAttempt(tables, attempt.id, ending);
+}
+
+// The stream of a closed attempt has ended, or its output was read again.
+void OnEndOfClosed(AgentTables& tables,
+                   const AttemptId& id,
+                   StreamEnd end,
+                   uint32_t chunk_count) {
+  auto it = tables.closed.find(id);
+  if (end == StreamEnd::kComplete) {
+    EndBooking(tables, StreamBooking(id));
+  }
+  if (it == tables.closed.end() || !it->second.reading_again) {
+    return;
+  }
+  ClosedAttempt& closed = it->second;
+  closed.reading_again = false;
+  if (end == StreamEnd::kComplete) {
+    closed.finish.chunk_count = chunk_count;
+    closed.finish.failure = {};
+  } else if (closed.finish.failure.code == ErrorCode::kNone) {
+    closed.finish.failure = OutcomeUnknown(ErrorCode::kTargetFailed);
+  }
+  RepeatFinish(tables, closed);
+}
+
+void ResumeClosed(AgentTables& tables,
+                  const PeerId& from,
+                  const Resume& resume,
+                  ClosedAttempt& closed) {
+  closed.entry = from;
+  const bool whole = closed.finish.failure.code == ErrorCode::kNone;
+  if (closed.completion && whole &&
+      resume.next_chunk < closed.finish.chunk_count) {
+    closed.reading_again = true;
+    Act(tables, AttachStream{StreamIdOf(resume.attempt), resume.attempt, from,
+                             resume.next_chunk});
+    return;
+  }
+  if (whole && resume.next_chunk == 0) {
+    SendAnswer(tables, from, resume.attempt, closed.answer);
+  }
+  RepeatFinish(tables, closed);
+}
+
+void AttachAgain(AgentTables& tables, Attempt& attempt) {
+  attempt.reattach_at.reset();
+  Act(tables, AttachStream{StreamIdOf(attempt.id), attempt.id, attempt.entry,
+                           attempt.next_chunk});
+}
+
+// Takes over an attempt that an earlier incarnation of this agent accepted. If
+// the engine does not know its stream, the attach fails with kNotFound.
+void AdoptAttempt(AgentTables& tables,
+                  const PeerId& from,
+                  const Resume& resume) {
+  const Duration left = std::clamp(resume.time_left, Duration(0), kMaxTimeLeft);
+  Attempt& attempt = tables.attempts[resume.attempt];
+  attempt.id = resume.attempt;
+  attempt.entry = from;
+  attempt.accepted_at = tables.now;
+  attempt.dispatched_at = tables.now;
+  attempt.deadline = tables.now + left;
+  attempt.phase = AttemptPhase::kRunning;
+  attempt.next_chunk = resume.next_chunk;
+  attempt.adopted = true;
+  if (Booking* booking = FindBooking(tables, StreamBooking(attempt.id))) {
+    booking->attempt = attempt.id;
+    booking->entry = from;
+    booking->orphan = false;
+    booking->lease_end = attempt.deadline;
+    attempt.load = booking->load;
+  }
+  AttachAgain(tables, attempt);
+}
+
+// A call of a predecessor cannot be followed: only its claim, if any, is known.
+void RefuseUnknownResume(AgentTables& tables,
+                         const PeerId& from,
+                         const Resume& resume) {
+  Finish finish;
+  finish.attempt = resume.attempt;
+  finish.failure = OutcomeUnknown(ErrorCode::kOutcomeUnknown);
+  finish.state = MakeState(tables);
+  SendTo(tables, from, std::move(finish));
+}
+
+constexpr ErrorCode CodeOf(StreamEnd end) {
+  return end == StreamEnd::kCancelled ? ErrorCode::kDeadlineExceeded
+                                      : ErrorCode::kTargetFailed;
+}
+
+void EndNotStarted(AgentTables& tables, const AttemptId& id, ErrorCode code) {
+  EndBooking(tables, StreamBooking(id));
+  EndNotRun(tables, id, code, kRetryAfter);
+}
+
+}  // namespace
+
+void EndNotRun(AgentTables& tables,
+               const AttemptId& id,
+               ErrorCode code,
+               Duration retry_after) {
+  Ending ending;
+  ending.failure = NotRun(code, retry_after);
+  CloseAttempt(tables, id, ending);
+}
+
+void EndUnknown(AgentTables& tables, const AttemptId& id, ErrorCode code) {
+  BeginRelease(tables, StreamBooking(id));
+  Ending ending;
+  ending.failure = OutcomeUnknown(code);
+  CloseAttempt(tables, id, ending);
+}
+
+void CancelAttempt(AgentTables& tables, const AttemptId& id) {
+  Attempt* attempt = FindAttempt(tables, id);
+  if (!attempt) {
+    return;
+  }
+  if (IsDispatched(*attempt)) {
+    EndUnknown(tables, id, ErrorCode::kDeadlineExceeded);
+  } else {
+    EndNotRun(tables, id, ErrorCode::kDeadlineExceeded);
+  }
+}
+
+void ExpireAttempts(AgentTables& tables) {
+  const auto late = Select(tables, [&](const Attempt& attempt) {
+    return attempt.deadline <= tables.now;
+  });
+  for (const AttemptId& id : late) {
+    CancelAttempt(tables, id);
+  }
+  const auto overdue = Select(tables, [&](const Attempt& attempt) {
+    return attempt.phase == AttemptPhase::kQueued &&
+           attempt.queue_until <= tables.now;
+  });
+  for (const AttemptId& id : overdue) {
+    EndNotRun(tables, id, ErrorCode::kOverloaded, kRetryAfter);
+  }
+}
+
+void DispatchQueued(AgentTables& tables) {
+  Reserve reserve;
+  for (const AttemptId& id : DispatchOrder(tables)) {
+    Attempt& attempt = *FindAttempt(tables, id);
+    if (Fits(tables, attempt, reserve)) {
+      Dispatch(tables, attempt);
+    } else if (HasAged(tables, attempt) && reserve.load == Tokens(0)) {
+      reserve = {attempt.load, attempt.load};
+    }
+  }
+}
+
+void CloseQueue(AgentTables& tables) {
+  if (!tables.draining && !IsTargetWithdrawn(tables)) {
+    tables.closed_since.reset();
+    return;
+  }
+  if (!tables.closed_since) {
+    tables.closed_since = tables.now;
+  }
+  const bool grace = tables.now < *tables.closed_since + kCloseGrace;
+  const auto queued = Select(tables, [&](const Attempt& attempt) {
+    return !IsDispatched(attempt) && !IsJoined(tables, attempt) &&
+           !(grace && attempt.key);
+  });
+  const ErrorCode code = tables.draining ? ErrorCode::kTargetDraining
+                                         : ErrorCode::kTargetWithdrawn;
+  for (const AttemptId& id : queued) {
+    EndNotRun(tables, id, code);
+  }
+}
+
+void OnStart(AgentTables& tables, const StreamId& stream, StartStatus status) {
+  const std::optional<AttemptId> id = ParseAttemptId(stream.value());
+  Booking* booking = FindBooking(tables, {stream, false});
+  if (!id || !booking) {
+    return;
+  }
+  Attempt* attempt = FindAttempt(tables, *id);
+  if (status == StartStatus::kStarted) {
+    ConfirmBooking(tables, *booking);
+    if (attempt) {
+      attempt->phase = AttemptPhase::kRunning;
+    }
+    return;
+  }
+  if (status == StartStatus::kUnknown) {
+    BeginRelease(tables, {stream, false});
+    if (attempt) {
+      EndUnknown(tables, *id, ErrorCode::kTargetFailed);
+    }
+    return;
+  }
+  // The engine runs nothing, so the memory is free and the attempt never ran.
+  EndNotStarted(tables, *id,
+                status == StartStatus::kRefused ? ErrorCode::kOverloaded
+                                                : ErrorCode::kTargetFailed);
+}
+
+void OnProgress(AgentTables& tables,
+                const StreamId& stream,
+                uint32_t next_chunk,
+                Tokens tokens) {
+  const std::optional<AttemptId> id = ParseAttemptId(stream.value());
+  Attempt* attempt = id ? FindAttempt(tables, *id) : nullptr;
+  if (!attempt || !IsDispatched(*attempt)) {
+    return;
+  }
+  attempt->phase = AttemptPhase::kRunning;
+  attempt->next_chunk = std::max(attempt->next_chunk, next_chunk);
+  attempt->output = std::max(attempt->output, tokens);
+  if (Booking* booking = FindBooking(tables, {stream, false})) {
+    ConfirmBooking(tables, *booking);
+  }
+}
+
+void OnEnd(AgentTables& tables,
+           const StreamId& stream,
+           StreamEnd end,
+           uint32_t chunk_count) {
+  const std::optional<AttemptId> id = ParseAttemptId(stream.value());
+  if (!id) {
+    return;
+  }
+  Attempt* attempt = FindAttempt(tables, *id);
+  if (!attempt || !IsDispatched(*attempt)) {
+    OnEndOfClosed(tables, *id, end, chunk_count);
+    return;
+  }
+  switch (end) {
+    case StreamEnd::kComplete:
+      CompleteStream(tables, *attempt, chunk_count);
+      return;
+    case StreamEnd::kConnectionLost:
+      attempt->reattach_at = tables.now + kReattachRetry;
+      return;
+    case StreamEnd::kFailed:
+    case StreamEnd::kCancelled:
+    case StreamEnd::kNotFound:
+      EndUnknown(tables, *id, CodeOf(end));
+      return;
+  }
+}
+
+void OnAnswer(AgentTables& tables, const AttemptId& id, ServiceAnswer answer) {
+  if (tables.calls.erase(id) == 0) {
+    return;
+  }
+  Attempt* attempt = FindAttempt(tables, id);
+  if (attempt && answer.status == CallStatus::kAnswered) {
+    NoteWorkDone(tables, *attempt, attempt->load);
+  }
+  Ending ending;
+  switch (answer.status) {
+    case CallStatus::kAnswered:
+      ending.chunk_count = 1;
+      ending.http_status = answer.http_status;
+      ending.content_type = answer.content_type;
+      ending.answer = StoreAnswer(tables.answers, std::move(answer));
+      break;
+    case CallStatus::kNotSent:
+      ending.failure = NotRun(ErrorCode::kTargetFailed, kRetryAfter);
+      break;
+    case CallStatus::kUnknown:
+      ending.failure = OutcomeUnknown(ErrorCode::kOutcomeUnknown);
+      break;
+  }
+  NoteKeyedEnd(tables, id, ending);
+  if (attempt) {
+    SendAnswer(tables, attempt->entry, id, ending.answer);
+    CloseAttempt(tables, id, std::move(ending));
+  }
+}
+
+void ReattachStreams(AgentTables& tables) {
+  for (auto& [id, attempt] : tables.attempts) {
+    if (attempt.reattach_at && *attempt.reattach_at <= tables.now) {
+      AttachAgain(tables, attempt);
+    }
+  }
+}
+
+void OnResume(AgentTables& tables, const PeerId& from, const Resume& resume) {
+  if (Attempt* attempt = FindAttempt(tables, resume.attempt)) {
+    attempt->entry = from;
+    if (IsEngineAgent(tables) && IsDispatched(*attempt)) {
+      attempt->next_chunk = resume.next_chunk;
+      AttachAgain(tables, *attempt);
+    }
+    return;
+  }
+  auto it = tables.closed.find(resume.attempt);
+  if (it != tables.closed.end()) {
+    ResumeClosed(tables, from, resume, it->second);
+    return;
+  }
+  const Booking* booking = FindBooking(tables, StreamBooking(resume.attempt));
+  const bool stopping = booking && booking->releasing_since;
+  if (IsEngineAgent(tables) && !stopping && resume.time_left > Duration(0)) {
+    AdoptAttempt(tables, from, resume);
+    return;
+  }
+  RefuseUnknownResume(tables, from, resume);
+}
+
+void DropPeer(AgentTables& tables, const PeerId& peer) {
+  const auto gone = [&](const PeerId& other) {
+    return other.instance == peer.instance &&
+           other.incarnation <= peer.incarnation;
+  };
+  const auto ids = Select(
+      tables, [&](const Attempt& attempt) { return gone(attempt.entry); });
+  for (const AttemptId& id : ids) {
+    CancelAttempt(tables, id);
+  }
+  for (auto& [id, booking] : tables.bookings) {
+    if (id.is_cache && gone(booking.entry)) {
+      BeginRelease(tables, id);
+    }
+  }
+  std::erase_if(tables.subscribers,
+                [&](const auto& row) { return gone(row.first); });
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/reconcile.h
@@ -0,0 +1,33 @@
+// Compares the engine's own list of streams and caches with the bookings.
+#ifndef SRC_RECONCILE_H_
+#define SRC_RECONCILE_H_
+
+#include "src/agent_tables.h"
+
+namespace burdockhatch {
+
+// Time between lists while nothing is being released.
+inline constexpr Duration kReconcileInterval = std::chrono::seconds(5);
+
+// Time after which a request for a list that got no answer is repeated.
+inline constexpr Duration kListTimeout = std::chrono::seconds(5);
+
+// How long a stream or cache that no attempt accounts for is kept for a Resume
+// or Hold.
+inline constexpr Duration kAdoptionGrace = std::chrono::seconds(10);
+
+// Consecutive lists without a stream after which its booking ends.
+inline constexpr int kMissingLists = 2;
+
+// Asks for a list when one is due.
+void AskForList(AgentTables& tables);
+
+// Compares the list with the bookings; null when the engine did not answer.
+void ReadEngineList(AgentTables& tables, const EngineList* list, Time asked_at);
+
+// Notes the engine's incarnation; a new one ends what the old one ran.
+void NoteEngine(AgentTables& tables, EngineIncarnation engine);
+
+}  // namespace burdockhatch
+
+#endif  // SRC_RECONCILE_H_
