--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
             $(if $(wildcard src/ctl_main.cc),$(BUILD)/burdockctl) \
             $(patsubst standins/%_main.cc,$(BUILD)/%,$(STANDIN_MAINS))
 
-.PHONY: help setup all build test unit-test process-test demo bench model fuzz format format-check \
+.PHONY: help setup all build test unit-test process-test demo bench model fuzz fuzz-programs fuzz-link format format-check \
         lint proto clean check
 .DEFAULT_GOAL := help
 
@@ -100,6 +100,16 @@
 $(BUILD)/bench_main: $(call objects,$(BENCH_SOURCES)) $(DAEMON_LIB) $(CORE_LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(DAEMON_LIBS)
 
+# Fuzz targets are built by clang, apart from the other objects: see fuzz-programs.
+$(BUILD)/fuzz_%: $(BUILD)/fuzz/%_fuzz.o $(DAEMON_LIB) $(CORE_LIB)
+	$(CXX) $(LDFLAGS) -fsanitize=fuzzer -o $@ $^ $(DAEMON_LIBS)
+
+FUZZ_PROGRAMS := $(patsubst fuzz/%_fuzz.cc,$(BUILD)/fuzz_%,$(FUZZ_SOURCES))
+fuzz-link: $(FUZZ_PROGRAMS)
+fuzz-programs:
+	@$(MAKE) --no-print-directory -j$(JOBS) BUILD=$(BUILD)/clang CXX="ccache $(CLANGXX)" OPT=-O1 \
+	  SANITIZE=-fsanitize=fuzzer-no-link,address,undefined fuzz-link
+
 unit-test: $(BUILD)/unit_tests
 	$(BUILD)/unit_tests --gtest_brief=1 $(if $(FILTER),--gtest_filter=$(FILTER))
 
@@ -109,6 +119,7 @@
 test: setup
 	@$(MAKE) --no-print-directory -j$(JOBS) all $(BUILD)/unit_tests \
 	  $(if $(PROCESS_TEST_SOURCES),$(BUILD)/process_tests)
+	@$(MAKE) --no-print-directory fuzz-programs
 	@BUILD=$(BUILD) ./tools/run-tests
 
 demo: setup
@@ -121,7 +132,7 @@
 model:
 	@BUILD=$(BUILD) ./tools/run-models
 
-fuzz:
+fuzz: fuzz-programs
 	@BUILD=$(BUILD) ./tools/run-fuzzers $(or $(FUZZ_SECONDS),30)
 
 SOURCES := $(filter-out %.pb.cc %.pb.h,$(wildcard $(foreach d,src standins tests bench fuzz,$(d)/*.cc $(d)/*.h)))
