Split the entry core into modules and complete its state machine

Fleet hints, affinity, placement, account limits, retry budget, gangs, requests and membership are modules over plain tables. ShareRequest and ShareGrant get a number, so that a lease counts from the request that the grant answers.

--- a/src/entry_core.cc
+++ b/src/entry_core.cc
@@ -2,184 +2,157 @@
 
 #include <utility>
 
+#include "src/account_limits.h"
+#include "src/entry_dump.h"
 #include "src/entry_tables.h"
+#include "src/fleet_table.h"
+#include "src/membership.h"
+#include "src/request_end.h"
+#include "src/requests.h"
+#include "src/retry_budget.h"
 
 namespace burdockhatch {
 
 namespace {
 
-constexpr Duration kSubscribeTtl = std::chrono::seconds(30);
-
-void Fail(EntryTables& tables, const RequestId& request, Failure failure) {
-  tables.requests.erase(request);
-  tables.actions.push_back(FailRequest{request, failure});
+// A message that means an earlier run of this entry is not for this one.
+bool MeansOtherRun(const EntryTables& tables, const Message& message) {
+  if (std::holds_alternative<Heartbeat>(message.body)) {
+    return false;
+  }
+  return message.receiver != Incarnation() &&
+         message.receiver != tables.options.self.incarnation;
 }
 
-const KnownAgent* ChooseAgent(const EntryTables& tables,
-                              const RequestSpec& spec) {
-  for (const auto& [instance, agent] : tables.agents) {
-    if (agent.info.model == spec.model && agent.info.service == spec.service &&
-        agent.info.state == InstanceState::kLive) {
-      return &agent;
-    }
+// The state of the sender, if the body carries one.
+const AgentState* StateIn(const MessageBody& body) {
+  if (const auto* reply = std::get_if<OfferReply>(&body)) {
+    return &reply->state;
   }
-  return nullptr;
-}
-
-void SendFirstOffer(EntryTables& tables, OpenRequest& row, Time now) {
-  Offer offer;
-  offer.attempt = row.attempt;
-  offer.kind = row.spec.kind;
-  offer.account = row.spec.account;
-  offer.model = row.spec.model;
-  offer.service = row.spec.service;
-  offer.prompt_tokens = row.spec.prompt_tokens;
-  offer.max_output_tokens = row.spec.max_output_tokens;
-  offer.prefix_hashes = row.spec.prefix_hashes;
-  offer.time_left = row.spec.deadline - now;
-  offer.repeatable = row.spec.repeatable;
-  offer.key = row.spec.key;
-  offer.method = row.spec.method;
-  offer.path = row.spec.path;
-  tables.actions.push_back(SendOffer{row.agent, std::move(offer)});
-}
-
-void CompleteIfWhole(EntryTables& tables, OpenRequest& row) {
-  if (!row.finish || row.next_chunk < row.finish->chunk_count) {
-    return;
+  if (const auto* reply = std::get_if<HoldReply>(&body)) {
+    return &reply->state;
   }
-  const RequestId request = row.spec.request;
-  tables.actions.push_back(CompleteRequest{request, row.finish->chunk_count,
-                                           row.finish->http_status,
-                                           row.finish->content_type});
-  tables.requests.erase(request);
-}
-
-OpenRequest* FindAttempt(EntryTables& tables, const AttemptId& attempt) {
-  const auto it = tables.requests.find(attempt.request);
-  if (it == tables.requests.end() || it->second.attempt != attempt) {
-    return nullptr;
+  if (const auto* finish = std::get_if<Finish>(&body)) {
+    return &finish->state;
   }
-  return &it->second;
+  const auto* report = std::get_if<LoadReport>(&body);
+  return report ? &report->state : nullptr;
 }
 
-void OnOfferReply(EntryTables& tables, const OfferReply& reply) {
-  OpenRequest* row = FindAttempt(tables, reply.attempt);
-  if (row && reply.verdict == Verdict::kRefused) {
-    Fail(tables, row->spec.request, reply.failure);
+void TakeState(EntryTables& tables, const Message& message, Time now) {
+  const AgentState* state = StateIn(message.body);
+  const auto slot = tables.fleet.by_instance.find(message.sender.instance);
+  if (!state || slot == tables.fleet.by_instance.end()) {
+    return;
   }
+  ApplyState(tables.fleet, slot->second, message.sender.incarnation, *state);
+  RefreshStanding(tables.fleet, slot->second, now);
 }
 
-void OnFinish(EntryTables& tables, const Finish& finish) {
-  OpenRequest* row = FindAttempt(tables, finish.attempt);
-  if (!row) {
-    return;
+// Systems for one kind of body each; what is not for an entry's decisions is
+// ignored.
+struct Dispatcher {
+  EntryTables& tables;
+  const PeerId& sender;
+  Heard heard;
+  Time now;
+
+  void operator()(const OfferReply& body) const {
+    OnOfferReply(tables, sender, body, now);
   }
-  if (finish.failure.code != ErrorCode::kNone) {
-    Fail(tables, row->spec.request, finish.failure);
-    return;
+  void operator()(const HoldReply& body) const {
+    OnHoldReply(tables, sender, body, now);
   }
-  row->finish = finish;
-  CompleteIfWhole(tables, *row);
-}
+  void operator()(const Finish& body) const {
+    OnFinish(tables, sender, body, now);
+  }
+  void operator()(const ShareRequest& body) const {
+    OnShareRequest(tables, sender, body, now);
+  }
+  void operator()(const ShareGrant& body) const {
+    ApplyGrant(tables.limits, sender.instance, body, now);
+  }
+  void operator()(const Heartbeat& body) const {
+    if (heard != Heard::kStaleRun) {
+      OnHeartbeat(tables, sender, body, now);
+    }
+  }
+  void operator()(const Goodbye&) const {
+    if (heard != Heard::kStaleRun) {
+      OnGoodbye(tables, sender, now);
+    }
+  }
+  template <class Other>
+  void operator()(const Other&) const {}
+};
 
 }  // namespace
 
 EntryCore::EntryCore(EntryOptions options)
     : tables_(std::make_unique<EntryTables>()) {
+  tables_->random = Random(options.seed);
   tables_->options = std::move(options);
 }
 
 EntryCore::~EntryCore() = default;
 
 void EntryCore::Tick(Time now) {
-  std::vector<RequestId> expired;
-  for (const auto& [request, row] : tables_->requests) {
-    if (row.spec.deadline <= now) {
-      expired.push_back(request);
-    }
-  }
-  for (const RequestId& it : expired) {
-    Fail(*tables_, it, {ErrorCode::kDeadlineExceeded, Outcome::kUnknown, {}});
-  }
+  UpdateMembership(*tables_, now);
+  UpdateLimits(*tables_, now);
+  UpdateRequests(*tables_, now);
+  RepeatCancels(*tables_, now);
 }
 
 void EntryCore::OnRequest(RequestSpec spec, Time now) {
-  if (!tables_->config || tables_->draining) {
-    Fail(*tables_, spec.request, {ErrorCode::kNotReady, Outcome::kNotRun, {}});
-    return;
-  }
-  const KnownAgent* agent = ChooseAgent(*tables_, spec);
-  if (!agent) {
-    Fail(*tables_, spec.request, {ErrorCode::kNoTarget, Outcome::kNotRun, {}});
-    return;
-  }
-  OpenRequest row;
-  row.attempt = {spec.request, AttemptNumber(1)};
-  row.agent = {agent->info.instance, agent->incarnation};
-  row.spec = std::move(spec);
-  OpenRequest& stored = tables_->requests[row.spec.request] = std::move(row);
-  SendFirstOffer(*tables_, stored, now);
+  StartRequest(*tables_, std::move(spec), now);
 }
 
 void EntryCore::OnCallerGone(const RequestId& request, Time now) {
-  const auto it = tables_->requests.find(request);
-  if (it == tables_->requests.end()) {
-    return;
-  }
-  tables_->actions.push_back(
-      SendToAgent{it->second.agent, Cancel{it->second.attempt}});
-  tables_->requests.erase(it);
+  DropRequest(*tables_, request, now);
 }
 
 void EntryCore::OnMessage(const Message& message, Time now) {
-  const auto agent = tables_->agents.find(message.sender.instance);
-  if (agent != tables_->agents.end()) {
-    agent->second.incarnation = message.sender.incarnation;
+  if (MeansOtherRun(*tables_, message)) {
+    return;
   }
-  if (const auto* reply = std::get_if<OfferReply>(&message.body)) {
-    OnOfferReply(*tables_, *reply);
-  } else if (const auto* finish = std::get_if<Finish>(&message.body)) {
-    OnFinish(*tables_, *finish);
+  const Heard heard = HearFrom(*tables_, message.sender, now);
+  TakeState(*tables_, message, now);
+  std::visit(Dispatcher{*tables_, message.sender, heard, now}, message.body);
+  if (heard == Heard::kNewRun) {
+    UpdateRequests(*tables_, now);
   }
 }
 
 void EntryCore::OnProgress(const AttemptId& attempt,
                            uint32_t next_chunk,
                            Time now) {
-  if (OpenRequest* row = FindAttempt(*tables_, attempt)) {
-    row->next_chunk = next_chunk;
-    CompleteIfWhole(*tables_, *row);
-  }
+  NoteProgress(*tables_, attempt, next_chunk, now);
 }
 
 void EntryCore::OnSendFailed(const AttemptId& attempt, Time now) {
-  if (OpenRequest* row = FindAttempt(*tables_, attempt)) {
-    Fail(*tables_, row->spec.request,
-         {ErrorCode::kTargetFailed, Outcome::kNotRun, {}});
-  }
+  NoteSendFailed(*tables_, attempt, now);
 }
 
 void EntryCore::OnInstances(const std::vector<InstanceInfo>& instances,
                             Time now) {
-  for (const InstanceInfo& it : instances) {
-    if (it.role != Role::kAgent) {
-      continue;
-    }
-    KnownAgent& agent = tables_->agents[it.instance];
-    if (agent.info.address != it.address) {
-      tables_->actions.push_back(ConnectPeer{it.instance, it.address});
-      tables_->actions.push_back(SendToAgent{{it.instance, agent.incarnation},
-                                             Subscribe{kSubscribeTtl}});
-    }
-    agent.info = it;
-  }
+  ApplyInstances(*tables_, instances, now);
 }
 
-void EntryCore::OnPeerUnreachable(const InstanceId& instance, Time now) {}
+void EntryCore::OnPeerUnreachable(const InstanceId& instance, Time now) {
+  MarkUnreachable(*tables_, instance, now);
+  UpdateRequests(*tables_, now);
+}
 
+// A configuration never reverts.
 void EntryCore::OnConfig(FleetConfigPtr config, Time now) {
+  if (!config ||
+      (tables_->config && config->version <= tables_->config->version)) {
+    return;
+  }
   tables_->config = std::move(config);
+  ApplyWithdrawals(*tables_, now);
+  ChooseSubset(*tables_, now);
+  PruneRetryBudgets(tables_->retries, *tables_->config);
 }
 
 void EntryCore::BeginDrain(Time now) {
@@ -195,7 +168,7 @@
 }
 
 std::string EntryCore::Dump(Time now) const {
-  return "{}";
+  return DumpEntry(*tables_, now);
 }
 
 }  // namespace burdockhatch
--- /dev/null
+++ b/src/fleet_table.cc
@@ -0,0 +1,211 @@
+#include "src/fleet_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/affinity.h"
+#include "src/rendezvous.h"
+
+namespace burdockhatch {
+
+namespace {
+
+// Round trips: none to speak of within a data centre, 2 to 3 ms within a
+// region. Between regions the path may be cut, so these are a last resort.
+constexpr double kSameRegionUs = 3'000;
+constexpr double kOtherRegionUs = 200'000;
+
+double DistanceUs(const EntryOptions& options, const InstanceInfo& info) {
+  if (info.data_centre == options.data_centre) {
+    return 0;
+  }
+  return info.region == options.region ? kSameRegionUs : kOtherRegionUs;
+}
+
+template <class Id>
+void RemoveFromGroup(std::map<Id, std::vector<TargetSlot>>& groups,
+                     const Id& id,
+                     TargetSlot slot) {
+  const auto it = groups.find(id);
+  if (it == groups.end()) {
+    return;
+  }
+  std::erase(it->second, slot);
+  if (it->second.empty()) {
+    groups.erase(it);
+  }
+}
+
+void Ungroup(FleetTable& fleet, TargetSlot slot) {
+  const InstanceInfo& info = fleet.rows[slot].info;
+  RemoveFromGroup(fleet.by_model, info.model, slot);
+  RemoveFromGroup(fleet.by_service, info.service, slot);
+}
+
+void Group(FleetTable& fleet, TargetSlot slot) {
+  const InstanceInfo& info = fleet.rows[slot].info;
+  if (!info.model.empty()) {
+    fleet.by_model[info.model].push_back(slot);
+  }
+  if (!info.service.empty()) {
+    fleet.by_service[info.service].push_back(slot);
+  }
+}
+
+TargetSlot NewSlot(FleetTable& fleet) {
+  if (fleet.free_slots.empty()) {
+    fleet.rows.emplace_back();
+    fleet.hints.emplace_back();
+    return static_cast<TargetSlot>(fleet.rows.size() - 1);
+  }
+  const TargetSlot slot = fleet.free_slots.back();
+  fleet.free_slots.pop_back();
+  return slot;
+}
+
+void UpdateHint(TargetHint& hint, const AgentState& state) {
+  hint.reported_tokens = (state.in_flight + state.queued).value();
+  hint.warm_budget = state.warm_budget.value();
+  hint.memory_total = state.memory_total.value();
+  hint.memory_free = state.memory_free.value();
+  hint.wait_us = static_cast<double>(state.expected_wait.count());
+  const int64_t rate = state.prefill_rate.value();
+  hint.us_per_token = rate > 0 ? 1e6 / static_cast<double>(rate) : 0;
+}
+
+bool MayTakeWork(const TargetRow& row) {
+  const AgentState& state = *row.state;
+  return state.ready && !state.draining && !state.withdrawn;
+}
+
+bool IsSilent(const TargetRow& row, Time now) {
+  return now - std::max(row.last_heard, row.connected_at) > kSuspicionTime;
+}
+
+Standing StandingOf(const TargetRow& row, Time now) {
+  if (row.withdrawn || row.leaving ||
+      row.info.state == InstanceState::kLeaving) {
+    return Standing::kUnusable;
+  }
+  if (row.connected && (row.unreachable || IsSilent(row, now))) {
+    return Standing::kSuspect;
+  }
+  if (!row.connected || !row.state) {
+    return Standing::kUnheard;
+  }
+  return MayTakeWork(row) ? Standing::kUsable : Standing::kUnusable;
+}
+
+}  // namespace
+
+TargetRow* FindTarget(FleetTable& fleet, const InstanceId& instance) {
+  const auto it = fleet.by_instance.find(instance);
+  return it == fleet.by_instance.end() ? nullptr : &fleet.rows[it->second];
+}
+
+TargetSlot PutTarget(EntryTables& tables, const InstanceInfo& info) {
+  FleetTable& fleet = tables.fleet;
+  const auto known = fleet.by_instance.find(info.instance);
+  const bool is_new = known == fleet.by_instance.end();
+  const TargetSlot slot = is_new ? NewSlot(fleet) : known->second;
+  if (is_new) {
+    fleet.rows[slot] = TargetRow{};
+    fleet.hints[slot] = TargetHint{};
+    fleet.by_instance[info.instance] = slot;
+  } else {
+    Ungroup(fleet, slot);
+  }
+  TargetRow& row = fleet.rows[slot];
+  row.info = info;
+  row.hash = StableHash(info.instance.value());
+  row.used = true;
+  fleet.hints[slot].distance_us = DistanceUs(tables.options, info);
+  Group(fleet, slot);
+  return slot;
+}
+
+void RemoveTarget(FleetTable& fleet, TargetSlot slot) {
+  TargetRow& row = fleet.rows[slot];
+  Ungroup(fleet, slot);
+  if (row.state) {
+    RemovePrefixes(fleet.affinity, slot, row.state->cached_prefixes);
+  }
+  fleet.by_instance.erase(row.info.instance);
+  row = TargetRow{};
+  fleet.hints[slot] = TargetHint{};
+  fleet.free_slots.push_back(slot);
+}
+
+void ApplyState(FleetTable& fleet,
+                TargetSlot slot,
+                Incarnation sender,
+                const AgentState& state) {
+  TargetRow& row = fleet.rows[slot];
+  if (sender != row.incarnation ||
+      (row.state && state.sequence <= row.state->sequence)) {
+    return;
+  }
+  if (!row.state || row.state->cached_prefixes != state.cached_prefixes) {
+    if (row.state) {
+      RemovePrefixes(fleet.affinity, slot, row.state->cached_prefixes);
+    }
+    AddPrefixes(fleet.affinity, slot, state.cached_prefixes);
+  }
+  row.state = state;
+  UpdateHint(fleet.hints[slot], state);
+}
+
+void RefreshStanding(FleetTable& fleet, TargetSlot slot, Time now) {
+  fleet.hints[slot].standing = StandingOf(fleet.rows[slot], now);
+}
+
+void RefreshStandings(FleetTable& fleet, Time now) {
+  for (TargetSlot slot = 0; slot < fleet.rows.size(); ++slot) {
+    if (fleet.rows[slot].used) {
+      RefreshStanding(fleet, slot, now);
+    }
+  }
+}
+
+void ApplyWithdrawals(EntryTables& tables, Time now) {
+  const FleetConfig& config = *tables.config;
+  for (TargetSlot slot = 0; slot < tables.fleet.rows.size(); ++slot) {
+    TargetRow& row = tables.fleet.rows[slot];
+    if (!row.used) {
+      continue;
+    }
+    row.withdrawn =
+        config.withdrawn_targets.contains(row.info.target) ||
+        config.withdrawn_data_centres.contains(row.info.data_centre);
+    RefreshStanding(tables.fleet, slot, now);
+  }
+}
+
+void CountOffer(FleetTable& fleet, TargetSlot slot, int64_t tokens) {
+  fleet.hints[slot].own_tokens += tokens;
+  fleet.hints[slot].unanswered_tokens += tokens;
+  ++fleet.rows[slot].attempts;
+}
+
+void CountAnswer(FleetTable& fleet, TargetSlot slot, int64_t tokens) {
+  fleet.hints[slot].unanswered_tokens -= tokens;
+}
+
+void EndCount(FleetTable& fleet,
+              TargetSlot slot,
+              int64_t tokens,
+              bool unanswered) {
+  fleet.hints[slot].own_tokens -= tokens;
+  if (unanswered) {
+    fleet.hints[slot].unanswered_tokens -= tokens;
+  }
+  --fleet.rows[slot].attempts;
+}
+
+// Reports lag, so the estimate is never below what this entry alone has there.
+int64_t EstimatedTokens(const TargetHint& hint) {
+  return std::max(hint.reported_tokens + hint.unanswered_tokens,
+                  hint.own_tokens);
+}
+
+}  // namespace burdockhatch
--- a/src/messages.h
+++ b/src/messages.h
@@ -203,6 +203,7 @@
 
 // Entry to home entry: asks for shares of account limits.
 struct ShareRequest {
+  uint64_t number = 0;  // Grows with each request to one home entry.
   std::vector<AccountDemand> demands;
 };
 
@@ -214,6 +215,7 @@
 // Home entry to entry: shares, valid for `lease` from when the request was
 // sent.
 struct ShareGrant {
+  uint64_t number = 0;  // Of the request that this answers.
   Duration lease{0};
   std::vector<AccountShare> shares;
 };
--- /dev/null
+++ b/src/request_end.cc
@@ -0,0 +1,131 @@
+#include "src/request_end.h"
+
+#include "src/fleet_table.h"
+#include "src/gang.h"
+
+namespace burdockhatch {
+
+namespace {
+
+constexpr Duration kCancelRepeat = std::chrono::milliseconds(500);
+
+PeerId CurrentRun(const TargetRow& row) {
+  return {row.info.instance, row.incarnation};
+}
+
+void SendCancel(EntryTables& tables,
+                const InstanceId& instance,
+                const AttemptId& attempt) {
+  PeerId to{instance, {}};
+  if (const TargetRow* row = FindTarget(tables.fleet, instance)) {
+    to = CurrentRun(*row);
+  }
+  tables.actions.push_back(SendToAgent{to, Cancel{attempt}});
+}
+
+void EraseRow(EntryTables& tables, RequestRow& row, Time now) {
+  if (row.attempt) {
+    AbandonAttempt(tables, row, now);
+  }
+  EndAttempt(tables, row);
+  const RequestId request = row.spec.request;
+  tables.requests.erase(request);
+}
+
+}  // namespace
+
+bool ProvesNotRun(Incarnation offered_to,
+                  Incarnation sender,
+                  const Failure& failure) {
+  return failure.outcome == Outcome::kNotRun && sender == offered_to;
+}
+
+Outcome OutcomeOf(const RequestRow& row) {
+  if (row.attempt && row.attempt->finish) {
+    return Outcome::kRan;
+  }
+  return row.attempt || row.unproven > 0 ? Outcome::kUnknown : Outcome::kNotRun;
+}
+
+void EndAttempt(EntryTables& tables, RequestRow& row) {
+  if (row.attempt) {
+    const Attempt& attempt = *row.attempt;
+    EndCount(tables.fleet, attempt.slot, attempt.tokens, attempt.unanswered);
+    row.attempt.reset();
+  }
+  if (row.gang) {
+    ReleaseGang(tables, *row.gang);
+    row.gang.reset();
+  }
+}
+
+void AbandonAttempt(EntryTables& tables, RequestRow& row, Time now) {
+  const Attempt& attempt = *row.attempt;
+  const InstanceId& instance = tables.fleet.rows[attempt.slot].info.instance;
+  SendCancel(tables, instance, attempt.id);
+  if (row.spec.deadline > now) {
+    tables.abandoned[attempt.id] = {instance, attempt.offered_to,
+                                    row.spec.deadline, now + kCancelRepeat};
+  }
+  ++row.unproven;
+  EndAttempt(tables, row);
+}
+
+void CompleteRow(EntryTables& tables, RequestRow& row) {
+  const Finish& finish = *row.attempt->finish;
+  tables.actions.push_back(CompleteRequest{row.spec.request, finish.chunk_count,
+                                           finish.http_status,
+                                           finish.content_type});
+  EndAttempt(tables, row);
+  const RequestId request = row.spec.request;
+  tables.requests.erase(request);
+}
+
+void FailRow(EntryTables& tables,
+             RequestRow& row,
+             ErrorCode code,
+             Duration retry_after,
+             Time now) {
+  FailRowWith(tables, row, {code, OutcomeOf(row), retry_after}, now);
+}
+
+void FailRowWith(EntryTables& tables,
+                 RequestRow& row,
+                 const Failure& failure,
+                 Time now) {
+  tables.actions.push_back(FailRequest{row.spec.request, failure});
+  EraseRow(tables, row, now);
+}
+
+void DropRow(EntryTables& tables, RequestRow& row, Time now) {
+  EraseRow(tables, row, now);
+}
+
+void ConfirmAbandoned(EntryTables& tables,
+                      const PeerId& sender,
+                      const AttemptId& attempt,
+                      const Failure& failure) {
+  const auto it = tables.abandoned.find(attempt);
+  if (it == tables.abandoned.end() || it->second.instance != sender.instance) {
+    return;
+  }
+  const auto request = tables.requests.find(attempt.request);
+  if (request != tables.requests.end() &&
+      ProvesNotRun(it->second.offered_to, sender.incarnation, failure)) {
+    --request->second.unproven;
+  }
+  tables.abandoned.erase(it);
+}
+
+void RepeatCancels(EntryTables& tables, Time now) {
+  std::erase_if(tables.abandoned,
+                [&](const auto& it) { return it.second.deadline <= now; });
+  for (auto& [attempt, row] : tables.abandoned) {
+    if (now >= row.next_cancel) {
+      row.next_cancel = now + kCancelRepeat;
+      SendCancel(tables, row.instance, attempt);
+    }
+  }
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/retry_budget.cc
@@ -0,0 +1,35 @@
+#include "src/retry_budget.h"
+
+#include <algorithm>
+
+namespace burdockhatch {
+
+namespace {
+
+int64_t& CreditOf(RetryBudgets& budgets, const ClientAccountId& account) {
+  return budgets.credit.try_emplace(account, kInitialRetryCredit).first->second;
+}
+
+}  // namespace
+
+void AddRetryCredit(RetryBudgets& budgets, const ClientAccountId& account) {
+  int64_t& credit = CreditOf(budgets, account);
+  credit = std::min(credit + 1, kMaxRetryCredit);
+}
+
+bool TakeRetry(RetryBudgets& budgets, const ClientAccountId& account) {
+  int64_t& credit = CreditOf(budgets, account);
+  if (credit < kRetryCost) {
+    return false;
+  }
+  credit -= kRetryCost;
+  return true;
+}
+
+void PruneRetryBudgets(RetryBudgets& budgets, const FleetConfig& config) {
+  std::erase_if(budgets.credit, [&](const auto& it) {
+    return !config.accounts.contains(it.first);
+  });
+}
+
+}  // namespace burdockhatch
