--- /dev/null
+++ b/src/http_call.cc
@@ -0,0 +1,480 @@
+#include "src/http_call.h"
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <mutex>
+#include <optional>
+
+#include <fmt/format.h>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "src/server_sent_events.h"
+
+namespace burdockhatch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using SteadyClockTime = std::chrono::steady_clock::time_point;
+
+namespace {
+
+// A server that takes longer to connect is treated as unreachable, which
+// leaves the caller time for another one.
+constexpr std::chrono::milliseconds kConnectTimeout{1'000};
+// Keeps a deadline within the range of the clock.
+constexpr Duration kMaxTimeout = std::chrono::hours(24);
+constexpr std::chrono::seconds kMaxIdle{10};
+constexpr size_t kMaxIdleConnections = 8;
+constexpr uint64_t kMaxAnswerSize = 64 << 20;  // Bytes.
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+using Stream = beast::tcp_stream;
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  error_code ec;
+  const asio::ip::address ip =
+      asio::ip::make_address(address.substr(0, colon), ec);
+  uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  auto [rest, parse_ec] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  if (ec || parse_ec != std::errc() || rest != end || port == 0) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, port);
+}
+
+// A request line or a header with these characters would be another request.
+bool IsSafe(std::string_view text, bool allow_space) {
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x20 || byte == 0x7f || (byte == ' ' && !allow_space)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool IsSafe(const HttpCall& call) {
+  if (call.method.empty() || !call.target.starts_with('/') ||
+      !IsSafe(call.method, false) || !IsSafe(call.target, false)) {
+    return false;
+  }
+  for (const auto& [name, value] : call.headers) {
+    if (!IsSafe(name, false) || !IsSafe(value, true)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::string RequestText(const HttpCall& call, const std::string& host) {
+  std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method,
+                                 call.target, host);
+  for (const auto& [name, value] : call.headers) {
+    text += fmt::format("{}: {}\r\n", name, value);
+  }
+  const bool has_body =
+      !call.body.empty() || (call.method != "GET" && call.method != "HEAD" &&
+                             call.method != "DELETE");
+  if (has_body) {
+    text += fmt::format("Content-Length: {}\r\n", call.body.size());
+  }
+  text += "\r\n";
+  return text + call.body;
+}
+
+// Connections that wait for their next call.
+class Pool {
+ public:
+  void Put(std::unique_ptr<Stream> stream) {
+    stream->expires_never();
+    const std::lock_guard lock(mutex_);
+    if (idle_.size() < kMaxIdleConnections) {
+      idle_.push_back({std::move(stream), std::chrono::steady_clock::now()});
+    }
+  }
+
+  // Returns null when no usable connection waits.
+  std::unique_ptr<Stream> Take() {
+    const std::lock_guard lock(mutex_);
+    while (!idle_.empty()) {
+      Idle idle = std::move(idle_.back());
+      idle_.pop_back();
+      if (std::chrono::steady_clock::now() - idle.since < kMaxIdle &&
+          IsUsable(*idle.stream)) {
+        return std::move(idle.stream);
+      }
+    }
+    return nullptr;
+  }
+
+ private:
+  struct Idle {
+    std::unique_ptr<Stream> stream;
+    SteadyClockTime since;
+  };
+
+  // A connection that the server has closed, or that has unread bytes, is of
+  // no use. Nothing is pending on an idle connection, so that reading here does
+  // not meet another reader.
+  static bool IsUsable(Stream& stream) {
+    error_code ec;
+    stream.socket().non_blocking(true, ec);
+    char byte = 0;
+    stream.socket().receive(asio::buffer(&byte, 1),
+                            asio::socket_base::message_peek, ec);
+    return ec == asio::error::would_block;
+  }
+
+  std::mutex mutex_;
+  std::vector<Idle> idle_;
+};
+
+// The server and the connections to it; shared by the sessions.
+struct Server {
+  asio::io_context& io;
+  std::string address;
+  std::optional<tcp::endpoint> endpoint;
+  Pool pool;
+};
+
+// Closes a connection without waiting for the server.
+void CloseNow(Stream* stream) {
+  if (stream != nullptr) {
+    error_code ignored;
+    stream->socket().close(ignored);
+  }
+}
+
+// One call. All steps run on the connection's strand.
+class CallSession : public std::enable_shared_from_this<CallSession> {
+ public:
+  CallSession(std::shared_ptr<Server> server,
+              HttpCall call,
+              std::function<void(HttpReply)> done)
+      : server_(std::move(server)),
+        call_(std::move(call)),
+        done_(std::move(done)),
+        deadline_(std::chrono::steady_clock::now() +
+                  std::min(call_.timeout, kMaxTimeout)) {}
+
+  void Start() {
+    if (!server_->endpoint || !IsSafe(call_)) {
+      asio::post(server_->io, [self = shared_from_this()] {
+        self->Finish(CallStatus::kNotSent);
+      });
+      return;
+    }
+    text_ = RequestText(call_, server_->address);
+    if (call_.repeatable) {
+      stream_ = server_->pool.Take();
+    }
+    pooled_ = stream_ != nullptr;
+    if (!pooled_) {
+      Connect();
+      return;
+    }
+    asio::post(stream_->get_executor(),
+               [self = shared_from_this()] { self->Write(); });
+  }
+
+ private:
+  void Connect() {
+    pooled_ = false;
+    stream_ = std::make_unique<Stream>(asio::make_strand(server_->io));
+    stream_->expires_at(std::min(
+        deadline_, std::chrono::steady_clock::now() + kConnectTimeout));
+    stream_->async_connect(*server_->endpoint,
+                           [self = shared_from_this()](error_code ec) {
+                             if (ec) {
+                               self->Finish(CallStatus::kNotSent);
+                               return;
+                             }
+                             self->Write();
+                           });
+  }
+
+  void Write() {
+    error_code ignored;
+    stream_->socket().set_option(tcp::no_delay(true), ignored);
+    stream_->expires_at(deadline_);
+    // Last check before the first byte. The process may have been paused for
+    // any time since the call was made.
+    if (std::chrono::steady_clock::now() >= deadline_) {
+      Finish(CallStatus::kNotSent);
+      return;
+    }
+    asio::async_write(
+        *stream_, asio::buffer(text_),
+        [self = shared_from_this()](error_code ec, size_t written) {
+          self->OnWritten(ec, written);
+        });
+  }
+
+  void OnWritten(error_code ec, size_t written) {
+    if (!ec) {
+      sent_ = true;
+      Read();
+      return;
+    }
+    sent_ = sent_ || written > 0;
+    if (RetryOnFreshConnection()) {
+      return;
+    }
+    Finish(CallStatus::kNotSent);
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxAnswerSize);
+    parser_->skip(call_.method == "HEAD");
+    http::async_read(*stream_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code ec, size_t) {
+                       self->OnRead(ec);
+                     });
+  }
+
+  void OnRead(error_code ec) {
+    if (ec) {
+      const bool nothing_read = !parser_->got_some() && buffer_.size() == 0;
+      if (nothing_read && ec != beast::error::timeout &&
+          RetryOnFreshConnection()) {
+        return;
+      }
+      Finish(CallStatus::kUnknown);
+      return;
+    }
+    const bool keep_alive = parser_->keep_alive() && buffer_.size() == 0;
+    http::response<http::string_body> message = parser_->release();
+    reply_.http_status = message.result_int();
+    reply_.content_type = std::string(message[http::field::content_type]);
+    reply_.etag = std::string(message[http::field::etag]);
+    reply_.body = std::move(message.body());
+    if (keep_alive) {
+      server_->pool.Put(std::move(stream_));
+    }
+    Finish(CallStatus::kAnswered);
+  }
+
+  // The server may close a pooled connection while the request is under way. A
+  // repeatable request is then sent once more.
+  bool RetryOnFreshConnection() {
+    if (!pooled_ || !call_.repeatable) {
+      return false;
+    }
+    buffer_.clear();
+    Connect();
+    return true;
+  }
+
+  void Finish(CallStatus status) {
+    // Bytes may have been written before, also by a first try on a pooled
+    // connection.
+    if (status == CallStatus::kNotSent && sent_) {
+      status = CallStatus::kUnknown;
+    }
+    CloseNow(stream_.get());
+    reply_.status = status;
+    done_(std::move(reply_));
+  }
+
+  std::shared_ptr<Server> server_;
+  HttpCall call_;
+  std::function<void(HttpReply)> done_;
+  SteadyClockTime deadline_;
+  std::string text_;
+  std::unique_ptr<Stream> stream_;
+  bool pooled_ = false;
+  bool sent_ = false;  // Any byte was written, on any connection.
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  HttpReply reply_;
+};
+
+// One read of server-sent events. All steps run on the connection's strand.
+class EventSession : public EventReader,
+                     public std::enable_shared_from_this<EventSession> {
+ public:
+  EventSession(std::shared_ptr<Server> server,
+               std::string target,
+               Duration idle_timeout,
+               EventCallbacks callbacks)
+      : server_(std::move(server)),
+        call_{.method = "GET",
+              .target = std::move(target),
+              .body = {},
+              .headers = {{"Accept", "text/event-stream"}},
+              .repeatable = true},
+        idle_timeout_(idle_timeout),
+        callbacks_(std::move(callbacks)),
+        stream_(std::make_unique<Stream>(asio::make_strand(server_->io))) {}
+
+  void Start() {
+    asio::post(stream_->get_executor(), [self = shared_from_this()] {
+      if (!self->server_->endpoint || !IsSafe(self->call_)) {
+        self->Finish(EventsEnd::kLost);
+        return;
+      }
+      self->Connect();
+    });
+  }
+
+  void Stop() override {
+    if (!stopped_.exchange(true)) {
+      asio::post(stream_->get_executor(), [self = shared_from_this()] {
+        CloseNow(self->stream_.get());
+      });
+    }
+  }
+
+ private:
+  void Connect() {
+    if (stopped_) {
+      return;
+    }
+    text_ = RequestText(call_, server_->address);
+    stream_->expires_after(kConnectTimeout);
+    stream_->async_connect(*server_->endpoint,
+                           [self = shared_from_this()](error_code ec) {
+                             if (ec) {
+                               self->Finish(EventsEnd::kLost);
+                               return;
+                             }
+                             self->Write();
+                           });
+  }
+
+  void Write() {
+    error_code ignored;
+    stream_->socket().set_option(tcp::no_delay(true), ignored);
+    stream_->expires_after(idle_timeout_);
+    asio::async_write(*stream_, asio::buffer(text_),
+                      [self = shared_from_this()](error_code ec, size_t) {
+                        if (ec) {
+                          self->Finish(EventsEnd::kLost);
+                          return;
+                        }
+                        self->ReadHeader();
+                      });
+  }
+
+  void ReadHeader() {
+    parser_.body_limit(boost::none);
+    http::async_read_header(*stream_, buffer_, parser_,
+                            [self = shared_from_this()](error_code ec, size_t) {
+                              self->OnHeader(ec);
+                            });
+  }
+
+  void OnHeader(error_code ec) {
+    if (ec) {
+      Finish(EventsEnd::kLost);
+      return;
+    }
+    http_status_ = parser_.get().result_int();
+    if (http_status_ != 200) {
+      Finish(EventsEnd::kRefused);
+      return;
+    }
+    ReadSome();
+  }
+
+  void ReadSome() {
+    if (parser_.is_done()) {
+      Finish(EventsEnd::kFinished);
+      return;
+    }
+    stream_->expires_after(idle_timeout_);
+    http::async_read_some(*stream_, buffer_, parser_,
+                          [self = shared_from_this()](error_code ec, size_t) {
+                            self->OnSome(ec);
+                          });
+  }
+
+  void OnSome(error_code ec) {
+    std::string text = std::move(parser_.get().body());
+    parser_.get().body().clear();
+    const bool valid = events_.Feed(text, [this](std::string_view data) {
+      if (!stopped_) {
+        callbacks_.on_event(data);
+      }
+    });
+    if (ec || !valid) {
+      Finish(EventsEnd::kLost);
+      return;
+    }
+    ReadSome();
+  }
+
+  void Finish(EventsEnd end) {
+    CloseNow(stream_.get());
+    if (!stopped_.exchange(true)) {
+      callbacks_.on_end(end, http_status_);
+    }
+    callbacks_ = {};
+  }
+
+  std::shared_ptr<Server> server_;
+  HttpCall call_;
+  Duration idle_timeout_;
+  EventCallbacks callbacks_;
+  std::string text_;
+  std::unique_ptr<Stream> stream_;
+  beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+  EventParser events_;
+  uint32_t http_status_ = 0;
+  std::atomic<bool> stopped_ = false;
+};
+
+class BeastHttpClient : public HttpClient {
+ public:
+  BeastHttpClient(asio::io_context& io, std::string address)
+      : server_(std::make_shared<Server>(io, address, ParseEndpoint(address))) {
+  }
+
+  void Call(HttpCall call, std::function<void(HttpReply)> done) override {
+    std::make_shared<CallSession>(server_, std::move(call), std::move(done))
+        ->Start();
+  }
+
+  std::shared_ptr<EventReader> ReadEvents(std::string target,
+                                          Duration idle_timeout,
+                                          EventCallbacks callbacks) override {
+    auto session = std::make_shared<EventSession>(
+        server_, std::move(target), idle_timeout, std::move(callbacks));
+    session->Start();
+    return session;
+  }
+
+ private:
+  std::shared_ptr<Server> server_;
+};
+
+}  // namespace
+
+std::unique_ptr<HttpClient> MakeHttpClient(asio::io_context& io,
+                                           std::string address) {
+  return std::make_unique<BeastHttpClient>(io, std::move(address));
+}
+
+}  // namespace burdockhatch
--- a/standins/engine_model.cc
+++ b/standins/engine_model.cc
@@ -140,7 +140,8 @@
   const int64_t cached = std::min(LookUpPrefix(stream.spec), prompt);
   // Output that the caller has already is computed again as part of the
   // prompt. At least one token is computed, as in an engine.
-  stream.prefill_left = std::max<int64_t>(prompt - cached + stream.generated, 1);
+  stream.prefill_left =
+      std::max<int64_t>(prompt - cached + stream.generated, 1);
   stream.phase = Phase::kPrefill;
 }
 
@@ -203,8 +204,8 @@
   ModelStep step;
   int64_t chunk = 0;
   for (const ModelStream* stream : Ordered(Phase::kPrefill)) {
-    const int64_t share = std::min(options_.prefill_chunk_tokens - chunk,
-                                   stream->prefill_left);
+    const int64_t share =
+        std::min(options_.prefill_chunk_tokens - chunk, stream->prefill_left);
     if (share <= 0) {
       break;
     }
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -43,9 +43,9 @@
   uint64_t refused_model = 0;
   uint64_t refused_fencing = 0;
   uint64_t restarts = 0;
-  uint64_t overloads = 0;      // Restarts because a cold engine was overloaded.
-  uint64_t streams_lost = 0;   // By restarts.
-  uint64_t orders = 0;         // Carried out.
+  uint64_t overloads = 0;     // Restarts because a cold engine was overloaded.
+  uint64_t streams_lost = 0;  // By restarts.
+  uint64_t orders = 0;        // Carried out.
   int64_t peak_in_flight = 0;
   int64_t peak_cold_in_flight = 0;
   int64_t peak_memory = 0;
@@ -62,7 +62,7 @@
 
 // One step of the batch.
 struct ModelStep {
-  double milliseconds = 0;  // 0: nothing to do.
+  double milliseconds = 0;                               // 0: nothing to do.
   std::vector<std::pair<std::string, int64_t>> prefill;  // Tokens per stream.
   std::vector<std::string> generate;
 };
--- a/standins/fake_engine.cc
+++ b/standins/fake_engine.cc
@@ -11,9 +11,9 @@
 #include <utility>
 #include <vector>
 
+#include <fmt/format.h>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
-#include <fmt/format.h>
 
 #include "standins/engine_model.h"
 #include "standins/faults.h"
@@ -208,13 +208,13 @@
       step_timer(context),
       comment_timer(context),
       sample_timer(context),
-      server(context,
-             {.listen = options.listen},
-             faults,
-             [this](HttpRequest request,
-                    std::shared_ptr<HttpExchange> exchange) {
-               Handle(std::move(request), std::move(exchange));
-             }) {
+      server(
+          context,
+          {.listen = options.listen},
+          faults,
+          [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+            Handle(std::move(request), std::move(exchange));
+          }) {
   server.SetFaultListener([this] { OnFaultChange(); });
   SendComments();
   SampleLoad();
@@ -242,7 +242,8 @@
 
 void FakeEngine::Impl::HandleStreams(const HttpRequest& request,
                                      std::shared_ptr<HttpExchange> exchange) {
-  std::string_view rest = std::string_view(request.path).substr(kStreams.size());
+  std::string_view rest =
+      std::string_view(request.path).substr(kStreams.size());
   if (rest.empty() && request.method == "POST") {
     PostStream(request, *exchange);
     return;
@@ -306,11 +307,11 @@
   json::array holdings;
   for (const auto& [id, stream] : model.streams()) {
     if (stream.memory > 0) {
-      holdings.push_back(json::object{
-          {"stream", id},
-          {"memory", stream.memory},
-          {"is_cache", false},
-          {"running", stream.phase != Phase::kEnded}});
+      holdings.push_back(
+          json::object{{"stream", id},
+                       {"memory", stream.memory},
+                       {"is_cache", false},
+                       {"running", stream.phase != Phase::kEnded}});
     }
   }
   for (const auto& [id, memory] : model.caches()) {
@@ -418,8 +419,8 @@
     exchange->Reply({.body = "{}"});
     return;
   }
-  const auto delay = Milliseconds(static_cast<double>(options.load_ms) /
-                                  options.time_scale);
+  const auto delay =
+      Milliseconds(static_cast<double>(options.load_ms) / options.time_scale);
   auto timer = std::make_shared<asio::steady_timer>(io, delay);
   const uint64_t ordered_in = incarnation;
   timer->async_wait([this, timer, name, ordered_in,
@@ -464,8 +465,8 @@
                        {"prefix_hash", published.event.prefix_hash}});
     }
   }
-  exchange.Reply({.body = json::serialize(json::object{
-                      {"engine", incarnation}, {"events", events}})});
+  exchange.Reply({.body = json::serialize(json::object{{"engine", incarnation},
+                                                       {"events", events}})});
 }
 
 // Starts the timer of the next step unless one runs.
@@ -586,10 +587,8 @@
     ++lost_events;
     return true;
   }
-  const std::string text =
-      json::serialize(json::object{{"index", chunk.index},
-                                   {"tokens", chunk.tokens},
-                                   {"data", chunk.data}});
+  const std::string text = json::serialize(json::object{
+      {"index", chunk.index}, {"tokens", chunk.tokens}, {"data", chunk.data}});
   exchange.SendEvent(text);
   if (faults.Chance("duplicate_event")) {
     exchange.SendEvent(text);
@@ -629,8 +628,8 @@
 
 void FakeEngine::Impl::SampleLoad() {
   samples.push_back({std::chrono::steady_clock::now(), LoadBody()});
-  const uint64_t interval = std::clamp<uint64_t>(options.report_lag_ms / 4, 10,
-                                                 1'000);
+  const uint64_t interval =
+      std::clamp<uint64_t>(options.report_lag_ms / 4, 10, 1'000);
   // Bounds the list when nobody reads the load.
   while (samples.size() > options.report_lag_ms / interval + 3) {
     samples.pop_front();
--- a/standins/fake_object_api.cc
+++ b/standins/fake_object_api.cc
@@ -10,9 +10,9 @@
 #include <stdexcept>
 #include <utility>
 
+#include <fmt/format.h>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
-#include <fmt/format.h>
 
 #include "src/object_api.h"
 #include "standins/faults.h"
@@ -182,16 +182,16 @@
     : io(context),
       options(std::move(o)),
       faults(options.seed, KnownFaults()),
-      server(context,
-             // Above the largest value, so that a body that is a little too
-             // large is read to its end and its sender can read the 413.
-             {.listen = options.listen,
-              .max_body = 2 * static_cast<uint64_t>(kMaxObjectSize.value())},
-             faults,
-             [this](HttpRequest request,
-                    std::shared_ptr<HttpExchange> exchange) {
-               Handle(std::move(request), std::move(exchange));
-             }) {
+      server(
+          context,
+          // Above the largest value, so that a body that is a little too
+          // large is read to its end and its sender can read the 413.
+          {.listen = options.listen,
+           .max_body = 2 * static_cast<uint64_t>(kMaxObjectSize.value())},
+          faults,
+          [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+            Handle(std::move(request), std::move(exchange));
+          }) {
   const SteadyTime now = std::chrono::steady_clock::now();
   read_bucket = {options.max_reads_per_s, 0, now};
   read_bucket.level = read_bucket.Capacity();
--- a/standins/fake_service.cc
+++ b/standins/fake_service.cc
@@ -64,13 +64,13 @@
     : io(context),
       options(std::move(o)),
       faults(options.seed, KnownFaults()),
-      server(context,
-             {.listen = options.listen},
-             faults,
-             [this](HttpRequest request,
-                    std::shared_ptr<HttpExchange> exchange) {
-               Handle(std::move(request), std::move(exchange));
-             }) {
+      server(
+          context,
+          {.listen = options.listen},
+          faults,
+          [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+            Handle(std::move(request), std::move(exchange));
+          }) {
   server.SetFaultListener([this] {
     const double refuse_ms = faults.Number("refuse_ms");
     if (refuse_ms > 0) {
@@ -144,15 +144,15 @@
   ++in_progress;
   peak_in_progress = std::max(peak_in_progress, in_progress);
   auto timer = std::make_shared<asio::steady_timer>(io, delay);
-  timer->async_wait([this, timer, exchange = std::move(exchange),
-                     response = std::move(response)](
-                        boost::system::error_code ec) mutable {
-    if (ec) {
-      return;
-    }
-    --in_progress;
-    exchange->Reply(std::move(response));
-  });
+  timer->async_wait(
+      [this, timer, exchange = std::move(exchange),
+       response = std::move(response)](boost::system::error_code ec) mutable {
+        if (ec) {
+          return;
+        }
+        --in_progress;
+        exchange->Reply(std::move(response));
+      });
 }
 
 std::string FakeService::Impl::Stats() const {
--- a/standins/fake_service_main.cc
+++ b/standins/fake_service_main.cc
@@ -12,10 +12,7 @@
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:7201", "ip:port to listen on");
 ABSL_FLAG(uint64_t, seed, 1, "seed of the faults that have a probability");
-ABSL_FLAG(uint64_t,
-          delay_ms,
-          0,
-          "time between the execution and the answer");
+ABSL_FLAG(uint64_t, delay_ms, 0, "time between the execution and the answer");
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("Stand-in of a plain service.");
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include <fmt/format.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,7 +17,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <fmt/format.h>
 
 namespace burdockhatch::standins {
 
@@ -47,8 +47,8 @@
       decoded += text[i];
       continue;
     }
-    decoded += static_cast<char>(HexDigit(text[i + 1]) * 16 +
-                                 HexDigit(text[i + 2]));
+    decoded +=
+        static_cast<char>(HexDigit(text[i + 1]) * 16 + HexDigit(text[i + 2]));
     i += 2;
   }
   return decoded;
@@ -289,7 +289,8 @@
   std::string text = ResponseText(response, keep_alive_);
   if (cut_answer) {
     text.resize(text.size() / 2);
-    session_->Write(std::move(text), [session = session_] { session->Close(); });
+    session_->Write(std::move(text),
+                    [session = session_] { session->Close(); });
     return;
   }
   session_->Write(std::move(text),
@@ -326,18 +327,17 @@
     return;
   }
   ended_ = true;
-  session_->Write("0\r\n\r\n",
-                  [session = session_, keep_alive = keep_alive_,
-                   written = std::move(written)] {
-                    if (written) {
-                      written();
-                    }
-                    if (keep_alive) {
-                      session->Read();
-                    } else {
-                      session->Close();
-                    }
-                  });
+  session_->Write("0\r\n\r\n", [session = session_, keep_alive = keep_alive_,
+                                written = std::move(written)] {
+    if (written) {
+      written();
+    }
+    if (keep_alive) {
+      session->Read();
+    } else {
+      session->Close();
+    }
+  });
 }
 
 void Exchange::Close() {
@@ -381,23 +381,23 @@
 }
 
 void HttpServer::Impl::Accept() {
-  acceptor.async_accept([self = shared_from_this()](error_code ec,
-                                                    tcp::socket socket) {
-    if (self->stopped || !self->acceptor.is_open()) {
-      return;
-    }
-    if (!ec) {
-      error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      auto handle = [self](HttpRequest request,
-                           std::shared_ptr<Exchange> exchange) {
-        self->Handle(std::move(request), std::move(exchange));
-      };
-      std::make_shared<Session>(std::move(socket), handle, self->max_body)
-          ->Read();
-    }
-    self->Accept();
-  });
+  acceptor.async_accept(
+      [self = shared_from_this()](error_code ec, tcp::socket socket) {
+        if (self->stopped || !self->acceptor.is_open()) {
+          return;
+        }
+        if (!ec) {
+          error_code ignored;
+          socket.set_option(tcp::no_delay(true), ignored);
+          auto handle = [self](HttpRequest request,
+                               std::shared_ptr<Exchange> exchange) {
+            self->Handle(std::move(request), std::move(exchange));
+          };
+          std::make_shared<Session>(std::move(socket), handle, self->max_body)
+              ->Read();
+        }
+        self->Accept();
+      });
 }
 
 bool HttpServer::Impl::IsControl(const HttpRequest& request) const {
@@ -428,8 +428,8 @@
   }
   exchange->lose_answer = faults.Chance("lose_answer");
   exchange->cut_answer = faults.Chance("cut_answer");
-  const auto delay =
-      std::chrono::milliseconds(static_cast<int64_t>(faults.Number("delay_ms")));
+  const auto delay = std::chrono::milliseconds(
+      static_cast<int64_t>(faults.Number("delay_ms")));
   if (delay.count() == 0) {
     handler(std::move(request), std::move(exchange));
     return;
