--- a/src/engine_json.cc
+++ b/src/engine_json.cc
@@ -58,11 +58,11 @@
   }
 
   const json::array& Array(std::string_view name) {
-    static const json::array kNone;
+    static const json::array none;
     const json::value* value = Find(name);
     if (value == nullptr || !value->is_array()) {
       valid_ = false;
-      return kNone;
+      return none;
     }
     return value->as_array();
   }
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -151,6 +151,11 @@
 
 // The server and the connections to it; shared by the sessions.
 struct Server {
+  Server(asio::io_context& context, std::string text)
+      : io(context),
+        address(std::move(text)),
+        endpoint(ParseEndpoint(address)) {}
+
   asio::io_context& io;
   std::string address;
   std::optional<tcp::endpoint> endpoint;
@@ -449,8 +454,7 @@
 class BeastHttpClient : public HttpClient {
  public:
   BeastHttpClient(asio::io_context& io, std::string address)
-      : server_(std::make_shared<Server>(io, address, ParseEndpoint(address))) {
-  }
+      : server_(std::make_shared<Server>(io, std::move(address))) {}
 
   void Call(HttpCall call, std::function<void(HttpReply)> done) override {
     std::make_shared<CallSession>(server_, std::move(call), std::move(done))
