Add the wire codec and the bus

The bus knows a peer by the routing id that the peer's own socket announces, because ZMQ_CONNECT_ROUTING_ID has no effect on connections with ZMQ_IMMEDIATE.

--- /dev/null
+++ b/src/bus.cc
@@ -0,0 +1,442 @@
+#include "src/bus.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include <atomic>
+#include <charconv>
+#include <cstring>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "src/wire.h"
+
+namespace burdockhatch {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr int64_t kMaxMessageBytes = 80 * 1024 * 1024;
+constexpr int kReconnectIntervalMs = 50;
+constexpr int kMaxReconnectIntervalMs = 1'000;
+// Tells a half-open connection from a quiet one. The time-out is long, so that
+// a paused peer keeps its connection and the messages in it.
+constexpr int kHeartbeatIntervalMs = 5'000;
+constexpr int kHeartbeatTimeoutMs = 20'000;
+// What was written just before a planned stop, e.g. a Goodbye, gets this long
+// to leave.
+constexpr int kStopLingerMs = 300;
+constexpr int kPollMs = 1'000;
+// One socket must not starve the other.
+constexpr int kMaxReceivesPerTurn = 256;
+
+struct OutgoingMessage {
+  PeerId to;
+  std::string bytes;
+  std::function<void()> on_not_sent;
+};
+
+struct ConnectCommand {
+  InstanceId peer;
+  std::string address;
+};
+
+struct DisconnectCommand {
+  InstanceId peer;
+};
+
+using Command =
+    std::variant<OutgoingMessage, ConnectCommand, DisconnectCommand>;
+
+// The routing id under which the bound socket of a peer knows one run of an
+// entry, so that an answer never reaches a later run.
+std::string RunRoutingId(const PeerId& peer) {
+  return fmt::format("{}#{}", peer.instance.value(), peer.incarnation.value());
+}
+
+size_t BytesOf(const Command& command) {
+  const auto* message = std::get_if<OutgoingMessage>(&command);
+  return message != nullptr ? message->bytes.size() : 0;
+}
+
+class ZmqBus : public Bus {
+ public:
+  ZmqBus(BusOptions options, Handlers handlers)
+      : options_(std::move(options)), handlers_(std::move(handlers)) {}
+
+  ~ZmqBus() override { Stop(); }
+
+  // Returns an error text, empty on success.
+  std::string Start() {
+    if (!IsIpAddressWithPort(options_.bind_address)) {
+      return fmt::format("bus address '{}' is not <IP number>:<port>",
+                         options_.bind_address);
+    }
+    context_ = zmq_ctx_new();
+    bound_ = NewSocket(options_.self.instance.value());
+    connecting_ = NewSocket(RunRoutingId(options_.self));
+    wake_fd_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    const std::string endpoint = "tcp://" + options_.bind_address;
+    if (zmq_bind(bound_, endpoint.c_str()) != 0) {
+      const std::string error = fmt::format("bus cannot bind {}: {}", endpoint,
+                                            zmq_strerror(zmq_errno()));
+      CloseSockets();
+      return error;
+    }
+    thread_ = std::thread([this] { Run(); });
+    return "";
+  }
+
+  void Send(const PeerId& to,
+            MessageBody body,
+            std::function<void()> on_not_sent) override {
+    Message message;
+    message.sender = options_.self;
+    message.receiver = to.incarnation;
+    message.config_version = ConfigVersion(config_version_.load());
+    message.body = std::move(body);
+    OutgoingMessage outgoing{to, Encode(message), std::move(on_not_sent)};
+    // The callback is kept outside, because a refused command is destroyed.
+    std::function<void()> callback = outgoing.on_not_sent;
+    if (!Enqueue(std::move(outgoing))) {
+      ++not_sent_;
+      if (callback) {
+        callback();
+      }
+    }
+  }
+
+  void Connect(const InstanceId& peer, const std::string& address) override {
+    Enqueue(ConnectCommand{peer, address});
+  }
+
+  void Disconnect(const InstanceId& peer) override {
+    Enqueue(DisconnectCommand{peer});
+  }
+
+  void SetConfigVersion(ConfigVersion version) override {
+    config_version_ = version.value();
+  }
+
+  BusStats Stats() const override {
+    BusStats stats;
+    stats.sent = sent_;
+    stats.sent_bytes = sent_bytes_;
+    stats.received = received_;
+    stats.received_bytes = received_bytes_;
+    stats.not_sent = not_sent_;
+    stats.rejected = rejected_;
+    stats.other_incarnation = other_incarnation_;
+    stats.connections = connections_;
+    const std::lock_guard lock(mutex_);
+    stats.queued = queue_.size();
+    return stats;
+  }
+
+  void Stop() override {
+    if (!thread_.joinable()) {
+      return;
+    }
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    Wake();
+    thread_.join();
+    close(wake_fd_);
+  }
+
+ private:
+  // ZMQ_CONNECT_ROUTING_ID has no effect on a connection with ZMQ_IMMEDIATE,
+  // which exists only once it is established. A peer is therefore known by the
+  // routing id that its own socket announces: the instance for a bound socket.
+  // This also keeps a message from reaching another instance that took over the
+  // address.
+  void* NewSocket(const std::string& routing_id) {
+    void* socket = zmq_socket(context_, ZMQ_ROUTER);
+    zmq_setsockopt(socket, ZMQ_ROUTING_ID, routing_id.data(),
+                   routing_id.size());
+    SetOption(socket, ZMQ_ROUTER_MANDATORY, 1);
+    // A peer that reconnects replaces its half-open former connection.
+    SetOption(socket, ZMQ_ROUTER_HANDOVER, 1);
+    SetOption(socket, ZMQ_IMMEDIATE, 1);
+    SetOption(socket, ZMQ_LINGER, 0);
+    SetOption(socket, ZMQ_SNDHWM, options_.high_water_mark);
+    SetOption(socket, ZMQ_RCVHWM, options_.high_water_mark);
+    SetOption(socket, ZMQ_RECONNECT_IVL, kReconnectIntervalMs);
+    SetOption(socket, ZMQ_RECONNECT_IVL_MAX, kMaxReconnectIntervalMs);
+    SetOption(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatIntervalMs);
+    SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeoutMs);
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &kMaxMessageBytes,
+                   sizeof(kMaxMessageBytes));
+    return socket;
+  }
+
+  static void SetOption(void* socket, int option, int value) {
+    zmq_setsockopt(socket, option, &value, sizeof(value));
+  }
+
+  bool Enqueue(Command command) {
+    {
+      const std::lock_guard lock(mutex_);
+      const bool droppable = std::holds_alternative<OutgoingMessage>(command);
+      const bool full = queue_.size() >= options_.max_queued_messages ||
+                        queued_bytes_ >= options_.max_queued_bytes;
+      if (stopping_ || (droppable && full)) {
+        return false;
+      }
+      queued_bytes_ += BytesOf(command);
+      queue_.push_back(std::move(command));
+    }
+    Wake();
+    return true;
+  }
+
+  void Wake() {
+    const uint64_t one = 1;
+    [[maybe_unused]] const ssize_t n = write(wake_fd_, &one, sizeof(one));
+  }
+
+  void ClearWake() {
+    uint64_t count = 0;
+    [[maybe_unused]] const ssize_t n = read(wake_fd_, &count, sizeof(count));
+  }
+
+  void Run() {
+    bool busy = false;
+    while (true) {
+      zmq_pollitem_t items[] = {{bound_, 0, ZMQ_POLLIN, 0},
+                                {connecting_, 0, ZMQ_POLLIN, 0},
+                                {nullptr, wake_fd_, ZMQ_POLLIN, 0}};
+      zmq_poll(items, 3, busy ? 0 : kPollMs);
+      ClearWake();
+      const bool stop = SendQueued();
+      const bool more_bound = Receive(bound_);
+      const bool more_connecting = Receive(connecting_);
+      busy = more_bound || more_connecting;
+      if (stop) {
+        break;
+      }
+    }
+    SetOption(bound_, ZMQ_LINGER, kStopLingerMs);
+    SetOption(connecting_, ZMQ_LINGER, kStopLingerMs);
+    CloseSockets();
+  }
+
+  void CloseSockets() {
+    zmq_close(bound_);
+    zmq_close(connecting_);
+    zmq_ctx_term(context_);
+  }
+
+  // Returns whether Stop was called; then nothing is left in the queue.
+  bool SendQueued() {
+    std::deque<Command> commands;
+    bool stop = false;
+    {
+      const std::lock_guard lock(mutex_);
+      commands.swap(queue_);
+      queued_bytes_ = 0;
+      stop = stopping_;
+    }
+    for (Command& it : commands) {
+      std::visit([this](auto& command) { Execute(command); }, it);
+    }
+    return stop;
+  }
+
+  void Execute(OutgoingMessage& message) {
+    const bool connected = addresses_.contains(message.to.instance);
+    void* socket = connected ? connecting_ : bound_;
+    const std::string routing_id =
+        connected ? message.to.instance.value() : RunRoutingId(message.to);
+    if (SendFrames(socket, routing_id, message.bytes)) {
+      ++sent_;
+      sent_bytes_ += message.bytes.size();
+      return;
+    }
+    ++not_sent_;
+    if (message.on_not_sent) {
+      message.on_not_sent();
+    }
+    if (handlers_.on_unreachable) {
+      handlers_.on_unreachable(message.to.instance);
+    }
+  }
+
+  // False is proof that nothing was written: the first frame selects the
+  // connection and fails with EHOSTUNREACH when there is none, or with EAGAIN
+  // when its queue is full.
+  static bool SendFrames(void* socket,
+                         const std::string& routing_id,
+                         const std::string& bytes) {
+    if (zmq_send(socket, routing_id.data(), routing_id.size(),
+                 ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
+      return false;
+    }
+    zmq_send(socket, bytes.data(), bytes.size(), ZMQ_DONTWAIT);
+    return true;
+  }
+
+  void Execute(const ConnectCommand& command) {
+    const auto known = addresses_.find(command.peer);
+    if (known != addresses_.end()) {
+      if (known->second == command.address) {
+        return;
+      }
+      Execute(DisconnectCommand{command.peer});
+    }
+    if (!IsIpAddressWithPort(command.address)) {
+      return;
+    }
+    const std::string endpoint = "tcp://" + command.address;
+    if (zmq_connect(connecting_, endpoint.c_str()) == 0) {
+      addresses_[command.peer] = command.address;
+      connections_ = addresses_.size();
+    }
+  }
+
+  void Execute(const DisconnectCommand& command) {
+    const auto known = addresses_.find(command.peer);
+    if (known == addresses_.end()) {
+      return;
+    }
+    const std::string endpoint = "tcp://" + known->second;
+    zmq_disconnect(connecting_, endpoint.c_str());
+    addresses_.erase(known);
+    connections_ = addresses_.size();
+  }
+
+  // Returns whether more may be waiting.
+  bool Receive(void* socket) {
+    for (int i = 0; i < kMaxReceivesPerTurn; ++i) {
+      zmq_msg_t frame;
+      zmq_msg_init(&frame);
+      if (zmq_msg_recv(&frame, socket, ZMQ_DONTWAIT) < 0) {
+        zmq_msg_close(&frame);
+        return false;
+      }
+      // The first frame is the routing id; the sender stands in the envelope.
+      if (zmq_msg_more(&frame) != 0) {
+        ReceivePayload(socket, &frame);
+      }
+      zmq_msg_close(&frame);
+    }
+    return true;
+  }
+
+  void ReceivePayload(void* socket, zmq_msg_t* frame) {
+    if (zmq_msg_recv(frame, socket, ZMQ_DONTWAIT) < 0) {
+      return;
+    }
+    const bool single = zmq_msg_more(frame) == 0;
+    const std::string_view bytes(static_cast<char*>(zmq_msg_data(frame)),
+                                 zmq_msg_size(frame));
+    if (single) {
+      Deliver(bytes);
+    } else {
+      ++rejected_;
+      SkipFrames(socket, frame);
+    }
+  }
+
+  static void SkipFrames(void* socket, zmq_msg_t* frame) {
+    while (zmq_msg_more(frame) != 0) {
+      if (zmq_msg_recv(frame, socket, ZMQ_DONTWAIT) < 0) {
+        return;
+      }
+    }
+  }
+
+  void Deliver(std::string_view bytes) {
+    leaf::result<Message> message = Decode(bytes);
+    if (!message) {
+      ++rejected_;
+      return;
+    }
+    ++received_;
+    received_bytes_ += bytes.size();
+    if (!MeansIncarnation(*message, options_.self.incarnation)) {
+      ++other_incarnation_;
+      return;
+    }
+    handlers_.on_message(std::move(*message));
+  }
+
+  const BusOptions options_;
+  const Handlers handlers_;
+  void* context_ = nullptr;
+  void* bound_ = nullptr;
+  void* connecting_ = nullptr;
+  int wake_fd_ = -1;
+  std::thread thread_;
+  std::map<InstanceId, std::string> addresses_;  // Bus thread only.
+
+  mutable std::mutex mutex_;  // Guards the three members below.
+  std::deque<Command> queue_;
+  size_t queued_bytes_ = 0;
+  bool stopping_ = false;
+
+  std::atomic<uint64_t> config_version_ = 0;
+  std::atomic<uint64_t> sent_ = 0;
+  std::atomic<uint64_t> sent_bytes_ = 0;
+  std::atomic<uint64_t> received_ = 0;
+  std::atomic<uint64_t> received_bytes_ = 0;
+  std::atomic<uint64_t> not_sent_ = 0;
+  std::atomic<uint64_t> rejected_ = 0;
+  std::atomic<uint64_t> other_incarnation_ = 0;
+  std::atomic<uint64_t> connections_ = 0;
+};
+
+}  // namespace
+
+leaf::result<std::unique_ptr<Bus>> StartBus(BusOptions options,
+                                            Bus::Handlers handlers) {
+  auto bus = std::make_unique<ZmqBus>(std::move(options), std::move(handlers));
+  std::string error = bus->Start();
+  if (!error.empty()) {
+    return leaf::new_error(BusError{std::move(error)});
+  }
+  return std::unique_ptr<Bus>(std::move(bus));
+}
+
+bool MeansIncarnation(const Message& message, Incarnation self) {
+  if (message.receiver == Incarnation() || message.receiver == self) {
+    return true;
+  }
+  const MessageBody& body = message.body;
+  return std::holds_alternative<Resume>(body) ||
+         std::holds_alternative<Subscribe>(body) ||
+         std::holds_alternative<Heartbeat>(body) ||
+         std::holds_alternative<ConfigPull>(body) ||
+         std::holds_alternative<ConfigPush>(body);
+}
+
+bool IsIpAddressWithPort(std::string_view address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  boost::system::error_code ec;
+  boost::asio::ip::make_address_v4(address.substr(0, colon), ec);
+  const std::string_view digits = address.substr(colon + 1);
+  uint16_t port = 0;
+  const char* end = digits.data() + digits.size();
+  const auto [rest, error] = std::from_chars(digits.data(), end, port);
+  return !ec && error == std::errc() && rest == end && port != 0;
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/wire.cc
@@ -0,0 +1,542 @@
+#include "src/wire.h"
+
+#include <cstring>
+#include <optional>
+#include <utility>
+
+#include <boost/leaf/error.hpp>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "src/wire.pb.h"
+
+namespace burdockhatch {
+
+namespace {
+
+constexpr char kCodecVersion = 1;
+constexpr size_t kChecksumSize = 8;
+constexpr size_t kHeaderSize = 1 + kChecksumSize;
+
+uint64_t Checksum(std::string_view payload) {
+  return XXH3_64bits(payload.data(), payload.size());
+}
+
+// --- Encoding -------------------------------------------------------------
+
+void Put(const PeerId& from, wire::Peer* to) {
+  to->set_instance(from.instance.value());
+  to->set_incarnation(from.incarnation.value());
+}
+
+void Put(const AttemptId& from, wire::Attempt* to) {
+  to->set_request_high(from.request.high);
+  to->set_request_low(from.request.low);
+  to->set_number(from.number.value());
+}
+
+void Put(const Failure& from, wire::Failure* to) {
+  to->set_code(static_cast<uint32_t>(from.code));
+  to->set_outcome(static_cast<uint32_t>(from.outcome));
+  to->set_retry_after_us(from.retry_after.count());
+}
+
+void Put(const AgentState& from, wire::AgentState* to) {
+  to->set_sequence(from.sequence);
+  to->set_target(from.target.value());
+  to->set_data_centre(from.data_centre.value());
+  to->set_model(from.model.value());
+  to->set_service(from.service.value());
+  to->set_ready(from.ready);
+  to->set_draining(from.draining);
+  to->set_withdrawn(from.withdrawn);
+  to->set_engine(from.engine.value());
+  to->set_memory_total(from.memory_total.value());
+  to->set_memory_free(from.memory_free.value());
+  to->set_warm_budget(from.warm_budget.value());
+  to->set_full_budget(from.full_budget.value());
+  to->set_in_flight(from.in_flight.value());
+  to->set_queued(from.queued.value());
+  to->set_running(from.running);
+  to->set_waiting(from.waiting);
+  to->set_expected_wait_us(from.expected_wait.count());
+  to->set_prefill_rate(from.prefill_rate.value());
+  to->mutable_cached_prefixes()->Add(from.cached_prefixes.begin(),
+                                     from.cached_prefixes.end());
+}
+
+void PutBody(const Offer& from, wire::Envelope* envelope) {
+  wire::Offer* to = envelope->mutable_offer();
+  Put(from.attempt, to->mutable_attempt());
+  to->set_kind(static_cast<uint32_t>(from.kind));
+  to->set_account(from.account.value());
+  to->set_model(from.model.value());
+  to->set_service(from.service.value());
+  to->set_prompt_tokens(from.prompt_tokens.value());
+  to->set_max_output_tokens(from.max_output_tokens.value());
+  to->mutable_prefix_hashes()->Add(from.prefix_hashes.begin(),
+                                   from.prefix_hashes.end());
+  to->set_time_left_us(from.time_left.count());
+  to->set_repeatable(from.repeatable);
+  if (from.key) {
+    to->set_key(from.key->value());
+  }
+  for (const GangMember& it : from.members) {
+    wire::GangMember* member = to->add_members();
+    Put(it.agent, member->mutable_agent());
+    member->set_tokens(it.tokens.value());
+  }
+  to->set_first_chunk(from.first_chunk);
+  to->set_generated_prefix(from.generated_prefix);
+  to->set_method(from.method);
+  to->set_path(from.path);
+  to->set_body(from.body);
+}
+
+void PutBody(const Cancel& from, wire::Envelope* envelope) {
+  Put(from.attempt, envelope->mutable_cancel()->mutable_attempt());
+}
+
+void PutBody(const Resume& from, wire::Envelope* envelope) {
+  wire::Resume* to = envelope->mutable_resume();
+  Put(from.attempt, to->mutable_attempt());
+  to->set_next_chunk(from.next_chunk);
+  to->set_time_left_us(from.time_left.count());
+}
+
+void PutBody(const Hold& from, wire::Envelope* envelope) {
+  wire::Hold* to = envelope->mutable_hold();
+  Put(from.attempt, to->mutable_attempt());
+  to->set_tokens(from.tokens.value());
+  to->set_ttl_us(from.ttl.count());
+}
+
+void PutBody(const HoldRelease& from, wire::Envelope* envelope) {
+  Put(from.attempt, envelope->mutable_hold_release()->mutable_attempt());
+}
+
+void PutBody(const Subscribe& from, wire::Envelope* envelope) {
+  envelope->mutable_subscribe()->set_ttl_us(from.ttl.count());
+}
+
+template <class Reply>
+void PutReply(const Reply& from, wire::Reply* to) {
+  Put(from.attempt, to->mutable_attempt());
+  to->set_verdict(static_cast<uint32_t>(from.verdict));
+  Put(from.failure, to->mutable_failure());
+  Put(from.state, to->mutable_state());
+}
+
+void PutBody(const OfferReply& from, wire::Envelope* envelope) {
+  PutReply(from, envelope->mutable_offer_reply());
+}
+
+void PutBody(const HoldReply& from, wire::Envelope* envelope) {
+  PutReply(from, envelope->mutable_hold_reply());
+}
+
+void PutBody(const Chunk& from, wire::Envelope* envelope) {
+  wire::Chunk* to = envelope->mutable_chunk();
+  Put(from.attempt, to->mutable_attempt());
+  to->set_index(from.index);
+  to->set_tokens(from.tokens);
+  to->set_data(from.data);
+}
+
+void PutBody(const Finish& from, wire::Envelope* envelope) {
+  wire::Finish* to = envelope->mutable_finish();
+  Put(from.attempt, to->mutable_attempt());
+  to->set_chunk_count(from.chunk_count);
+  Put(from.failure, to->mutable_failure());
+  to->set_http_status(from.http_status);
+  to->set_content_type(from.content_type);
+  Put(from.state, to->mutable_state());
+}
+
+void PutBody(const LoadReport& from, wire::Envelope* envelope) {
+  Put(from.state, envelope->mutable_load_report()->mutable_state());
+}
+
+void PutBody(const Heartbeat& from, wire::Envelope* envelope) {
+  wire::Heartbeat* to = envelope->mutable_heartbeat();
+  to->set_role(static_cast<uint32_t>(from.role));
+  to->set_data_centre(from.data_centre.value());
+  to->set_address(from.address);
+  to->set_leaving(from.leaving);
+}
+
+void PutBody(const ConfigPull& from, wire::Envelope* envelope) {
+  envelope->mutable_config_pull()->set_have(from.have.value());
+}
+
+void PutBody(const ConfigPush& from, wire::Envelope* envelope) {
+  wire::ConfigPush* to = envelope->mutable_config_push();
+  to->set_base(from.base.value());
+  to->set_version(from.version.value());
+  to->set_document(from.document);
+}
+
+void PutBody(const Goodbye&, wire::Envelope* envelope) {
+  envelope->mutable_goodbye();
+}
+
+void PutRate(const ClientAccountId& account,
+             TokensPerSecond rate,
+             wire::AccountRate* to) {
+  to->set_account(account.value());
+  to->set_tokens_per_second(rate.value());
+}
+
+void PutBody(const ShareRequest& from, wire::Envelope* envelope) {
+  wire::ShareRequest* to = envelope->mutable_share_request();
+  for (const AccountDemand& it : from.demands) {
+    PutRate(it.account, it.demand, to->add_demands());
+  }
+}
+
+void PutBody(const ShareGrant& from, wire::Envelope* envelope) {
+  wire::ShareGrant* to = envelope->mutable_share_grant();
+  to->set_lease_us(from.lease.count());
+  for (const AccountShare& it : from.shares) {
+    PutRate(it.account, it.share, to->add_shares());
+  }
+}
+
+// --- Decoding -------------------------------------------------------------
+
+// Converts the parts of one message and remembers the first error. The value
+// that a failed conversion returns is not used.
+class Reader {
+ public:
+  std::optional<WireError> error() const { return error_; }
+
+  template <class Id>
+  Id RequiredId(const std::string& text) {
+    Check(!text.empty(), WireError::kMissingId);
+    return OptionalId<Id>(text);
+  }
+
+  template <class Id>
+  Id OptionalId(const std::string& text) {
+    return Id(Text(text, kMaxIdLength));
+  }
+
+  std::string Text(const std::string& text, size_t limit) {
+    Check(text.size() <= limit, WireError::kTooLong);
+    return text;
+  }
+
+  template <class Amount>
+  Amount Read(int64_t value) {
+    Check(value >= 0 && value <= kMaxAmount, WireError::kBadAmount);
+    return Amount(value);
+  }
+
+  Duration ReadDuration(int64_t microseconds) {
+    Check(microseconds >= 0 && microseconds <= kMaxWireDuration.count(),
+          WireError::kBadAmount);
+    return Duration(microseconds);
+  }
+
+  template <class Enum>
+  Enum ReadEnum(uint32_t number, Enum last) {
+    const bool known = number <= static_cast<uint32_t>(last);
+    Check(known, WireError::kBadEnum);
+    return known ? static_cast<Enum>(number) : Enum{};
+  }
+
+  void CheckCount(int count, int limit) {
+    Check(count <= limit, WireError::kBadCount);
+  }
+
+  std::vector<uint64_t> Hashes(
+      const google::protobuf::RepeatedField<uint64_t>& from,
+      int limit) {
+    CheckCount(from.size(), limit);
+    return {from.begin(), from.end()};
+  }
+
+  PeerId Peer(const wire::Peer& from) {
+    Check(from.incarnation() != 0, WireError::kMissingId);
+    return {RequiredId<InstanceId>(from.instance()),
+            Incarnation(from.incarnation())};
+  }
+
+  AttemptId Attempt(const wire::Attempt& from) {
+    const bool has_request =
+        from.request_high() != 0 || from.request_low() != 0;
+    Check(has_request && from.number() != 0, WireError::kMissingId);
+    return {{from.request_high(), from.request_low()},
+            AttemptNumber(from.number())};
+  }
+
+  Failure ReadFailure(const wire::Failure& from) {
+    Failure to;
+    to.code = ReadEnum(from.code(), ErrorCode::kInternal);
+    to.outcome = ReadEnum(from.outcome(), Outcome::kUnknown);
+    to.retry_after = ReadDuration(from.retry_after_us());
+    return to;
+  }
+
+  AgentState State(const wire::AgentState& from) {
+    AgentState to;
+    to.sequence = from.sequence();
+    to.target = RequiredId<TargetId>(from.target());
+    to.data_centre = RequiredId<DataCentreId>(from.data_centre());
+    to.model = OptionalId<ModelId>(from.model());
+    to.service = OptionalId<ServiceId>(from.service());
+    to.ready = from.ready();
+    to.draining = from.draining();
+    to.withdrawn = from.withdrawn();
+    to.engine = EngineIncarnation(from.engine());
+    to.memory_total = Read<Tokens>(from.memory_total());
+    to.memory_free = Read<Tokens>(from.memory_free());
+    to.warm_budget = Read<Tokens>(from.warm_budget());
+    to.full_budget = Read<Tokens>(from.full_budget());
+    to.in_flight = Read<Tokens>(from.in_flight());
+    to.queued = Read<Tokens>(from.queued());
+    to.running = from.running();
+    to.waiting = from.waiting();
+    to.expected_wait = ReadDuration(from.expected_wait_us());
+    to.prefill_rate = Read<TokensPerSecond>(from.prefill_rate());
+    to.cached_prefixes =
+        Hashes(from.cached_prefixes(), static_cast<int>(kMaxReportedPrefixes));
+    return to;
+  }
+
+  Offer Body(const wire::Offer& from) {
+    Offer to;
+    to.attempt = Attempt(from.attempt());
+    to.kind = ReadEnum(from.kind(), WorkKind::kServiceCall);
+    to.account = OptionalId<ClientAccountId>(from.account());
+    to.model = OptionalId<ModelId>(from.model());
+    to.service = OptionalId<ServiceId>(from.service());
+    const bool names_target = to.kind == WorkKind::kCompletion
+                                  ? !to.model.empty()
+                                  : !to.service.empty();
+    Check(names_target, WireError::kMissingId);
+    to.prompt_tokens = Read<Tokens>(from.prompt_tokens());
+    to.max_output_tokens = Read<Tokens>(from.max_output_tokens());
+    to.prefix_hashes = Hashes(from.prefix_hashes(), kMaxPrefixHashes);
+    to.time_left = ReadDuration(from.time_left_us());
+    to.repeatable = from.repeatable();
+    if (from.has_key()) {
+      to.key = RequiredId<IdempotencyKey>(from.key());
+    }
+    CheckCount(from.members_size(), kMaxGangSize);
+    for (const wire::GangMember& it : from.members()) {
+      to.members.push_back({Peer(it.agent()), Read<Tokens>(it.tokens())});
+    }
+    to.first_chunk = from.first_chunk();
+    to.generated_prefix = Text(from.generated_prefix(), kMaxBodyLength);
+    to.method = Text(from.method(), kMaxIdLength);
+    to.path = Text(from.path(), kMaxPathLength);
+    to.body = Text(from.body(), kMaxBodyLength);
+    return to;
+  }
+
+  Resume Body(const wire::Resume& from) {
+    return {Attempt(from.attempt()), from.next_chunk(),
+            ReadDuration(from.time_left_us())};
+  }
+
+  Hold Body(const wire::Hold& from) {
+    return {Attempt(from.attempt()), Read<Tokens>(from.tokens()),
+            ReadDuration(from.ttl_us())};
+  }
+
+  template <class Reply>
+  Reply ReadReply(const wire::Reply& from) {
+    Reply to;
+    to.attempt = Attempt(from.attempt());
+    to.verdict = ReadEnum(from.verdict(), Verdict::kRefused);
+    to.failure = ReadFailure(from.failure());
+    to.state = State(from.state());
+    return to;
+  }
+
+  Chunk Body(const wire::Chunk& from) {
+    return {Attempt(from.attempt()), from.index(), from.tokens(),
+            Text(from.data(), kMaxBodyLength)};
+  }
+
+  Finish Body(const wire::Finish& from) {
+    Finish to;
+    to.attempt = Attempt(from.attempt());
+    to.chunk_count = from.chunk_count();
+    to.failure = ReadFailure(from.failure());
+    Check(from.http_status() < 1000, WireError::kBadAmount);
+    to.http_status = from.http_status();
+    to.content_type = Text(from.content_type(), kMaxIdLength);
+    to.state = State(from.state());
+    return to;
+  }
+
+  Heartbeat Body(const wire::Heartbeat& from) {
+    Heartbeat to;
+    to.role = ReadEnum(from.role(), Role::kAgent);
+    to.data_centre = OptionalId<DataCentreId>(from.data_centre());
+    to.address = Text(from.address(), kMaxIdLength);
+    to.leaving = from.leaving();
+    return to;
+  }
+
+  ConfigPush Body(const wire::ConfigPush& from) {
+    return {ConfigVersion(from.base()), ConfigVersion(from.version()),
+            Text(from.document(), kMaxBodyLength)};
+  }
+
+  ShareRequest Body(const wire::ShareRequest& from) {
+    CheckCount(from.demands_size(), kMaxAccountRates);
+    ShareRequest to;
+    for (const wire::AccountRate& it : from.demands()) {
+      to.demands.push_back({RequiredId<ClientAccountId>(it.account()),
+                            Read<TokensPerSecond>(it.tokens_per_second())});
+    }
+    return to;
+  }
+
+  ShareGrant Body(const wire::ShareGrant& from) {
+    CheckCount(from.shares_size(), kMaxAccountRates);
+    ShareGrant to;
+    to.lease = ReadDuration(from.lease_us());
+    for (const wire::AccountRate& it : from.shares()) {
+      to.shares.push_back({RequiredId<ClientAccountId>(it.account()),
+                           Read<TokensPerSecond>(it.tokens_per_second())});
+    }
+    return to;
+  }
+
+  MessageBody AnyBody(const wire::Envelope& from) {
+    switch (from.body_case()) {
+      case wire::Envelope::kOffer:
+        return Body(from.offer());
+      case wire::Envelope::kCancel:
+        return Cancel{Attempt(from.cancel().attempt())};
+      case wire::Envelope::kResume:
+        return Body(from.resume());
+      case wire::Envelope::kHold:
+        return Body(from.hold());
+      case wire::Envelope::kHoldRelease:
+        return HoldRelease{Attempt(from.hold_release().attempt())};
+      case wire::Envelope::kSubscribe:
+        return Subscribe{ReadDuration(from.subscribe().ttl_us())};
+      case wire::Envelope::kOfferReply:
+        return ReadReply<OfferReply>(from.offer_reply());
+      case wire::Envelope::kHoldReply:
+        return ReadReply<HoldReply>(from.hold_reply());
+      case wire::Envelope::kChunk:
+        return Body(from.chunk());
+      case wire::Envelope::kFinish:
+        return Body(from.finish());
+      case wire::Envelope::kLoadReport:
+        return LoadReport{State(from.load_report().state())};
+      case wire::Envelope::kHeartbeat:
+        return Body(from.heartbeat());
+      case wire::Envelope::kConfigPull:
+        return ConfigPull{ConfigVersion(from.config_pull().have())};
+      case wire::Envelope::kConfigPush:
+        return Body(from.config_push());
+      case wire::Envelope::kGoodbye:
+        return Goodbye{};
+      case wire::Envelope::kShareRequest:
+        return Body(from.share_request());
+      case wire::Envelope::kShareGrant:
+        return Body(from.share_grant());
+      case wire::Envelope::BODY_NOT_SET:
+        break;
+    }
+    Check(false, WireError::kMalformed);
+    return Goodbye{};
+  }
+
+ private:
+  void Check(bool holds, WireError error) {
+    if (!holds && !error_) {
+      error_ = error;
+    }
+  }
+
+  std::optional<WireError> error_;
+};
+
+}  // namespace
+
+std::string_view ToString(WireError error) {
+  switch (error) {
+    case WireError::kTruncated:
+      return "truncated";
+    case WireError::kUnknownVersion:
+      return "unknown_version";
+    case WireError::kCorrupt:
+      return "corrupt";
+    case WireError::kMalformed:
+      return "malformed";
+    case WireError::kMissingId:
+      return "missing_id";
+    case WireError::kBadAmount:
+      return "bad_amount";
+    case WireError::kBadCount:
+      return "bad_count";
+    case WireError::kBadEnum:
+      return "bad_enum";
+    case WireError::kTooLong:
+      return "too_long";
+  }
+  return "malformed";
+}
+
+std::string Encode(const Message& message) {
+  wire::Envelope envelope;
+  Put(message.sender, envelope.mutable_sender());
+  envelope.set_receiver(message.receiver.value());
+  envelope.set_config_version(message.config_version.value());
+  std::visit([&](const auto& body) { PutBody(body, &envelope); }, message.body);
+
+  std::string bytes(kHeaderSize, kCodecVersion);
+  envelope.AppendToString(&bytes);
+  const uint64_t checksum =
+      Checksum(std::string_view(bytes).substr(kHeaderSize));
+  std::memcpy(bytes.data() + 1, &checksum, kChecksumSize);
+  return bytes;
+}
+
+boost::leaf::result<Message> Decode(std::string_view bytes) {
+  if (bytes.size() <= kHeaderSize) {
+    return boost::leaf::new_error(WireError::kTruncated);
+  }
+  if (bytes[0] != kCodecVersion) {
+    return boost::leaf::new_error(WireError::kUnknownVersion);
+  }
+  uint64_t checksum = 0;
+  std::memcpy(&checksum, bytes.data() + 1, kChecksumSize);
+  const std::string_view payload = bytes.substr(kHeaderSize);
+  if (checksum != Checksum(payload)) {
+    return boost::leaf::new_error(WireError::kCorrupt);
+  }
+  return DecodePayload(payload);
+}
+
+boost::leaf::result<Message> DecodePayload(std::string_view payload) {
+  wire::Envelope envelope;
+  constexpr size_t kMaxPayload = 2 * kMaxBodyLength + (1 << 20);
+  if (payload.size() > kMaxPayload) {
+    return boost::leaf::new_error(WireError::kTooLong);
+  }
+  if (!envelope.ParseFromArray(payload.data(),
+                               static_cast<int>(payload.size()))) {
+    return boost::leaf::new_error(WireError::kMalformed);
+  }
+  Reader reader;
+  Message message;
+  message.sender = reader.Peer(envelope.sender());
+  message.receiver = Incarnation(envelope.receiver());
+  message.config_version = ConfigVersion(envelope.config_version());
+  message.body = reader.AnyBody(envelope);
+  if (reader.error()) {
+    return boost::leaf::new_error(*reader.error());
+  }
+  return message;
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/tests/bus_test.cc
@@ -0,0 +1,224 @@
+#include "src/bus.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace burdockhatch {
+namespace {
+
+std::string FreeAddress() {
+  namespace asio = boost::asio;
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(
+      io, {asio::ip::address_v4::loopback(), uint16_t{0}});
+  return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+}
+
+// One process on the bus, with what it received.
+class Node {
+ public:
+  Node(const std::string& instance, uint64_t incarnation, std::string address)
+      : address_(std::move(address)) {
+    BusOptions options;
+    options.self = {InstanceId(instance), Incarnation(incarnation)};
+    options.bind_address = address_;
+    Bus::Handlers handlers;
+    handlers.on_message = [this](Message message) { Add(std::move(message)); };
+    auto bus = StartBus(options, handlers);
+    if (bus) {
+      bus_ = std::move(*bus);
+    }
+    self_ = options.self;
+  }
+
+  Bus& bus() { return *bus_; }
+  bool started() const { return bus_ != nullptr; }
+  const PeerId& self() const { return self_; }
+  const std::string& address() const { return address_; }
+
+  size_t count() {
+    const std::lock_guard lock(mutex_);
+    return messages_.size();
+  }
+
+  // Waits for `count` messages and returns all; the bound only ends a test that
+  // has failed.
+  std::vector<Message> WaitFor(size_t count) {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, std::chrono::seconds(20),
+                      [&] { return messages_.size() >= count; });
+    return messages_;
+  }
+
+ private:
+  void Add(Message message) {
+    const std::lock_guard lock(mutex_);
+    messages_.push_back(std::move(message));
+    changed_.notify_all();
+  }
+
+  std::string address_;
+  PeerId self_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<Message> messages_;
+  std::unique_ptr<Bus> bus_;
+};
+
+// Sends until one message gets through; connections take a moment. Returns
+// how many were proved not to be sent.
+int SendUntilWritten(Node& from, const PeerId& to, const MessageBody& body) {
+  for (int i = 0; i < 2'000; ++i) {
+    const uint64_t before = from.bus().Stats().sent;
+    from.bus().Send(to, body);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    if (from.bus().Stats().sent > before) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+TEST(BusTest, RequestsAndAnswersUseTheConnectionOfTheEntry) {
+  Node entry("entry", 10, FreeAddress());
+  Node agent("agent", 20, FreeAddress());
+  ASSERT_TRUE(entry.started() && agent.started());
+  entry.bus().SetConfigVersion(ConfigVersion(7));
+  entry.bus().Connect(agent.self().instance, agent.address());
+  ASSERT_GE(SendUntilWritten(entry, agent.self(), Subscribe{Duration(5)}), 0);
+
+  const std::vector<Message> at_agent = agent.WaitFor(1);
+  ASSERT_EQ(at_agent.size(), 1u);
+  EXPECT_EQ(at_agent[0].sender, entry.self());
+  EXPECT_EQ(at_agent[0].config_version, ConfigVersion(7));
+
+  agent.bus().Send(at_agent[0].sender, Goodbye{});
+  const std::vector<Message> at_entry = entry.WaitFor(1);
+  ASSERT_EQ(at_entry.size(), 1u);
+  EXPECT_EQ(at_entry[0].sender, agent.self());
+}
+
+// Guards against a false "not run": a message that is reported as not sent must
+// never arrive, not even after the peer appears.
+TEST(BusTest, NotSentIsProofThatTheMessageNeverArrives) {
+  Node entry("entry", 10, FreeAddress());
+  const std::string address = FreeAddress();
+  entry.bus().Connect(InstanceId("agent"), address);
+  const PeerId to{InstanceId("agent"), Incarnation()};
+  std::atomic<int> not_sent = 0;
+  for (int i = 0; i < 50; ++i) {
+    entry.bus().Send(to, Cancel{{{1, 1}, AttemptNumber(1)}},
+                     [&] { ++not_sent; });
+  }
+  for (int i = 0; i < 4'000 && not_sent < 50; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  EXPECT_EQ(not_sent, 50);
+
+  Node agent("agent", 20, address);
+  ASSERT_GE(SendUntilWritten(entry, to, Goodbye{}), 0);
+  const std::vector<Message> received = agent.WaitFor(1);
+  ASSERT_EQ(received.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Goodbye>(received[0].body));
+}
+
+// Guards against an answer for one run of an entry that reaches the next.
+TEST(BusTest, AnswersToAnEarlierRunAreNotSent) {
+  Node agent("agent", 20, FreeAddress());
+  const std::string address = FreeAddress();
+  PeerId first_run;
+  {
+    Node first("entry", 10, address);
+    first.bus().Connect(agent.self().instance, agent.address());
+    ASSERT_GE(SendUntilWritten(first, agent.self(), Goodbye{}), 0);
+    agent.WaitFor(1);
+    first_run = first.self();
+  }
+  Node second("entry", 11, address);
+  second.bus().Connect(agent.self().instance, agent.address());
+  ASSERT_GE(SendUntilWritten(second, agent.self(), Goodbye{}), 0);
+  agent.WaitFor(2);
+
+  std::atomic<int> not_sent = 0;
+  agent.bus().Send(first_run, Goodbye{}, [&] { ++not_sent; });
+  agent.bus().Send(second.self(), Subscribe{Duration(1)});
+  const std::vector<Message> received = second.WaitFor(1);
+  ASSERT_EQ(received.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Subscribe>(received[0].body));
+  EXPECT_EQ(not_sent, 1);
+}
+
+// Guards against a connection that is lost for good when a peer restarts.
+TEST(BusTest, ReconnectsToARestartedPeer) {
+  Node entry("entry", 10, FreeAddress());
+  const std::string address = FreeAddress();
+  for (uint64_t run = 1; run <= 3; ++run) {
+    Node agent("agent", run, address);
+    ASSERT_TRUE(agent.started());
+    entry.bus().Connect(agent.self().instance, address);
+    size_t count = 0;
+    for (int i = 0; i < 2'000 && count == 0; ++i) {
+      entry.bus().Send(agent.self(), Goodbye{});
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      count = agent.count();
+    }
+    EXPECT_GT(count, 0u) << "run " << run;
+  }
+}
+
+// Guards against a message for one instance that reaches another one at the
+// same address.
+TEST(BusTest, AnotherInstanceAtTheAddressReceivesNothing) {
+  Node entry("entry", 10, FreeAddress());
+  Node other("other", 20, FreeAddress());
+  entry.bus().Connect(InstanceId("agent"), other.address());
+  std::atomic<int> not_sent = 0;
+  for (int i = 0; i < 40; ++i) {
+    entry.bus().Send({InstanceId("agent"), Incarnation()}, Goodbye{},
+                     [&] { ++not_sent; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  EXPECT_EQ(not_sent, 40);
+  EXPECT_EQ(other.count(), 0u);
+}
+
+TEST(BusTest, DropsWhatMeantAnEarlierIncarnation) {
+  Message message;
+  message.receiver = Incarnation(4);
+  message.body = Cancel{{{1, 1}, AttemptNumber(1)}};
+  EXPECT_FALSE(MeansIncarnation(message, Incarnation(5)));
+  EXPECT_TRUE(MeansIncarnation(message, Incarnation(4)));
+  message.body = Offer{};
+  EXPECT_FALSE(MeansIncarnation(message, Incarnation(5)));
+  for (const MessageBody& it : std::vector<MessageBody>{
+           Resume{}, Subscribe{}, Heartbeat{}, ConfigPull{}, ConfigPush{}}) {
+    message.body = it;
+    EXPECT_TRUE(MeansIncarnation(message, Incarnation(5))) << it.index();
+  }
+  message.body = Offer{};
+  message.receiver = Incarnation();
+  EXPECT_TRUE(MeansIncarnation(message, Incarnation(5)));
+}
+
+TEST(BusTest, AcceptsOnlyIpNumbers) {
+  EXPECT_TRUE(IsIpAddressWithPort("127.0.0.1:4000"));
+  for (const char* it : {"localhost:4000", "127.0.0.1", "127.0.0.1:0",
+                         "127.0.0.1:70000", ":1", "127.0.0.1:1x", ""}) {
+    EXPECT_FALSE(IsIpAddressWithPort(it)) << it;
+  }
+}
+
+TEST(BusTest, ReportsAnAddressInUse) {
+  Node first("a", 1, FreeAddress());
+  Node second("b", 2, first.address());
+  EXPECT_FALSE(second.started());
+}
+
+}  // namespace
+}  // namespace burdockhatch
