--- a/src/wire.cc
+++ b/src/wire.cc
@@ -218,7 +218,7 @@
 
   template <class Id>
   Id OptionalId(const std::string& text) {
-    return Id(Text(text, kMaxIdLength));
+    return Id(Text(text, kMaxWireIdLength));
   }
 
   std::string Text(const std::string& text, size_t limit) {
@@ -329,7 +329,7 @@
     }
     to.first_chunk = from.first_chunk();
     to.generated_prefix = Text(from.generated_prefix(), kMaxBodyLength);
-    to.method = Text(from.method(), kMaxIdLength);
+    to.method = Text(from.method(), kMaxWireIdLength);
     to.path = Text(from.path(), kMaxPathLength);
     to.body = Text(from.body(), kMaxBodyLength);
     return to;
@@ -367,7 +367,7 @@
     to.failure = ReadFailure(from.failure());
     Check(from.http_status() < 1000, WireError::kBadAmount);
     to.http_status = from.http_status();
-    to.content_type = Text(from.content_type(), kMaxIdLength);
+    to.content_type = Text(from.content_type(), kMaxWireIdLength);
     to.state = State(from.state());
     return to;
   }
@@ -376,7 +376,7 @@
     Heartbeat to;
     to.role = ReadEnum(from.role(), Role::kAgent);
     to.data_centre = OptionalId<DataCentreId>(from.data_centre());
-    to.address = Text(from.address(), kMaxIdLength);
+    to.address = Text(from.address(), kMaxWireIdLength);
     to.leaving = from.leaving();
     return to;
   }
--- a/src/wire.h
+++ b/src/wire.h
@@ -29,7 +29,7 @@
 std::string_view ToString(WireError error);
 
 // Limits of what Decode accepts.
-inline constexpr size_t kMaxIdLength = 256;
+inline constexpr size_t kMaxWireIdLength = 256;
 inline constexpr size_t kMaxPathLength = 8 * 1024;
 inline constexpr size_t kMaxBodyLength = 32 * 1024 * 1024;
 inline constexpr int kMaxPrefixHashes = 16 * 1024;
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,99 @@
+#include "src/settings.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace burdockhatch {
+namespace {
+
+constexpr char kAgent[] = R"({
+  "role": "agent", "instance": "agent-1", "data_centre": "ga-north-a",
+  "region": "ga-north", "bus_address": "127.0.0.1:5001",
+  "http_address": "127.0.0.1:5002", "object_api_address": "127.0.0.1:5003",
+  "target": {"id": "engine-1", "kind": "engine", "address": "127.0.0.1:5004",
+             "model": "m", "memory_tokens": 450000,
+             "full_budget_tokens": 100000, "prefill_tokens_per_s": 9000,
+             "ms_per_token": 20, "fencing": "ignored"},
+  "limits": {"max_body_bytes": 2048, "default_deadline_ms": 700,
+             "balancer_lag_ms": 50, "traffic_threads": 3}
+})";
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  const size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+std::vector<std::string> PlacesOf(const std::string& text) {
+  Findings findings;
+  EXPECT_FALSE(ParseSettings(text, &findings));
+  std::vector<std::string> places;
+  for (const Finding& it : findings.list) {
+    places.push_back(it.place);
+  }
+  std::sort(places.begin(), places.end());
+  return places;
+}
+
+TEST(SettingsTest, ReadsAnAgent) {
+  Findings findings;
+  const std::optional<Settings> settings = ParseSettings(kAgent, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  EXPECT_EQ(settings->role, Role::kAgent);
+  EXPECT_EQ(settings->instance.value(), "agent-1");
+  EXPECT_EQ(settings->region.value(), "ga-north");
+  EXPECT_EQ(settings->bus_address, "127.0.0.1:5001");
+  EXPECT_EQ(settings->object_api_address, "127.0.0.1:5003");
+  EXPECT_EQ(settings->target.target.value(), "engine-1");
+  EXPECT_EQ(settings->target.memory, Tokens(450'000));
+  EXPECT_EQ(settings->target.full_budget, Tokens(100'000));
+  EXPECT_EQ(settings->target.prefill_rate, TokensPerSecond(9'000));
+  EXPECT_EQ(settings->target.time_per_token, std::chrono::milliseconds(20));
+  EXPECT_FALSE(settings->target.honours_fencing);
+  EXPECT_EQ(settings->limits.max_body, Bytes(2'048));
+  EXPECT_EQ(settings->limits.default_deadline, std::chrono::milliseconds(700));
+  EXPECT_EQ(settings->limits.traffic_threads, 3u);
+}
+
+// Guards against a start that reports one mistake at a time.
+TEST(SettingsTest, ReportsAllFindingsTogether) {
+  std::string text = Replaced(kAgent, "\"agent-1\"", "\"\"");
+  text = Replaced(text, "127.0.0.1:5001", "localhost:5001");
+  text = Replaced(text, "450000", "-1");
+  text = Replaced(text, "\"ignored\"", "\"maybe\"");
+  text = Replaced(text, "\"traffic_threads\"", "\"trafic_threads\"");
+  EXPECT_EQ(PlacesOf(text),
+            (std::vector<std::string>{
+                "/bus_address", "/instance", "/limits/trafic_threads",
+                "/target/fencing", "/target/memory_tokens"}));
+}
+
+TEST(SettingsTest, ReportsWhatIsMissing) {
+  EXPECT_GE(PlacesOf("{}").size(), 7u);
+  EXPECT_FALSE(PlacesOf("[]").empty());
+  EXPECT_FALSE(PlacesOf("{\"role\":").empty());
+  EXPECT_FALSE(PlacesOf("").empty());
+}
+
+TEST(SettingsTest, AnEntryHasNoTarget) {
+  const std::string text = Replaced(kAgent, "\"agent\"", "\"entry\"");
+  EXPECT_EQ(PlacesOf(text), std::vector<std::string>{"/target"});
+}
+
+TEST(SettingsTest, AServiceHasNoMemory) {
+  const std::string text = Replaced(kAgent, "\"engine\"", "\"service\"");
+  const std::vector<std::string> places = PlacesOf(text);
+  EXPECT_TRUE(
+      std::count(places.begin(), places.end(), "/target/memory_tokens"));
+  EXPECT_TRUE(std::count(places.begin(), places.end(), "/target/model"));
+}
+
+TEST(SettingsTest, ReportsAFileThatCannotBeRead) {
+  EXPECT_FALSE(ReadSettingsFile("tests/no-such-file.json"));
+}
+
+}  // namespace
+}  // namespace burdockhatch
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -303,7 +303,7 @@
   EXPECT_EQ(PayloadError(code), WireError::kBadEnum);
 
   wire::Envelope account = ValidOffer();
-  account.mutable_offer()->set_account(std::string(kMaxIdLength + 1, 'a'));
+  account.mutable_offer()->set_account(std::string(kMaxWireIdLength + 1, 'a'));
   EXPECT_EQ(PayloadError(account), WireError::kTooLong);
 
   EXPECT_EQ(PayloadError(Header()), WireError::kMalformed);
