--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,44 @@
+// Counters, gauges and latency histograms of one process, in the text
+// exposition format.
+#ifndef SRC_METRICS_H_
+#define SRC_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "src/units.h"
+
+namespace burdockhatch {
+
+// Callable from any thread. `labels` is the text between the braces, e.g.
+// `code="none"`; empty for none.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  void Count(std::string_view name, std::string_view labels, uint64_t n = 1);
+  void SetCounter(std::string_view name,
+                  std::string_view labels,
+                  uint64_t total);
+  void SetGauge(std::string_view name, std::string_view labels, int64_t value);
+
+  // Adds one observation to a histogram in seconds.
+  void Observe(std::string_view name,
+               std::string_view labels,
+               Duration duration);
+
+  std::string Text() const;
+
+ private:
+  struct Tables;
+  std::unique_ptr<Tables> tables_;
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_METRICS_H_
