--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 # Modules that need sockets, protobuf or HTTP. Everything else in src/ is the embeddable core.
 DAEMON_SOURCES := $(filter-out src/%_main.cc, \
                   $(wildcard src/*_http.cc src/http_*.cc src/*_daemon.cc src/bus.cc src/wire.cc \
-                             src/metrics.cc src/log.cc src/*.pb.cc))
+                             src/metrics.cc src/log.cc src/daemon_*.cc src/*.pb.cc))
 MAIN_SOURCES := $(wildcard src/*_main.cc)
 CORE_SOURCES := $(filter-out $(DAEMON_SOURCES) $(MAIN_SOURCES),$(wildcard src/*.cc))
 TEST_SOURCES := $(filter-out tests/process_%,$(wildcard tests/*.cc))
--- /dev/null
+++ b/src/agent_daemon.cc
@@ -0,0 +1,302 @@
+#include "src/agent_daemon.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <variant>
+
+#include "src/agent_core.h"
+#include "src/daemon_loop.h"
+#include "src/engine_http.h"
+#include "src/plain_service_http.h"
+
+namespace burdockhatch {
+
+namespace {
+
+constexpr Duration kProbeInterval = std::chrono::seconds(1);
+
+AgentOptions OptionsOf(const Settings& settings, const PeerId& self) {
+  const TargetSettings& target = settings.target;
+  AgentOptions options;
+  options.self = self;
+  options.target = target.target;
+  options.data_centre = settings.data_centre;
+  options.model = target.model;
+  options.service = target.service;
+  options.memory = target.memory;
+  options.full_budget = target.full_budget;
+  options.prefill_rate = target.prefill_rate;
+  options.time_per_token = target.time_per_token;
+  options.max_service_calls = target.max_service_calls;
+  options.honours_fencing = target.honours_fencing;
+  return options;
+}
+
+class AgentDaemon : public DaemonLoop {
+ public:
+  explicit AgentDaemon(const Settings& settings)
+      : DaemonLoop(settings), core_(OptionsOf(settings_, self_)) {}
+
+  // An agent serves no callers.
+  void Submit(RequestSpec) override {}
+  void CallerGone(const RequestId&) override {}
+  void Progress(const AttemptId&, uint32_t) override {}
+  void SendFilledOffer(const PeerId&, Offer) override {}
+
+ protected:
+  void OnStart() override {
+    const std::string& address = settings_.target.address;
+    if (settings_.target.kind == TargetKind::kEngine) {
+      engine_ = MakeHttpEngine(control_, traffic_, address);
+    } else {
+      service_ = MakeHttpPlainService(control_, traffic_, address);
+    }
+  }
+
+  void OnTick(Time now) override {
+    TakeProgress(now);
+    core_.Tick(now, clock_.WallNow());
+    if (now >= next_probe_) {
+      next_probe_ = now + kProbeInterval;
+      ProbeTarget();
+    }
+  }
+
+  void OnConfig(FleetConfigPtr config, Time now) override {
+    core_.OnConfig(std::move(config), now);
+  }
+
+  void OnInstances(const std::vector<InstanceInfo>&, Time) override {}
+
+  void OnMessage(const Message& message, Time now) override {
+    NoteIncarnation(message.sender, now);
+    core_.OnMessage(message, now);
+  }
+
+  bool OnBusThread(Message&) override { return false; }
+
+  void OnUnreachable(const InstanceId&, Time) override {}
+
+  void ExecuteActions(Time) override {
+    for (AgentAction& it : core_.TakeActions()) {
+      std::visit([this](auto& action) { Execute(action); }, it);
+    }
+  }
+
+  bool IsReady() const override { return config_ != nullptr; }
+
+  void BeginDrain(Time now) override { core_.BeginDrain(now); }
+
+  bool IsDrained() const override { return core_.Drained(); }
+
+  // The core has told its subscribers.
+  void SayGoodbye() override {}
+
+  std::string DumpCore(Time now) const override { return core_.Dump(now); }
+
+  // No balancer stands before an agent: entries are told, and what they still
+  // offer is refused as not run.
+  Duration AcceptAfterStop() const override { return Duration(0); }
+
+ private:
+  // How far the relay of one stream is.
+  struct Relay {
+    uint32_t next_chunk = 0;
+    Tokens tokens;
+    bool changed = false;
+  };
+
+  // A new incarnation of an entry proves that the former one is gone.
+  void NoteIncarnation(const PeerId& sender, Time now) {
+    Incarnation& latest = latest_[sender.instance];
+    if (sender.incarnation > latest) {
+      if (latest != Incarnation()) {
+        core_.OnPeerGone({sender.instance, latest}, now);
+      }
+      latest = sender.incarnation;
+    }
+  }
+
+  // --- Target ---
+
+  void ProbeTarget() {
+    if (service_) {
+      service_->Probe([this](bool healthy) {
+        core_.OnServiceProbe(healthy, Now());
+        Settle();
+      });
+      return;
+    }
+    engine_->Load([this](const EngineLoad* load) {
+      core_.OnEngineLoad(load, Now());
+      Settle();
+    });
+    engine_->CacheEvents(cache_sequence_, [this](std::vector<CacheEvent> list) {
+      for (const CacheEvent& it : list) {
+        cache_sequence_ = std::max(cache_sequence_, it.sequence);
+      }
+      core_.OnCacheEvents(list, Now());
+      Settle();
+    });
+  }
+
+  // Chunks go from the traffic thread straight to the bus; the control thread
+  // learns the position with the next tick.
+  Engine::StreamCallbacks RelayTo(const PeerId& entry,
+                                  const AttemptId& attempt,
+                                  const StreamId& stream) {
+    Engine::StreamCallbacks callbacks;
+    callbacks.on_start = [this, stream](StartStatus status) {
+      core_.OnStreamStarted(stream, status, Now());
+      Settle();
+    };
+    callbacks.on_chunk = [this, entry, attempt, stream](StreamChunk chunk) {
+      NoteChunk(stream, chunk);
+      bus_->Send(entry, Chunk{attempt, chunk.index, chunk.tokens,
+                              std::move(chunk.data)});
+    };
+    callbacks.on_end = [this, stream](StreamEnd end, uint32_t chunk_count) {
+      TakeProgress(Now());
+      ForgetRelay(stream, end);
+      core_.OnStreamEnded(stream, end, chunk_count, Now());
+      Settle();
+    };
+    return callbacks;
+  }
+
+  void NoteChunk(const StreamId& stream, const StreamChunk& chunk) {
+    const std::lock_guard lock(relay_mutex_);
+    Relay& relay = relays_[stream];
+    // A second reading of the same chunks adds nothing.
+    if (chunk.index >= relay.next_chunk) {
+      relay.next_chunk = chunk.index + 1;
+      relay.tokens += Tokens(chunk.tokens);
+      relay.changed = true;
+    }
+  }
+
+  void ForgetRelay(const StreamId& stream, StreamEnd end) {
+    if (end != StreamEnd::kConnectionLost) {
+      const std::lock_guard lock(relay_mutex_);
+      relays_.erase(stream);
+    }
+  }
+
+  void TakeProgress(Time now) {
+    std::vector<std::pair<StreamId, Relay>> changed;
+    {
+      const std::lock_guard lock(relay_mutex_);
+      for (auto& [stream, relay] : relays_) {
+        if (relay.changed) {
+          relay.changed = false;
+          changed.emplace_back(stream, relay);
+        }
+      }
+    }
+    for (const auto& [stream, relay] : changed) {
+      core_.OnStreamProgress(stream, relay.next_chunk, relay.tokens, now);
+    }
+  }
+
+  // --- Actions ---
+
+  void Execute(SendToPeer& action) {
+    bus_->Send(action.to, std::move(action.body));
+  }
+
+  void Execute(StartStream& action) {
+    Engine::StreamCallbacks callbacks =
+        RelayTo(action.entry, action.attempt, action.spec.stream);
+    engine_->Start(std::move(action.spec), std::move(callbacks));
+  }
+
+  void Execute(const AttachStream& action) {
+    engine_->Attach(action.stream, action.next_chunk,
+                    RelayTo(action.entry, action.attempt, action.stream));
+  }
+
+  void Execute(const CancelStream& action) {
+    engine_->Cancel(action.stream);
+    ForgetRelay(action.stream, StreamEnd::kCancelled);
+  }
+
+  void Execute(const ImportCacheAction& action) {
+    engine_->ImportCache(action.cache, action.memory,
+                         [this, cache = action.cache](StartStatus status) {
+                           core_.OnCacheImported(cache, status, Now());
+                           Settle();
+                         });
+  }
+
+  void Execute(const ReleaseCacheAction& action) {
+    engine_->ReleaseCache(action.cache);
+  }
+
+  void Execute(const ListEngine&) {
+    if (!engine_) {
+      return;
+    }
+    engine_->List([this, asked_at = Now()](const EngineList* list) {
+      core_.OnEngineList(list, asked_at, Now());
+      Settle();
+    });
+  }
+
+  // The adapter checks the timeout on the writing thread just before the first
+  // write, so it ends with the last moment at which the call may go out.
+  void Execute(DispatchCall& action) {
+    const Duration left = action.not_after - Now();
+    if (left <= Duration(0)) {
+      Post([this, attempt = action.attempt](Time now) {
+        ServiceAnswer answer;
+        answer.status = CallStatus::kNotSent;
+        core_.OnServiceAnswer(attempt, std::move(answer), now);
+      });
+      return;
+    }
+    action.request.timeout = std::min(action.request.timeout, left);
+    service_->Call(std::move(action.request),
+                   [this, attempt = action.attempt](ServiceAnswer answer) {
+                     core_.OnServiceAnswer(attempt, std::move(answer), Now());
+                     Settle();
+                   });
+  }
+
+  void Execute(const ReadObject& action) {
+    object_api_->Read(action.name,
+                      [this, name = action.name](const ObjectReply& reply) {
+                        core_.OnObjectRead(name, reply, Now());
+                        Settle();
+                      });
+  }
+
+  void Execute(UpdateObject& action) {
+    object_api_->Update(action.name, action.expected, std::move(action.value),
+                        [this, name = action.name](const ObjectReply& reply) {
+                          core_.OnObjectUpdated(name, reply, Now());
+                          Settle();
+                        });
+  }
+
+  AgentCore core_;
+  std::unique_ptr<Engine> engine_;
+  std::unique_ptr<PlainService> service_;
+  std::map<InstanceId, Incarnation> latest_;
+  Time next_probe_{};
+  uint64_t cache_sequence_ = 0;
+
+  std::mutex relay_mutex_;  // Guards the member below.
+  std::map<StreamId, Relay> relays_;
+};
+
+}  // namespace
+
+int RunAgent(const Settings& settings) {
+  AgentDaemon daemon(settings);
+  return daemon.Run();
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/daemon_loop.cc
@@ -0,0 +1,366 @@
+#include "src/daemon_loop.h"
+
+#include <csignal>
+
+#include <atomic>
+#include <chrono>
+#include <set>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "src/log.h"
+#include "src/object_api_http.h"
+#include "src/random.h"
+
+namespace burdockhatch {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr auto kTickInterval = std::chrono::milliseconds(20);
+constexpr Duration kConfigWatch = std::chrono::seconds(25);
+constexpr auto kConfigRetry = std::chrono::milliseconds(700);
+constexpr auto kInstancePoll = std::chrono::seconds(15);
+// A process that has not yet read the list asks more often, so that it serves
+// soon after its start.
+constexpr auto kFirstInstancePoll = std::chrono::seconds(1);
+// Messages that wait for the control thread. Above it, reports that the next
+// one replaces are dropped.
+constexpr uint64_t kMaxWaitingMessages = 16 * 1024;
+// After the work is done, peers may still ask for a lost chunk.
+constexpr Duration kStopLinger = std::chrono::milliseconds(300);
+
+const ObjectName kConfigObject{"config", "fleet"};
+
+Incarnation IncarnationNow() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now);
+  return Incarnation(static_cast<uint64_t>(ms.count()));
+}
+
+bool IsReplacedByTheNext(const MessageBody& body) {
+  return std::holds_alternative<LoadReport>(body) ||
+         std::holds_alternative<Heartbeat>(body);
+}
+
+}  // namespace
+
+struct DaemonLoop::Parts {
+  explicit Parts(asio::io_context& control)
+      : tick(control),
+        config_timer(control),
+        instance_timer(control),
+        signals(control, SIGTERM, SIGINT) {}
+
+  asio::steady_timer tick;
+  asio::steady_timer config_timer;
+  asio::steady_timer instance_timer;
+  asio::signal_set signals;
+  std::vector<std::thread> threads;
+  Random random{0};
+  ObjectVersion instance_version;
+  bool instances_known = false;
+  std::atomic<uint64_t> waiting_messages = 0;
+  ServingPhase phase = ServingPhase::kStarting;
+  Time accept_until{};  // While leaving.
+  Time drained_at{};    // When the work was found done; zero before.
+  bool drained = false;
+};
+
+DaemonLoop::DaemonLoop(Settings settings)
+    : settings_(std::move(settings)),
+      self_{settings_.instance, IncarnationNow()},
+      parts_(std::make_unique<Parts>(control_)) {
+  parts_->random = Random(self_.incarnation.value());
+}
+
+DaemonLoop::~DaemonLoop() = default;
+
+int DaemonLoop::Run() {
+  SetLogIdentity(settings_.instance, settings_.data_centre);
+  // A peer that closes its connection early must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  if (!StartParts()) {
+    return 1;
+  }
+  auto traffic_work = asio::make_work_guard(traffic_);
+  for (uint32_t i = 0; i < settings_.limits.traffic_threads; ++i) {
+    parts_->threads.emplace_back([this] { traffic_.run(); });
+  }
+  Log(LogLevel::kInfo, "started",
+      {{"incarnation", std::to_string(self_.incarnation.value())},
+       {"bus", settings_.bus_address},
+       {"http", settings_.http_address}});
+  OnStart();
+  FollowConfig();
+  PollInstances();
+  StartTick();
+  parts_->signals.async_wait([this](boost::system::error_code ec, int number) {
+    if (!ec) {
+      BeginStop(number);
+    }
+  });
+  control_.run();
+
+  http_->Stop();
+  bus_->Stop();
+  traffic_.stop();
+  for (std::thread& it : parts_->threads) {
+    it.join();
+  }
+  Log(LogLevel::kInfo, "stopped");
+  return 0;
+}
+
+bool DaemonLoop::StartParts() {
+  object_api_ =
+      MakeHttpObjectApi(control_, traffic_, settings_.object_api_address);
+  BusOptions bus_options;
+  bus_options.self = self_;
+  bus_options.bind_address = settings_.bus_address;
+  Bus::Handlers handlers;
+  handlers.on_message = [this](Message message) {
+    ReceiveOnBusThread(std::move(message));
+  };
+  handlers.on_unreachable = [this](const InstanceId& peer) {
+    Post([this, peer](Time now) { OnUnreachable(peer, now); });
+  };
+  HttpEntryOptions http_options;
+  http_options.address = settings_.http_address;
+  http_options.limits = settings_.limits;
+  http_options.serves_callers = settings_.role == Role::kEntry;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        // HTTP first: a chunk from the bus needs the sessions.
+        BOOST_LEAF_AUTO(http,
+                        StartHttpEntry(http_options, this, &clock_, &metrics_));
+        http_ = std::move(http);
+        BOOST_LEAF_AUTO(bus, StartBus(bus_options, handlers));
+        bus_ = std::move(bus);
+        return true;
+      },
+      [](const BusError& error) {
+        Log(LogLevel::kError, "start_failed", {{"reason", error.message}});
+        return false;
+      },
+      [](const HttpEntryError& error) {
+        Log(LogLevel::kError, "start_failed", {{"reason", error.message}});
+        return false;
+      },
+      [] {
+        Log(LogLevel::kError, "start_failed");
+        return false;
+      });
+}
+
+void DaemonLoop::Post(std::function<void(Time now)> event) {
+  asio::post(control_, [this, event = std::move(event)] {
+    event(Now());
+    Settle();
+  });
+}
+
+void DaemonLoop::Settle() {
+  ExecuteActions(Now());
+}
+
+// --- Tick and planned stop --------------------------------------------------
+
+void DaemonLoop::StartTick() {
+  parts_->tick.expires_after(kTickInterval);
+  parts_->tick.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      Tick();
+    }
+  });
+}
+
+void DaemonLoop::Tick() {
+  const Time now = Now();
+  OnTick(now);
+  Settle();
+  UpdatePhase(now);
+  if (!control_.stopped()) {
+    StartTick();
+  }
+}
+
+void DaemonLoop::UpdatePhase(Time now) {
+  Parts& parts = *parts_;
+  if (parts.phase == ServingPhase::kStarting ||
+      parts.phase == ServingPhase::kServing) {
+    parts.phase = IsReady() ? ServingPhase::kServing : ServingPhase::kStarting;
+  } else if (parts.phase == ServingPhase::kLeaving &&
+             now >= parts.accept_until) {
+    parts.phase = ServingPhase::kClosed;
+    Log(LogLevel::kInfo, "draining");
+    BeginDrain(now);
+    Settle();
+  } else if (parts.phase == ServingPhase::kClosed) {
+    const bool drained = IsDrained() && http_->Stats().requests == 0;
+    if (drained && !parts.drained) {
+      parts.drained_at = now;
+    }
+    parts.drained = drained;
+    if (drained && now >= parts.drained_at + kStopLinger) {
+      FinishStop();
+    }
+  }
+  http_->SetPhase(parts.phase);
+}
+
+void DaemonLoop::BeginStop(int signal_number) {
+  Log(LogLevel::kInfo, "planned_stop",
+      {{"signal", std::to_string(signal_number)}});
+  parts_->phase = ServingPhase::kLeaving;
+  parts_->accept_until = Now() + AcceptAfterStop();
+  UpdatePhase(Now());
+}
+
+void DaemonLoop::FinishStop() {
+  Settle();
+  SayGoodbye();
+  control_.stop();
+}
+
+// --- Configuration and instances --------------------------------------------
+
+void DaemonLoop::FollowConfig() {
+  const ObjectVersion have(config_ ? config_->version.value() : 0);
+  object_api_->Watch(kConfigObject, have, kConfigWatch,
+                     [this](ObjectReply reply) { OnConfigObject(reply); });
+}
+
+void DaemonLoop::OnConfigObject(const ObjectReply& reply) {
+  if (reply.status == ObjectStatus::kOk) {
+    Findings findings;
+    std::optional<FleetConfig> config = ParseFleetConfig(
+        reply.value, ConfigVersion(reply.version.value()), &findings);
+    if (!config) {
+      Log(LogLevel::kError, "config_rejected",
+          {{"version", std::to_string(reply.version.value())},
+           {"findings", ToString(findings)}});
+    } else if (!config_ || config->version > config_->version) {
+      config_ = std::make_shared<const FleetConfig>(std::move(*config));
+      bus_->SetConfigVersion(config_->version);
+      http_->SetConfig(config_);
+      OnConfig(config_, Now());
+      Settle();
+      Log(LogLevel::kInfo, "config_applied",
+          {{"version", std::to_string(config_->version.value())}});
+    }
+  }
+  const bool answered = reply.status == ObjectStatus::kOk ||
+                        reply.status == ObjectStatus::kNotModified;
+  parts_->config_timer.expires_after(answered ? std::chrono::milliseconds(50)
+                                              : kConfigRetry);
+  parts_->config_timer.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      FollowConfig();
+    }
+  });
+}
+
+void DaemonLoop::PollInstances() {
+  object_api_->ListInstances(
+      parts_->instance_version,
+      [this](const InstanceListReply& reply) { OnInstanceList(reply); });
+}
+
+void DaemonLoop::OnInstanceList(const InstanceListReply& reply) {
+  Parts& parts = *parts_;
+  if (reply.status == ObjectStatus::kOk) {
+    parts.instance_version = reply.version;
+    parts.instances_known = true;
+    OnInstances(reply.instances, Now());
+    Settle();
+  }
+  // Jittered, so that processes that started together do not ask together.
+  const auto base = parts.instances_known
+                        ? std::chrono::milliseconds(kInstancePoll)
+                        : std::chrono::milliseconds(kFirstInstancePoll);
+  const auto ms = static_cast<uint64_t>(base.count());
+  const auto wait = ms / 2 + parts.random.Below(ms);
+  parts.instance_timer.expires_after(std::chrono::milliseconds(wait));
+  parts.instance_timer.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      PollInstances();
+    }
+  });
+}
+
+// --- Messages ---------------------------------------------------------------
+
+void DaemonLoop::ReceiveOnBusThread(Message message) {
+  if (OnBusThread(message)) {
+    return;
+  }
+  Parts& parts = *parts_;
+  if (parts.waiting_messages >= kMaxWaitingMessages &&
+      IsReplacedByTheNext(message.body)) {
+    metrics_.Count("burdockhatch_messages_dropped_total", "");
+    return;
+  }
+  ++parts.waiting_messages;
+  Post([this, message = std::move(message)](Time now) {
+    --parts_->waiting_messages;
+    OnMessage(message, now);
+  });
+}
+
+// --- Observability ----------------------------------------------------------
+
+void DaemonLoop::DumpState(std::function<void(std::string)> done) {
+  asio::post(control_, [this, done = std::move(done)] { done(StateText()); });
+}
+
+std::string DaemonLoop::StateText() const {
+  const BusStats bus = bus_->Stats();
+  const HttpEntryStats http = http_->Stats();
+  return fmt::format(
+      "{{\"instance\":\"{}\",\"incarnation\":{},\"data_centre\":\"{}\","
+      "\"config_version\":{},\"bus\":{{\"sent\":{},\"received\":{},"
+      "\"not_sent\":{},\"rejected\":{},\"other_incarnation\":{},"
+      "\"connections\":{},\"queued\":{}}},\"sessions\":{{\"connections\":{},"
+      "\"requests\":{}}},\"core\":{}}}\n",
+      settings_.instance.value(), self_.incarnation.value(),
+      settings_.data_centre.value(), config_ ? config_->version.value() : 0,
+      bus.sent, bus.received, bus.not_sent, bus.rejected, bus.other_incarnation,
+      bus.connections, bus.queued, http.connections, http.requests,
+      DumpCore(Now()));
+}
+
+std::string DaemonLoop::MetricsText() {
+  UpdateMetrics();
+  return metrics_.Text();
+}
+
+void DaemonLoop::UpdateMetrics() {
+  const BusStats bus = bus_->Stats();
+  const HttpEntryStats http = http_->Stats();
+  metrics_.SetCounter("burdockhatch_bus_messages_sent_total", "", bus.sent);
+  metrics_.SetCounter("burdockhatch_bus_bytes_sent_total", "", bus.sent_bytes);
+  metrics_.SetCounter("burdockhatch_bus_messages_received_total", "",
+                      bus.received);
+  metrics_.SetCounter("burdockhatch_bus_bytes_received_total", "",
+                      bus.received_bytes);
+  metrics_.SetCounter("burdockhatch_bus_not_sent_total", "", bus.not_sent);
+  metrics_.SetCounter("burdockhatch_bus_rejected_total", "", bus.rejected);
+  metrics_.SetGauge("burdockhatch_connections", "",
+                    static_cast<int64_t>(http.connections));
+  metrics_.SetGauge("burdockhatch_requests_in_progress", "",
+                    static_cast<int64_t>(http.requests));
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/daemon_main.cc
@@ -0,0 +1,80 @@
+// burdockhatchd: an entry or an agent, as its settings say.
+#include <cstdio>
+#include <optional>
+#include <string>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <fmt/format.h>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "src/agent_daemon.h"
+#include "src/entry_daemon.h"
+#include "src/settings.h"
+
+ABSL_FLAG(std::string, settings, "", "JSON file with the settings");
+ABSL_FLAG(bool,
+          check_settings,
+          false,
+          "report all findings in the settings and exit; the status is 0 when "
+          "there are none");
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr char kVersion[] = "burdockhatchd 0.1.0\n";
+constexpr int kBadSettings = 2;
+
+// Prints what is wrong and returns nullopt unless the settings are valid.
+std::optional<burdockhatch::Settings> LoadSettings(const std::string& path) {
+  using burdockhatch::Settings;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<Settings>> {
+        BOOST_LEAF_AUTO(text, burdockhatch::ReadSettingsFile(path));
+        burdockhatch::Findings findings;
+        std::optional<Settings> settings =
+            burdockhatch::ParseSettings(text, &findings);
+        fmt::print(stderr, "{}", ToString(findings));
+        return settings;
+      },
+      [](const burdockhatch::SettingsFileError& error) {
+        fmt::print(stderr, "{}: {}\n", error.path, error.reason);
+        return std::optional<Settings>();
+      },
+      [] {
+        fmt::print(stderr, "the settings cannot be read\n");
+        return std::optional<Settings>();
+      });
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "Serves callers (role entry) or runs beside one target (role agent).\n"
+      "burdockhatchd --settings=FILE [--check_settings]");
+  absl::FlagsUsageConfig usage;
+  usage.version_string = [] { return std::string(kVersion); };
+  absl::SetFlagsUsageConfig(usage);
+  absl::ParseCommandLine(argc, argv);
+
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty()) {
+    fmt::print(stderr, "--settings=FILE is missing; see --help\n");
+    return kBadSettings;
+  }
+  const std::optional<burdockhatch::Settings> settings = LoadSettings(path);
+  if (!settings) {
+    return kBadSettings;
+  }
+  if (absl::GetFlag(FLAGS_check_settings)) {
+    fmt::print("{}: no findings\n", path);
+    return 0;
+  }
+  return settings->role == burdockhatch::Role::kEntry
+             ? burdockhatch::RunEntry(*settings)
+             : burdockhatch::RunAgent(*settings);
+}
--- /dev/null
+++ b/src/entry_daemon.cc
@@ -0,0 +1,176 @@
+#include "src/entry_daemon.h"
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "src/daemon_loop.h"
+#include "src/entry_core.h"
+
+namespace burdockhatch {
+
+namespace {
+
+EntryOptions OptionsOf(const Settings& settings, const PeerId& self) {
+  EntryOptions options;
+  options.self = self;
+  options.data_centre = settings.data_centre;
+  options.region = settings.region;
+  options.seed = self.incarnation.value();
+  options.subset_size = settings.subset_size;
+  return options;
+}
+
+class EntryDaemon : public DaemonLoop {
+ public:
+  explicit EntryDaemon(const Settings& settings)
+      : DaemonLoop(settings), core_(OptionsOf(settings_, self_)) {}
+
+  // --- SessionControl, on traffic threads ---
+
+  void Submit(RequestSpec spec) override {
+    Post([this, spec = std::move(spec)](Time now) {
+      core_.OnRequest(spec, now);
+    });
+  }
+
+  void CallerGone(const RequestId& request) override {
+    Post([this, request](Time now) { core_.OnCallerGone(request, now); });
+  }
+
+  // Several chunks of one answer that arrive while the control thread is busy
+  // become one event.
+  void Progress(const AttemptId& attempt, uint32_t next_chunk) override {
+    {
+      const std::lock_guard lock(progress_mutex_);
+      progress_[attempt.request] = {attempt, next_chunk};
+      if (progress_posted_) {
+        return;
+      }
+      progress_posted_ = true;
+    }
+    Post([this](Time now) { TakeProgress(now); });
+  }
+
+  void SendFilledOffer(const PeerId& to, Offer offer) override {
+    const AttemptId attempt = offer.attempt;
+    bus_->Send(to, std::move(offer), [this, attempt] {
+      Post([this, attempt](Time now) { core_.OnSendFailed(attempt, now); });
+    });
+  }
+
+ protected:
+  void OnStart() override {}
+
+  void OnTick(Time now) override { core_.Tick(now); }
+
+  void OnConfig(FleetConfigPtr config, Time now) override {
+    core_.OnConfig(std::move(config), now);
+  }
+
+  void OnInstances(const std::vector<InstanceInfo>& instances,
+                   Time now) override {
+    instances_known_ = true;
+    core_.OnInstances(instances, now);
+  }
+
+  void OnMessage(const Message& message, Time now) override {
+    core_.OnMessage(message, now);
+  }
+
+  bool OnBusThread(Message& message) override {
+    auto* chunk = std::get_if<Chunk>(&message.body);
+    if (chunk == nullptr) {
+      return false;
+    }
+    http_->DeliverChunk(std::move(*chunk));
+    return true;
+  }
+
+  void OnUnreachable(const InstanceId& peer, Time now) override {
+    core_.OnPeerUnreachable(peer, now);
+  }
+
+  void ExecuteActions(Time) override {
+    for (EntryAction& it : core_.TakeActions()) {
+      std::visit([this](auto& action) { Execute(action); }, it);
+    }
+  }
+
+  bool IsReady() const override { return config_ && instances_known_; }
+
+  void BeginDrain(Time now) override { core_.BeginDrain(now); }
+
+  bool IsDrained() const override { return core_.Drained(); }
+
+  void SayGoodbye() override {
+    for (const InstanceId& it : connected_) {
+      bus_->Send({it, Incarnation()}, Goodbye{});
+    }
+  }
+
+  std::string DumpCore(Time now) const override { return core_.Dump(now); }
+
+  Duration AcceptAfterStop() const override {
+    return settings_.limits.balancer_lag;
+  }
+
+ private:
+  struct Position {
+    AttemptId attempt;
+    uint32_t next_chunk = 0;
+  };
+
+  void TakeProgress(Time now) {
+    std::map<RequestId, Position> progress;
+    {
+      const std::lock_guard lock(progress_mutex_);
+      progress.swap(progress_);
+      progress_posted_ = false;
+    }
+    for (const auto& [request, it] : progress) {
+      core_.OnProgress(it.attempt, it.next_chunk, now);
+    }
+  }
+
+  void Execute(SendOffer& action) {
+    http_->PrepareOffer(action.to, std::move(action.offer));
+  }
+
+  void Execute(SendToAgent& action) {
+    bus_->Send(action.to, std::move(action.body));
+  }
+
+  void Execute(const CompleteRequest& action) { http_->Complete(action); }
+
+  void Execute(const FailRequest& action) { http_->Fail(action); }
+
+  void Execute(const ConnectPeer& action) {
+    connected_.insert(action.instance);
+    bus_->Connect(action.instance, action.address);
+  }
+
+  void Execute(const DisconnectPeer& action) {
+    connected_.erase(action.instance);
+    bus_->Disconnect(action.instance);
+  }
+
+  EntryCore core_;
+  std::set<InstanceId> connected_;
+  bool instances_known_ = false;
+
+  std::mutex progress_mutex_;  // Guards the two members below.
+  std::map<RequestId, Position> progress_;
+  bool progress_posted_ = false;
+};
+
+}  // namespace
+
+int RunEntry(const Settings& settings) {
+  EntryDaemon daemon(settings);
+  return daemon.Run();
+}
+
+}  // namespace burdockhatch
