--- a/src/engine.h
+++ b/src/engine.h
@@ -20,6 +20,7 @@
   int priority = 0;  // Lower runs first.
   std::vector<uint64_t> prefix_hashes;
   std::vector<StreamId> imported_caches;  // At other engines, for a gang.
+  Tokens imported_tokens;  // Part of the prompt that the imported caches hold.
   uint32_t first_chunk = 0;
   std::string generated_prefix;
   std::string prompt;
--- a/src/engine_json.cc
+++ b/src/engine_json.cc
@@ -103,6 +103,7 @@
                    {"priority", spec.priority},
                    {"prefix_hashes", std::move(hashes)},
                    {"imported_caches", std::move(caches)},
+                   {"imported_tokens", spec.imported_tokens.value()},
                    {"first_chunk", spec.first_chunk},
                    {"generated_prefix", spec.generated_prefix},
                    {"prompt", spec.prompt}});
--- a/src/plain_service.h
+++ b/src/plain_service.h
@@ -18,6 +18,7 @@
   std::string body;
   std::optional<IdempotencyKey> key;
   Duration timeout{0};
+  bool repeatable = false;  // Whether the call may reach the service twice.
 };
 
 enum class CallStatus : uint8_t {
--- a/src/plain_service_http.cc
+++ b/src/plain_service_http.cc
@@ -17,7 +17,7 @@
 
 HttpCall ToCall(ServiceRequest request) {
   HttpCall call;
-  call.repeatable = request.method == "GET" || request.method == "HEAD";
+  call.repeatable = request.repeatable;
   call.method = std::move(request.method);
   call.target = std::move(request.path);
   call.timeout = request.timeout;
--- a/src/plain_service_http.h
+++ b/src/plain_service_http.h
@@ -17,8 +17,8 @@
 // ServiceRequest::timeout runs from Call. It is checked on the writing thread
 // just before the first write, which answers kNotSent once it has passed; after
 // the first byte it limits the wait for the answer, which then is kUnknown.
-// Only GET and HEAD may reach the service twice. Both contexts outlive the
-// service object.
+// Only a repeatable request uses a pooled connection and may reach the service
+// twice. Both contexts outlive the service object.
 std::unique_ptr<PlainService> MakeHttpPlainService(
     boost::asio::io_context& control,
     boost::asio::io_context& traffic,
--- a/standins/engine_model.cc
+++ b/standins/engine_model.cc
@@ -8,6 +8,21 @@
 
 namespace burdockhatch::standins {
 
+namespace {
+
+// The part of the prompt that the caches at other engines do not hold. A
+// request that does not say how much they hold counts as split evenly.
+int64_t LocalPrompt(const StreamSpec& spec) {
+  const int64_t prompt = spec.prompt_tokens.value();
+  const auto caches = static_cast<int64_t>(spec.imported_caches.size());
+  if (spec.imported_tokens > Tokens(0) || caches == 0) {
+    return std::max<int64_t>(prompt - spec.imported_tokens.value(), 0);
+  }
+  return (prompt + caches) / (caches + 1);
+}
+
+}  // namespace
+
 EngineModel::EngineModel(const FakeEngineOptions& options)
     : options_(options),
       model_(options.model),
@@ -23,16 +38,18 @@
     ++stats.refused_model;
     return ModelStart::kWrongModel;
   }
-  const int64_t memory =
-      spec.prompt_tokens.value() + spec.max_output_tokens.value();
-  if (MemoryUsed() + memory > options_.memory_tokens) {
+  const int64_t local_prompt = LocalPrompt(spec);
+  const int64_t load = local_prompt + spec.max_output_tokens.value();
+  if (MemoryUsed() + load > options_.memory_tokens) {
     ++stats.refused_memory;
     return ModelStart::kOutOfMemory;
   }
   ModelStream& stream = streams_[id];
   stream.arrival = ++arrivals_;
   stream.prompt_hash = StableHash(spec.prompt);
-  stream.memory = memory;
+  stream.local_prompt = local_prompt;
+  stream.load = load;
+  stream.memory = load;
   stream.generated =
       static_cast<uint32_t>(spec.generated_prefix.size() / kTokenTextSize);
   stream.next_chunk = spec.first_chunk;
@@ -136,7 +153,7 @@
 }
 
 void EngineModel::BeginPrefill(ModelStream& stream) {
-  const int64_t prompt = stream.spec.prompt_tokens.value();
+  const int64_t prompt = stream.local_prompt;
   const int64_t cached = std::min(LookUpPrefix(stream.spec), prompt);
   // Output that the caller has already is computed again as part of the
   // prompt. At least one token is computed, as in an engine.
@@ -329,8 +346,7 @@
   int64_t tokens = 0;
   for (const auto& [id, stream] : streams_) {
     if (stream.phase != Phase::kEnded) {
-      tokens += stream.spec.prompt_tokens.value() +
-                stream.spec.max_output_tokens.value();
+      tokens += stream.load;
     }
   }
   return tokens;
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -23,7 +23,9 @@
   uint64_t arrival = 0;
   uint64_t prompt_hash = 0;
   Phase phase = Phase::kWaiting;
-  int64_t memory = 0;  // Held; 0 once released.
+  int64_t load = 0;          // Local prompt and output; the tokens in flight.
+  int64_t memory = 0;        // Held; 0 once released.
+  int64_t local_prompt = 0;  // Prompt tokens that this engine computes.
   int64_t prefill_left = 0;
   uint32_t generated = 0;  // Output tokens of the whole answer so far.
   uint32_t next_chunk = 0;
--- a/standins/fake_engine.cc
+++ b/standins/fake_engine.cc
@@ -95,6 +95,7 @@
   spec.max_output_tokens = Tokens(IntegerOr(fields, "max_output_tokens", -1));
   spec.priority = static_cast<int>(IntegerOr(fields, "priority", 0));
   spec.first_chunk = static_cast<uint32_t>(IntegerOr(fields, "first_chunk", 0));
+  spec.imported_tokens = Tokens(IntegerOr(fields, "imported_tokens", 0));
   spec.generated_prefix = TextOr(fields, "generated_prefix");
   spec.prompt = TextOr(fields, "prompt");
   if (const json::array* hashes = ArrayIn(fields, "prefix_hashes")) {
@@ -190,6 +191,7 @@
   asio::steady_timer sample_timer;
   std::deque<LoadSample> samples;
   std::deque<PublishedEvent> cache_events;
+  // Starts at the incarnation, so that sequences also grow over restarts.
   uint64_t last_cache_event = 0;
   uint64_t lost_events = 0;
 
@@ -208,6 +210,7 @@
       step_timer(context),
       comment_timer(context),
       sample_timer(context),
+      last_cache_event(incarnation),
       server(
           context,
           {.listen = options.listen},
@@ -673,7 +676,7 @@
   readers.clear();
   retained.clear();
   cache_events.clear();
-  last_cache_event = 0;
+  last_cache_event = std::max(last_cache_event, incarnation);
   highest_fencing = 0;
   samples.clear();
   samples.push_back({started_at, LoadBody()});
--- a/standins/fake_engine.h
+++ b/standins/fake_engine.h
@@ -21,9 +21,9 @@
   uint64_t seed = 1;
   std::string model = "model";
   int64_t memory_tokens = 450'000;
-  int64_t cache_tokens = -1;   // Limit of the prefix cache; below 0: a quarter
-                               // of the memory.
-  int64_t block_tokens = 256;  // Prompt tokens per prefix hash.
+  int64_t cache_tokens = -1;    // Limit of the prefix cache; below 0: a quarter
+                                // of the memory.
+  int64_t block_tokens = 1024;  // Prompt tokens per prefix hash.
   double prefill_tokens_per_s = 20'000;
   int64_t prefill_chunk_tokens = 512;  // Prefill per step; then others run.
   double ms_per_token = 20;            // Length of a step that generates.
--- a/standins/fake_engine_main.cc
+++ b/standins/fake_engine_main.cc
@@ -18,7 +18,7 @@
           cache_tokens,
           -1,
           "limit of the prefix cache; below 0: a quarter of the memory");
-ABSL_FLAG(int64_t, block_tokens, 256, "prompt tokens per prefix hash");
+ABSL_FLAG(int64_t, block_tokens, 1024, "prompt tokens per prefix hash");
 ABSL_FLAG(double, prefill_tokens_per_s, 20'000, "prefill rate when warm");
 ABSL_FLAG(int64_t, prefill_chunk_tokens, 512, "prefill tokens per step");
 ABSL_FLAG(double, ms_per_token, 20, "length of a step that generates");
--- a/standins/fake_object_api.h
+++ b/standins/fake_object_api.h
@@ -18,7 +18,7 @@
   double max_reads_per_s = 2000;
   double max_writes_per_s = 400;
   uint64_t instance_lag_ms = 2000;
-  std::string instances;  // JSON text {"instances":[...]}; empty for none.
+  std::string instances = {};  // JSON text {"instances":[...]}; empty for none.
 };
 
 // Faults besides the common ones:
