--- /dev/null
+++ b/tests/plain_service_http_test.cc
@@ -0,0 +1,164 @@
+// Tests of the adapter of plain services: what it says about a call that may
+// not be repeated has to be true.
+#include "src/plain_service_http.h"
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "standins/fake_service.h"
+#include "tests/standins_test_util.h"
+
+namespace burdockhatch {
+namespace {
+
+using standins::FakeService;
+using standins::FakeServiceOptions;
+
+class PlainServiceHttpTest : public ::testing::Test {
+ protected:
+  PlainServiceHttpTest()
+      : fake_(FakeServiceOptions{}),
+        client_(fake_.address()),
+        service_(
+            MakeHttpPlainService(control_.io, traffic_.io, fake_.address())) {
+    traffic_.Start();
+    control_.Start();
+  }
+  ~PlainServiceHttpTest() override {
+    control_.Stop();
+    traffic_.Stop();
+  }
+
+  static ServiceRequest Order(const std::string& key) {
+    ServiceRequest request;
+    request.method = "POST";
+    request.path = "/orders";
+    request.body = R"({"order":1})";
+    request.key = IdempotencyKey(key);
+    request.timeout = std::chrono::seconds(20);
+    return request;
+  }
+
+  std::future<ServiceAnswer> CallAsync(ServiceRequest request) {
+    auto promise = std::make_shared<std::promise<ServiceAnswer>>();
+    service_->Call(std::move(request), [promise](ServiceAnswer answer) {
+      promise->set_value(std::move(answer));
+    });
+    return promise->get_future();
+  }
+  ServiceAnswer Call(ServiceRequest request) {
+    return CallAsync(std::move(request)).get();
+  }
+  bool Probe() {
+    std::promise<bool> promise;
+    service_->Probe([&](bool healthy) { promise.set_value(healthy); });
+    return promise.get_future().get();
+  }
+
+  RunningFake<FakeService> fake_;
+  TestClient client_;
+  IoThread traffic_;
+  IoThread control_;
+  std::unique_ptr<PlainService> service_;
+};
+
+TEST_F(PlainServiceHttpTest, RelaysTheAnswerAndTheKey) {
+  const ServiceAnswer answer = Call(Order("k1"));
+  EXPECT_EQ(answer.status, CallStatus::kAnswered);
+  EXPECT_EQ(answer.http_status, 200u);
+  EXPECT_EQ(answer.content_type, "application/json");
+  EXPECT_NE(answer.body.find(R"("key":"k1")"), std::string::npos);
+  EXPECT_EQ(client_.Stat("executions"), 1);
+}
+
+// Guards against a call that is written after its deadline because the thread
+// that writes was busy or paused.
+TEST_F(PlainServiceHttpTest, ExpiredCallIsNotWritten) {
+  ServiceRequest request = Order("k1");
+  request.timeout = std::chrono::milliseconds(20);
+  std::promise<void> release;
+  std::shared_future<void> released = release.get_future().share();
+  boost::asio::post(traffic_.io, [released] { released.wait(); });
+  auto answer = CallAsync(request);
+  std::this_thread::sleep_for(std::chrono::milliseconds(40));
+  release.set_value();
+  EXPECT_EQ(answer.get().status, CallStatus::kNotSent);
+  request.timeout = Duration(0);
+  EXPECT_EQ(Call(request).status, CallStatus::kNotSent);
+  request.timeout = Duration(-1);
+  EXPECT_EQ(Call(request).status, CallStatus::kNotSent);
+  EXPECT_EQ(client_.Stat("executions"), 0);
+}
+
+TEST_F(PlainServiceHttpTest, RefusedConnectionIsNotSent) {
+  client_.SetFaults(R"({"refuse_ms":300})");
+  EXPECT_EQ(Call(Order("k1")).status, CallStatus::kNotSent);
+}
+
+// Guards against "not sent" for calls that ran.
+TEST_F(PlainServiceHttpTest, LostAnswersAreUnknown) {
+  client_.SetFaults(R"({"execute_then_close":1})");
+  EXPECT_EQ(Call(Order("k1")).status, CallStatus::kUnknown);
+  client_.SetFaults(R"({"reset":true,"cut_answer":1})");
+  EXPECT_EQ(Call(Order("k2")).status, CallStatus::kUnknown);
+  client_.SetFaults(R"({"reset":true,"answer_delay_ms":60000})");
+  ServiceRequest request = Order("k3");
+  request.timeout = std::chrono::milliseconds(200);
+  EXPECT_EQ(Call(request).status, CallStatus::kUnknown);
+  EXPECT_EQ(client_.Stat("executions"), 3);
+}
+
+// Guards against a second execution by the adapter's own retry: only calls that
+// may be repeated use a connection that the service may be closing.
+TEST_F(PlainServiceHttpTest, OnlyRepeatableCallsAreSentAgain) {
+  ServiceRequest read;
+  read.method = "GET";
+  read.path = "/stock/1";
+  read.timeout = std::chrono::seconds(20);
+  read.repeatable = true;
+  EXPECT_EQ(Call(read).status, CallStatus::kAnswered);
+  // The pooled connection now meets a service that closes it at the request;
+  // the second try on a fresh one meets the same.
+  client_.SetFaults(R"({"lose_answer":1})");
+  EXPECT_EQ(Call(read).status, CallStatus::kUnknown);
+  EXPECT_EQ(client_.Stat("reads"), 3);
+  client_.SetFaults(R"({"reset":true})");
+  EXPECT_EQ(Call(read).status, CallStatus::kAnswered);
+  client_.SetFaults(R"({"lose_answer":1})");
+  EXPECT_EQ(Call(Order("k1")).status, CallStatus::kUnknown);
+  EXPECT_EQ(client_.Stat("executions"), 1);
+}
+
+// Guards against a caller's text that becomes a second request.
+TEST_F(PlainServiceHttpTest, UnsafeTextIsNotSent) {
+  for (const std::string path :
+       {"/a b", "/a\r\nX: y", "orders", "", "/a\n", "/\x7f"}) {
+    ServiceRequest request = Order("k1");
+    request.path = path;
+    EXPECT_EQ(Call(request).status, CallStatus::kNotSent) << path;
+  }
+  EXPECT_EQ(Call(Order("k\r\nX: y")).status, CallStatus::kNotSent);
+  EXPECT_EQ(client_.Stat("executions"), 0);
+}
+
+TEST_F(PlainServiceHttpTest, ProbeSaysWhetherTheServiceIsHealthy) {
+  EXPECT_TRUE(Probe());
+  client_.SetFaults(R"({"unhealthy":true})");
+  EXPECT_FALSE(Probe());
+  client_.SetFaults(R"({"reset":true,"down":true})");
+  EXPECT_FALSE(Probe());
+}
+
+TEST(PlainServiceAddressTest, InvalidAddressIsNotSent) {
+  for (const std::string address :
+       {"", "127.0.0.1", "host:1", "127.0.0.1:0", "127.0.0.1:x"}) {
+    TestClient client(address);
+    EXPECT_EQ(client.Send("GET", "/").status, CallStatus::kNotSent) << address;
+  }
+}
+
+}  // namespace
+}  // namespace burdockhatch
