Report output progress and entry messages in the policy benchmark

The engine side of the benchmark reported one output token for every answer, so agents took each answer for far too slow and fell back to the cold budget: 64 to 176 falls per agent. It also dropped the messages that share account limits.

--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -1,5 +1,6 @@
 #include "bench/experiments.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,22 @@
                CountEnd(result, End::kFailed));
   report->Note(experiment, prefix + "cache hit share", "",
                result.cache_hit_share);
+  std::map<ErrorCode, std::map<LengthClass, int>> codes;
+  for (size_t n = 0; n < items.size(); ++n) {
+    if (result.items[n].code != ErrorCode::kNone) {
+      ++codes[result.items[n].code][LengthClassOf(items[n].prompt)];
+    }
+  }
+  for (const auto& [code, by_class] : codes) {
+    for (const auto& [length, count] : by_class) {
+      report->Note(experiment,
+                   fmt::format("{}{}, {}", prefix, ToString(code),
+                               kClassNames[static_cast<int>(length)]),
+                   "", count);
+    }
+  }
+  report->Note(experiment, prefix + "offers per request", "",
+               static_cast<double>(result.offers) / items.size());
 }
 
 void NoteFirstToken(const std::string& experiment,
--- a/bench/policy_run.cc
+++ b/bench/policy_run.cc
@@ -410,6 +410,9 @@
     ++result_.messages;
     // Messages to other entries concern account limits, which are out of scope
     // here.
+    if (DeliverBetweenEntries(entry, to, body)) {
+      return;
+    }
     const auto it = std::find_if(
         targets_.begin(), targets_.end(),
         [&](const auto& target) { return target->agent_id.instance == to; });
@@ -426,6 +429,26 @@
                  });
   }
 
+  bool DeliverBetweenEntries(Entry* from,
+                             const InstanceId& to,
+                             const MessageBody& body) {
+    const auto it = std::find_if(
+        entries_.begin(), entries_.end(),
+        [&](const auto& entry) { return entry->id.instance == to; });
+    if (it == entries_.end()) {
+      return false;
+    }
+    Entry* entry = it->get();
+    const Message message{from->id, entry->id.incarnation, ConfigVersion(1),
+                          body};
+    queue_.After(Latency(from->data_centre, entry->data_centre),
+                 [this, entry, message] {
+                   entry->core->OnMessage(message, queue_.now());
+                   PerformEntry(entry);
+                 });
+    return true;
+  }
+
   void DeliverToEntry(Target* target, const PeerId& to, MessageBody body) {
     ++result_.messages;
     const auto it = std::find_if(
@@ -621,6 +644,8 @@
       target->agent->OnStreamProgress(name, 1, Tokens(1), queue_.now());
       ReportProgressToEntry(target, event.stream, name);
     } else {
+      target->agent->OnStreamProgress(name, event.tokens, Tokens(event.tokens),
+                                      queue_.now());
       target->agent->OnStreamEnded(name, StreamEnd::kComplete, event.tokens,
                                    queue_.now());
     }
