--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -69,6 +69,7 @@
   asio::signal_set signals;
   std::vector<std::thread> threads;
   Random random{0};
+  ObjectVersion config_seen;
   ObjectVersion instance_version;
   bool instances_known = false;
   std::atomic<uint64_t> waiting_messages = 0;
@@ -237,13 +238,14 @@
 // --- Configuration and instances --------------------------------------------
 
 void DaemonLoop::FollowConfig() {
-  const ObjectVersion have(config_ ? config_->version.value() : 0);
-  object_api_->Watch(kConfigObject, have, kConfigWatch,
+  object_api_->Watch(kConfigObject, parts_->config_seen, kConfigWatch,
                      [this](ObjectReply reply) { OnConfigObject(reply); });
 }
 
 void DaemonLoop::OnConfigObject(const ObjectReply& reply) {
   if (reply.status == ObjectStatus::kOk) {
+    // A rejected document is not read again until it changes.
+    parts_->config_seen = reply.version;
     Findings findings;
     std::optional<FleetConfig> config = ParseFleetConfig(
         reply.value, ConfigVersion(reply.version.value()), &findings);
--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -228,9 +228,12 @@
              MessageFor(ErrorCode::kBodyTooLarge));
       return;
     }
-    if (ec == http::error::end_of_stream || ec == beast::error::timeout ||
-        ec.category() == asio::error::get_system_category() ||
-        ec.category() == asio::error::get_misc_category()) {
+    // Whatever is not an error of the parser is one of the connection.
+    const bool parse_error =
+        ec.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        ec != http::error::end_of_stream && ec != http::error::partial_message;
+    if (ec && !parse_error) {
       Close();
       return;
     }
