Add idempotency claims to the agent

A key is claimed by a conditional update of its shard; waiting keys share one write. After a write without an answer no claim is used until a higher version shows that the write cannot take effect any more.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -6,6 +6,7 @@
 #include "src/agent_report.h"
 #include "src/attempts.h"
 #include "src/booking.h"
+#include "src/prefix_table.h"
 
 namespace burdockhatch {
 
@@ -174,7 +175,13 @@
     return Duration(0);
   }
   const Tokens prompt = LoadOf(tables, offer) - offer.max_output_tokens;
-  return TimeFor(prompt, rate);
+  const auto blocks = static_cast<int64_t>(offer.prefix_hashes.size());
+  if (blocks == 0) {
+    return TimeFor(prompt, rate);
+  }
+  const auto cached =
+      static_cast<int64_t>(CachedBlocks(tables.prefixes, offer.prefix_hashes));
+  return TimeFor(prompt * (blocks - cached) / blocks, rate);
 }
 
 std::optional<Failure> CheckService(const AgentTables& tables) {
--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -65,6 +65,12 @@
                 OutcomeUnknown(ErrorCode::kOutcomeUnknown));
     return;
   }
+  // It may be a copy of an offer that a predecessor has run.
+  if (message.receiver.value() == 0 && !offer.repeatable) {
+    RefuseOffer(tables, from, offer,
+                OutcomeUnknown(ErrorCode::kOutcomeUnknown));
+    return;
+  }
   std::optional<Failure> failure = CheckService(tables);
   if (!failure) {
     failure = CheckOffer(tables, offer);
@@ -79,17 +85,28 @@
   attempt.load = load;
   const Duration wait = kMaxQueueWait[static_cast<int>(attempt.length)];
   attempt.queue_until = std::min(tables.now + wait, attempt.deadline - least);
+  // The leader of a gang needs the memory that it held for its own stream.
+  if (FindBooking(tables, CacheBooking(offer.attempt))) {
+    ReleaseHold(tables, offer.attempt);
+  }
   if (!IsEngineAgent(tables) && !offer.repeatable && offer.key) {
     AwaitClaim(tables, attempt.id);
   }
 }
 
+void OnCancel(AgentTables& tables, const PeerId& from, const AttemptId& id) {
+  if (!FindAttempt(tables, id) && !tables.closed.contains(id)) {
+    RecordCancelled(tables, from, id);
+  }
+  CancelAttempt(tables, id);
+}
+
 void OnBody(AgentTables& tables, const Message& message) {
   const PeerId& from = message.sender;
   if (const auto* offer = std::get_if<Offer>(&message.body)) {
     OnOffer(tables, message, *offer);
   } else if (const auto* cancel = std::get_if<Cancel>(&message.body)) {
-    CancelAttempt(tables, cancel->attempt);
+    OnCancel(tables, from, cancel->attempt);
   } else if (const auto* resume = std::get_if<Resume>(&message.body)) {
     OnResume(tables, from, *resume);
   } else if (const auto* hold = std::get_if<Hold>(&message.body)) {
@@ -110,10 +127,18 @@
   return tables.attempts.empty() && tables.calls.empty() && !holding;
 }
 
+// Deadlines come first: after a pause, an event that waited must not find an
+// attempt that is over.
+void BeginEvent(AgentTables& tables, Time now) {
+  AdvanceTime(tables, now);
+  ExpireAttempts(tables);
+}
+
 // The steps that follow every event.
 void Settle(AgentTables& tables) {
   ExpireAttempts(tables);
   CloseQueue(tables);
+  RunClaims(tables);
   DispatchQueued(tables);
   if (tables.draining && !tables.goodbye_sent && NothingOpen(tables)) {
     tables.goodbye_sent = true;
@@ -134,9 +159,8 @@
 
 void AgentCore::Tick(Time now, UnixSeconds wall) {
   AgentTables& tables = *tables_;
-  AdvanceTime(tables, now);
+  BeginEvent(tables, now);
   tables.wall = wall;
-  ExpireAttempts(tables);
   ReleaseExpiredLeases(tables);
   RetryReleases(tables);
   AskForList(tables);
@@ -153,7 +177,7 @@
 
 void AgentCore::OnMessage(const Message& message, Time now) {
   AgentTables& tables = *tables_;
-  AdvanceTime(tables, now);
+  BeginEvent(tables, now);
   if (!IsForThisRun(tables, message) || !NoteEntryRun(tables, message.sender)) {
     return;
   }
@@ -164,7 +188,7 @@
 void AgentCore::OnStreamStarted(const StreamId& stream,
                                 StartStatus status,
                                 Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   OnStart(*tables_, stream, status);
   Settle(*tables_);
 }
@@ -173,7 +197,7 @@
                                  uint32_t next_chunk,
                                  Tokens tokens,
                                  Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   OnProgress(*tables_, stream, next_chunk, tokens);
 }
 
@@ -181,7 +205,7 @@
                               StreamEnd end,
                               uint32_t chunk_count,
                               Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   OnEnd(*tables_, stream, end, chunk_count);
   Settle(*tables_);
 }
@@ -189,19 +213,19 @@
 void AgentCore::OnCacheImported(const StreamId& cache,
                                 StartStatus status,
                                 Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   OnImportAnswer(*tables_, cache, status);
 }
 
 void AgentCore::OnEngineList(const EngineList* list, Time asked_at, Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   ReadEngineList(*tables_, list, asked_at);
   Settle(*tables_);
 }
 
 void AgentCore::OnEngineLoad(const EngineLoad* load, Time now) {
   AgentTables& tables = *tables_;
-  AdvanceTime(tables, now);
+  BeginEvent(tables, now);
   if (!load) {
     ++tables.unanswered_loads;
     return;
@@ -219,12 +243,12 @@
 }
 
 void AgentCore::OnCacheEvents(const std::vector<CacheEvent>& events, Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   ApplyCacheEvents(tables_->prefixes, events, now);
 }
 
 void AgentCore::OnServiceProbe(bool healthy, Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   if (!healthy && tables_->service_healthy) {
     FallBack(tables_->warmup);
   }
@@ -235,7 +259,7 @@
 void AgentCore::OnServiceAnswer(const AttemptId& attempt,
                                 ServiceAnswer answer,
                                 Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   OnAnswer(*tables_, attempt, std::move(answer));
   Settle(*tables_);
 }
@@ -243,18 +267,22 @@
 void AgentCore::OnObjectRead(const ObjectName& name,
                              const ObjectReply& reply,
                              Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
+  OnShardRead(*tables_, name, reply);
+  Settle(*tables_);
 }
 
 void AgentCore::OnObjectUpdated(const ObjectName& name,
                                 const ObjectReply& reply,
                                 Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
+  OnShardWritten(*tables_, name, reply);
+  Settle(*tables_);
 }
 
 void AgentCore::OnConfig(FleetConfigPtr config, Time now) {
   AgentTables& tables = *tables_;
-  AdvanceTime(tables, now);
+  BeginEvent(tables, now);
   if (!config || (tables.config && config->version <= tables.config->version)) {
     return;
   }
@@ -263,14 +291,14 @@
 }
 
 void AgentCore::OnPeerGone(const PeerId& peer, Time now) {
-  AdvanceTime(*tables_, now);
+  BeginEvent(*tables_, now);
   DropPeer(*tables_, peer);
   Settle(*tables_);
 }
 
 void AgentCore::BeginDrain(Time now) {
   AgentTables& tables = *tables_;
-  AdvanceTime(tables, now);
+  BeginEvent(tables, now);
   if (tables.draining) {
     return;
   }
--- a/src/agent_tables.h
+++ b/src/agent_tables.h
@@ -57,14 +57,20 @@
   bool adopted = false;
 };
 
+// How an attempt ended.
+struct Ending {
+  Failure failure;  // Code kNone for a whole answer.
+  uint32_t chunk_count = 0;
+  uint32_t http_status = 0;
+  std::string content_type;
+  uint64_t answer = 0;  // In AnswerStore; 0 for none.
+};
+
 // An attempt that is over. While the record exists, the attempt is never
-// dispatched (again); with `ran` unset it is a tombstone.
+// dispatched (again); with outcome kNotRun it is a tombstone.
 struct ClosedAttempt {
   PeerId entry;
-  bool dispatched = false;
-  bool completion = false;
-  Finish finish;
-  uint64_t answer = 0;  // In AnswerStore; 0 for none.
+  Ending ending;
   Time ended_at;
   Time expires;
   bool reading_again = false;  // A Resume asked for the output once more.
@@ -159,18 +165,20 @@
 struct ClaimShard {
   ObjectName name;
   bool loaded = false;
-  bool malformed = false;
   ObjectVersion version;
   ClaimRecords records;  // As of `version`.
   Time read_at;          // When the state of `version` was asked for.
   ShardOperation outstanding = ShardOperation::kNone;
   Time asked_at;
-  ClaimRecords written;  // Content of the outstanding or uncertain write.
-  // A write on this version got no answer and may still take effect.
+  ClaimRecords written;  // Content of the outstanding write.
+  // A write on this version got no answer and may still take effect. No claim
+  // is used until a higher version shows that it cannot.
   std::optional<ObjectVersion> uncertain;
+  bool read_wanted = false;
   Time next_operation;
+  Time next_write;
   Duration backoff{0};
-  bool read_wanted = false;
+  std::set<KeyHash> wanting;  // Keys in state kClaiming.
   uint64_t writes = 0;
 };
 
@@ -239,6 +247,9 @@
   bool service_healthy = false;
 
   std::map<KeyHash, KeyEntry> keys;
+  std::set<KeyHash> held;                    // Keys in state kHeld.
+  std::map<AttemptId, KeyHash> keyed_calls;  // Dispatched and not answered.
+  Time next_key_sweep;
   std::map<uint32_t, ClaimShard> shards;
   AnswerStore answers;
 
--- a/src/attempts.cc
+++ b/src/attempts.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr Duration kMinRecordTime = kTombstoneMargin;
-
 void ReplyToOffer(AgentTables& tables,
                   const PeerId& to,
                   const AttemptId& attempt,
@@ -21,10 +19,15 @@
 
 // What a duplicate of a closed attempt's offer is told.
 Failure FailureOfDuplicate(const ClosedAttempt& closed) {
-  if (closed.finish.failure.code == ErrorCode::kNone) {
+  if (closed.ending.failure.code == ErrorCode::kNone) {
     return {ErrorCode::kAlreadyRan, Outcome::kRan, Duration(0)};
   }
-  return closed.finish.failure;
+  return closed.ending.failure;
+}
+
+Time RecordEnd(const AgentTables& tables, const Offer& offer) {
+  const Duration left = std::clamp(offer.time_left, Duration(0), kMaxTimeLeft);
+  return tables.now + left + kTombstoneMargin;
 }
 
 ClosedAttempt& Record(AgentTables& tables,
@@ -34,8 +37,7 @@
   ClosedAttempt& closed = tables.closed[id];
   closed.entry = entry;
   closed.ended_at = tables.now;
-  closed.expires =
-      std::max(deadline + kTombstoneMargin, tables.now + kMinRecordTime);
+  closed.expires = std::max(deadline, tables.now) + kTombstoneMargin;
   return closed;
 }
 
@@ -80,8 +82,10 @@
     return false;
   }
   ++tables.counters.duplicate_offers;
+  ClosedAttempt& closed = it->second;
+  closed.expires = std::max(closed.expires, RecordEnd(tables, offer));
   ReplyToOffer(tables, from, offer.attempt, Verdict::kRefused,
-               FailureOfDuplicate(it->second));
+               FailureOfDuplicate(closed));
   return true;
 }
 
@@ -90,14 +94,19 @@
                  const Offer& offer,
                  const Failure& failure) {
   ++tables.counters.refused;
-  const Duration left = std::clamp(offer.time_left, Duration(0), kMaxTimeLeft);
-  ClosedAttempt& closed =
-      Record(tables, offer.attempt, from, tables.now + left);
-  closed.finish.attempt = offer.attempt;
-  closed.finish.failure = failure;
+  ClosedAttempt& closed = Record(tables, offer.attempt, from, tables.now);
+  closed.expires = RecordEnd(tables, offer);
+  closed.ending.failure = failure;
   ReplyToOffer(tables, from, offer.attempt, Verdict::kRefused, failure);
 }
 
+void RecordCancelled(AgentTables& tables,
+                     const PeerId& from,
+                     const AttemptId& id) {
+  ClosedAttempt& closed = Record(tables, id, from, tables.now);
+  closed.ending.failure = OutcomeUnknown(ErrorCode::kDeadlineExceeded);
+}
+
 Attempt& AcceptOffer(AgentTables& tables, const PeerId& from, Offer offer) {
   ++tables.counters.accepted;
   const AttemptId id = offer.attempt;
@@ -118,23 +127,34 @@
   if (it == tables.attempts.end()) {
     return;
   }
-  const Attempt& attempt = it->second;
-  ClosedAttempt& closed = Record(tables, id, attempt.entry, attempt.deadline);
-  closed.dispatched =
-      IsDispatched(attempt) && ending.failure.outcome != Outcome::kNotRun;
-  closed.completion = IsEngineAgent(tables);
-  closed.answer = ending.answer;
-  closed.finish.attempt = id;
-  closed.finish.chunk_count = ending.chunk_count;
-  closed.finish.failure = ending.failure;
-  closed.finish.http_status = ending.http_status;
-  closed.finish.content_type = std::move(ending.content_type);
+  const Attempt attempt = std::move(it->second);
   tables.attempts.erase(it);
-  RepeatFinish(tables, closed);
+  ClosedAttempt& closed =
+      Record(tables, attempt.id, attempt.entry, attempt.deadline);
+  closed.ending = std::move(ending);
+  RepeatFinish(tables, attempt.id, closed);
+}
+
+void EndWithAnswer(AgentTables& tables, const AttemptId& id, Ending ending) {
+  const Attempt* attempt = FindAttempt(tables, id);
+  if (!attempt) {
+    return;
+  }
+  if (ending.failure.code == ErrorCode::kNone) {
+    SendAnswer(tables, attempt->entry, id, ending.answer);
+  }
+  CloseAttempt(tables, id, std::move(ending));
 }
 
-void RepeatFinish(AgentTables& tables, ClosedAttempt& closed) {
-  Finish finish = closed.finish;
+void RepeatFinish(AgentTables& tables,
+                  const AttemptId& id,
+                  const ClosedAttempt& closed) {
+  Finish finish;
+  finish.attempt = id;
+  finish.chunk_count = closed.ending.chunk_count;
+  finish.failure = closed.ending.failure;
+  finish.http_status = closed.ending.http_status;
+  finish.content_type = closed.ending.content_type;
   finish.state = MakeState(tables);
   SendTo(tables, closed.entry, std::move(finish));
 }
--- a/src/attempts.h
+++ b/src/attempts.h
@@ -25,15 +25,6 @@
 // Bytes of answers of plain services that are kept for retries.
 inline constexpr size_t kMaxAnswerBytes = 8 << 20;
 
-// How an attempt ended.
-struct Ending {
-  Failure failure;
-  uint32_t chunk_count = 0;
-  uint32_t http_status = 0;
-  std::string content_type;
-  uint64_t answer = 0;
-};
-
 constexpr Failure NotRun(ErrorCode code, Duration retry_after = Duration(0)) {
   return {code, Outcome::kNotRun, retry_after};
 }
@@ -69,14 +60,26 @@
                  const Offer& offer,
                  const Failure& failure);
 
+// Keeps a cancelled attempt that is not known, in case its offer is still on
+// its way. Its outcome is unknown: a predecessor may have run it.
+void RecordCancelled(AgentTables& tables,
+                     const PeerId& from,
+                     const AttemptId& id);
+
 // Enters an attempt into the table and replies to its offer.
 Attempt& AcceptOffer(AgentTables& tables, const PeerId& from, Offer offer);
 
 // Sends the Finish and keeps a record. The attempt is not valid any more.
 void CloseAttempt(AgentTables& tables, const AttemptId& id, Ending ending);
 
+// Ends an attempt of a plain service. An ending without a failure comes with
+// the answer as chunk 0.
+void EndWithAnswer(AgentTables& tables, const AttemptId& id, Ending ending);
+
 // Sends the Finish of a closed attempt again.
-void RepeatFinish(AgentTables& tables, ClosedAttempt& closed);
+void RepeatFinish(AgentTables& tables,
+                  const AttemptId& id,
+                  const ClosedAttempt& closed);
 
 // Sends the whole answer of a call as chunk 0.
 void SendAnswer(AgentTables& tables,
--- /dev/null
+++ b/src/claim_shard.cc
@@ -0,0 +1,129 @@
+#include "src/claim_shard.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <boost/json.hpp>
+
+namespace burdockhatch {
+
+namespace {
+
+namespace json = boost::json;
+
+using Holder = std::pair<InstanceId, Incarnation>;
+
+// Fields of a record: index of the holder, seconds since 1970, 1 when done.
+constexpr size_t kRecordFields = 3;
+
+std::optional<uint64_t> ReadNumber(const json::value& value) {
+  std::error_code ec;
+  const auto number = value.to_number<uint64_t>(ec);
+  return ec ? std::nullopt : std::optional(number);
+}
+
+std::optional<Holder> ParseHolder(const json::value& value) {
+  const json::array* fields = value.if_array();
+  if (!fields || fields->size() != 2 || !(*fields)[0].is_string()) {
+    return std::nullopt;
+  }
+  const std::optional<uint64_t> incarnation = ReadNumber((*fields)[1]);
+  if (!incarnation) {
+    return std::nullopt;
+  }
+  return Holder{InstanceId(std::string((*fields)[0].get_string())),
+                Incarnation(*incarnation)};
+}
+
+std::optional<std::vector<Holder>> ParseHolders(const json::value* value) {
+  if (!value || !value->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<Holder> holders;
+  for (const json::value& row : value->get_array()) {
+    std::optional<Holder> holder = ParseHolder(row);
+    if (!holder) {
+      return std::nullopt;
+    }
+    holders.push_back(std::move(*holder));
+  }
+  return holders;
+}
+
+std::optional<ClaimRecord> ParseRecord(const json::value& value,
+                                       const std::vector<Holder>& holders) {
+  const json::array* fields = value.if_array();
+  if (!fields || fields->size() != kRecordFields) {
+    return std::nullopt;
+  }
+  const std::optional<uint64_t> holder = ReadNumber((*fields)[0]);
+  const std::optional<uint64_t> claimed_at = ReadNumber((*fields)[1]);
+  const std::optional<uint64_t> done = ReadNumber((*fields)[2]);
+  if (!holder || *holder >= holders.size() || !claimed_at || !done ||
+      *done > 1) {
+    return std::nullopt;
+  }
+  return ClaimRecord{holders[*holder].first, holders[*holder].second,
+                     UnixSeconds(static_cast<int64_t>(*claimed_at)),
+                     *done == 1};
+}
+
+// A key hash is written like a request id: 32 hexadecimal digits.
+std::string KeyText(const KeyHash& key) {
+  return ToString(RequestId{key.high, key.low});
+}
+
+std::optional<ClaimRecords> ParseRecords(const json::value* value,
+                                         const std::vector<Holder>& holders) {
+  if (!value || !value->is_object()) {
+    return std::nullopt;
+  }
+  ClaimRecords records;
+  for (const json::key_value_pair& row : value->get_object()) {
+    const std::optional<RequestId> key = ParseRequestId(row.key());
+    std::optional<ClaimRecord> record = ParseRecord(row.value(), holders);
+    if (!key || !record) {
+      return std::nullopt;
+    }
+    records[{key->high, key->low}] = std::move(*record);
+  }
+  return records;
+}
+
+}  // namespace
+
+std::optional<ClaimRecords> ParseClaims(std::string_view text) {
+  boost::system::error_code ec;
+  const json::value document = json::parse(text, ec);
+  const json::object* root = ec ? nullptr : document.if_object();
+  if (!root) {
+    return std::nullopt;
+  }
+  const auto holders = ParseHolders(root->if_contains("holders"));
+  if (!holders) {
+    return std::nullopt;
+  }
+  return ParseRecords(root->if_contains("records"), *holders);
+}
+
+std::string SerializeClaims(const ClaimRecords& records) {
+  std::map<Holder, uint64_t> numbers;
+  json::array holders;
+  json::object rows;
+  for (const auto& [key, record] : records) {
+    const Holder holder{record.holder, record.incarnation};
+    auto [it, added] = numbers.try_emplace(holder, holders.size());
+    if (added) {
+      holders.push_back(
+          {holder.first.value(), json::value(holder.second.value())});
+    }
+    rows.emplace(KeyText(key),
+                 json::array{it->second, record.claimed_at.count(),
+                             record.done ? 1 : 0});
+  }
+  return json::serialize(json::object{{"holders", std::move(holders)},
+                                      {"records", std::move(rows)}});
+}
+
+}  // namespace burdockhatch
--- a/src/claims.cc
+++ b/src/claims.cc
@@ -1,24 +1,521 @@
 #include "src/claims.h"
 
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "src/admission.h"
+#include "src/claim_shard.h"
 #include "src/dispatch.h"
+#include "src/random.h"
+#include "src/rendezvous.h"
 
 namespace burdockhatch {
 
+namespace {
+
+constexpr uint64_t kHighSalt = 0x9ae16a3b2f90404f;
+constexpr Duration kKeySweepInterval = std::chrono::minutes(1);
+
+const ServiceConfig& ServiceOf(const AgentTables& tables) {
+  static const ServiceConfig fallback;
+  if (!tables.config) {
+    return fallback;
+  }
+  auto it = tables.config->services.find(tables.options.service);
+  return it == tables.config->services.end() ? fallback : it->second;
+}
+
+// Keys of different client accounts never meet.
+KeyHash HashOf(const Offer& offer) {
+  std::string text = offer.account.value();
+  text.push_back('\0');
+  text += offer.key->value();
+  const uint64_t low = StableHash(text);
+  text.push_back('\0');
+  return {MixHash(StableHash(text), kHighSalt), low};
+}
+
+uint64_t FingerprintOf(const Offer& offer) {
+  return MixHash(MixHash(StableHash(offer.method), StableHash(offer.path)),
+                 StableHash(offer.body));
+}
+
+ClaimShard& ShardOf(AgentTables& tables, const KeyHash& key) {
+  const uint32_t count = std::max(1u, ServiceOf(tables).claim_shards);
+  const auto index = static_cast<uint32_t>(key.low % count);
+  ClaimShard& shard = tables.shards[index];
+  if (shard.name.kind.empty()) {
+    shard.name = {"claims",
+                  fmt::format("{}/{}", tables.options.service.value(), index)};
+  }
+  return shard;
+}
+
+ClaimShard* FindShard(AgentTables& tables, const ObjectName& name) {
+  for (auto& [index, shard] : tables.shards) {
+    if (shard.name == name) {
+      return &shard;
+    }
+  }
+  return nullptr;
+}
+
+bool IsOwn(const AgentTables& tables, const ClaimRecord& record) {
+  return record.holder == tables.options.self.instance &&
+         record.incarnation == tables.options.self.incarnation;
+}
+
+bool IsExpired(const AgentTables& tables, const ClaimRecord& record) {
+  return tables.wall - record.claimed_at >
+         ServiceOf(tables).idempotency_retention;
+}
+
+// An unused claim is renewed long before another agent, whose wall clock may be
+// ahead, can prune it.
+bool IsFresh(const AgentTables& tables, UnixSeconds claimed_at) {
+  return tables.wall - claimed_at < ServiceOf(tables).idempotency_retention / 2;
+}
+
+// Drops attempts that are over from the list of a key.
+void DropEnded(AgentTables& tables, KeyEntry& entry) {
+  std::erase_if(entry.waiting,
+                [&](const AttemptId& id) { return !FindAttempt(tables, id); });
+  const bool unused = entry.state == KeyState::kHeld && entry.runner;
+  if (unused && !FindAttempt(tables, *entry.runner)) {
+    entry.runner.reset();
+  }
+}
+
+void ForgetKey(AgentTables& tables, const KeyHash& key) {
+  tables.held.erase(key);
+  tables.keys.erase(key);
+}
+
+void WantClaim(AgentTables& tables, const KeyHash& key, KeyEntry& entry) {
+  entry.state = KeyState::kClaiming;
+  entry.wanted_at = tables.now;
+  entry.runner.reset();
+  tables.held.erase(key);
+  ShardOf(tables, key).wanting.insert(key);
+}
+
+// Queues the first waiting attempt of a held claim for dispatch.
+void GiveClaim(AgentTables& tables, KeyEntry& entry) {
+  DropEnded(tables, entry);
+  if (entry.runner || entry.waiting.empty()) {
+    return;
+  }
+  entry.runner = entry.waiting.front();
+  entry.waiting.erase(entry.waiting.begin());
+  Attempt& attempt = *FindAttempt(tables, *entry.runner);
+  attempt.phase = AttemptPhase::kQueued;
+  attempt.queue_until =
+      std::min(attempt.deadline, tables.now + kMaxQueueWait[0]);
+}
+
+void HoldClaim(AgentTables& tables,
+               const KeyHash& key,
+               KeyEntry& entry,
+               UnixSeconds claimed_at) {
+  entry.state = KeyState::kHeld;
+  entry.claimed_at = claimed_at;
+  entry.runner.reset();
+  tables.held.insert(key);
+  GiveClaim(tables, entry);
+}
+
+void EndWaiting(AgentTables& tables, KeyEntry& entry, const Ending& ending) {
+  DropEnded(tables, entry);
+  for (const AttemptId& id : std::exchange(entry.waiting, {})) {
+    EndWithAnswer(tables, id, ending);
+  }
+}
+
+Ending EndingOf(const Failure& failure) {
+  Ending ending;
+  ending.failure = failure;
+  return ending;
+}
+
+// Ends an attempt with what is known of its key's call.
+void EndWithStored(AgentTables& tables,
+                   const AttemptId& id,
+                   const KeyEntry& entry) {
+  const ServiceAnswer* answer = FindAnswer(tables.answers, entry.answer);
+  if (!answer) {
+    EndWithAnswer(
+        tables, id,
+        EndingOf({ErrorCode::kAlreadyRan, Outcome::kRan, Duration(0)}));
+    return;
+  }
+  Ending ending;
+  ending.chunk_count = 1;
+  ending.http_status = answer->http_status;
+  ending.content_type = answer->content_type;
+  ending.answer = entry.answer;
+  EndWithAnswer(tables, id, ending);
+}
+
+// Refuses what waits for a key that another holder has claimed.
+void RefuseForeign(AgentTables& tables,
+                   const KeyHash& key,
+                   KeyEntry& entry,
+                   const ClaimRecord& record) {
+  ++tables.counters.foreign_claims;
+  const Failure failure =
+      record.done ? Failure{ErrorCode::kAlreadyRan, Outcome::kRan, Duration(0)}
+                  : OutcomeUnknown(ErrorCode::kOutcomeUnknown);
+  EndWaiting(tables, entry, EndingOf(failure));
+  ForgetKey(tables, key);
+}
+
+// Refuses all that waits for a claim in the shard.
+void RefuseWanting(AgentTables& tables, ClaimShard& shard) {
+  for (const KeyHash& key : std::exchange(shard.wanting, {})) {
+    EndWaiting(tables, tables.keys[key],
+               EndingOf(NotRun(ErrorCode::kClaimUnavailable)));
+    ForgetKey(tables, key);
+  }
+}
+
+// Applies the shard's records to one key. Returns whether it is still wanted.
+bool ApplyRecord(AgentTables& tables, ClaimShard& shard, const KeyHash& key) {
+  KeyEntry& entry = tables.keys[key];
+  DropEnded(tables, entry);
+  if (entry.waiting.empty()) {
+    ForgetKey(tables, key);
+    return false;
+  }
+  auto it = shard.records.find(key);
+  if (it == shard.records.end() || IsExpired(tables, it->second)) {
+    return true;
+  }
+  const ClaimRecord& record = it->second;
+  if (IsOwn(tables, record)) {
+    // While a write without an answer may still take effect, the record may
+    // be about to go.
+    if (shard.uncertain || !IsFresh(tables, record.claimed_at)) {
+      return true;
+    }
+    HoldClaim(tables, key, entry, record.claimed_at);
+    return false;
+  }
+  // The holder may have released the key since the records were read.
+  if (shard.read_at < entry.wanted_at) {
+    shard.read_wanted = true;
+    return true;
+  }
+  RefuseForeign(tables, key, entry, record);
+  return false;
+}
+
+void ApplyRecords(AgentTables& tables, ClaimShard& shard) {
+  std::erase_if(shard.wanting, [&](const KeyHash& key) {
+    return !ApplyRecord(tables, shard, key);
+  });
+}
+
+// Decides whether an own record stays in the shard, and marks it when its call
+// is done. A claim that no call waits for is released; it is forgotten here,
+// before the write is sent.
+bool KeepOwn(AgentTables& tables, const KeyHash& key, ClaimRecord& record) {
+  auto it = tables.keys.find(key);
+  if (it == tables.keys.end()) {
+    return false;
+  }
+  KeyEntry& entry = it->second;
+  DropEnded(tables, entry);
+  if (entry.state == KeyState::kHeld && !entry.runner &&
+      entry.waiting.empty()) {
+    ForgetKey(tables, key);
+    return false;
+  }
+  record.done = record.done || entry.state == KeyState::kAnswered;
+  return true;
+}
+
+ClaimRecords KeptRecords(AgentTables& tables, const ClaimShard& shard) {
+  ClaimRecords kept;
+  for (const auto& [key, record] : shard.records) {
+    ClaimRecord copy = record;
+    const bool keep = !IsExpired(tables, record) &&
+                      (!IsOwn(tables, record) || KeepOwn(tables, key, copy));
+    if (keep) {
+      kept.emplace(key, std::move(copy));
+    }
+  }
+  return kept;
+}
+
+// Adds claims for the wanted keys. Returns whether there is any.
+bool AddClaims(const AgentTables& tables,
+               const ClaimShard& shard,
+               ClaimRecords& records) {
+  bool added = false;
+  const PeerId& self = tables.options.self;
+  for (const KeyHash& key : shard.wanting) {
+    auto it = records.find(key);
+    if (it != records.end() && !IsOwn(tables, it->second)) {
+      continue;
+    }
+    records[key] = {self.instance, self.incarnation, tables.wall, false};
+    added = true;
+  }
+  return added;
+}
+
+void SendRead(AgentTables& tables, ClaimShard& shard) {
+  shard.outstanding = ShardOperation::kRead;
+  shard.asked_at = tables.now;
+  shard.read_wanted = false;
+  Act(tables, ReadObject{shard.name});
+}
+
+void SendWrite(AgentTables& tables, ClaimShard& shard) {
+  ClaimRecords records = KeptRecords(tables, shard);
+  if (!AddClaims(tables, shard, records)) {
+    return;
+  }
+  std::string value = SerializeClaims(records);
+  if (value.size() > kMaxShardSize) {
+    RefuseWanting(tables, shard);
+    return;
+  }
+  shard.outstanding = ShardOperation::kWrite;
+  shard.asked_at = tables.now;
+  shard.next_write = tables.now + kClaimWriteInterval;
+  shard.written = std::move(records);
+  Act(tables, UpdateObject{shard.name, shard.version, std::move(value)});
+}
+
+// Sends the next request on the shard that is due, if any.
+void RunShard(AgentTables& tables, ClaimShard& shard) {
+  if (shard.outstanding != ShardOperation::kNone) {
+    return;
+  }
+  if (shard.loaded && !shard.wanting.empty()) {
+    ApplyRecords(tables, shard);
+  }
+  if (shard.wanting.empty() || tables.now < shard.next_operation) {
+    return;
+  }
+  if (!shard.loaded || shard.read_wanted) {
+    SendRead(tables, shard);
+  } else if (tables.now >= shard.next_write) {
+    SendWrite(tables, shard);
+  }
+}
+
+void BackOff(AgentTables& tables, ClaimShard& shard) {
+  shard.backoff =
+      std::clamp(shard.backoff * 2, kMinClaimBackoff, kMaxClaimBackoff);
+  shard.next_operation = tables.now + shard.backoff;
+}
+
+void TakeRecords(ClaimShard& shard,
+                 ObjectVersion version,
+                 ClaimRecords records) {
+  shard.loaded = true;
+  shard.version = version;
+  shard.records = std::move(records);
+  shard.read_at = shard.asked_at;
+  shard.backoff = Duration(0);
+  if (shard.uncertain && version > *shard.uncertain) {
+    shard.uncertain.reset();
+  }
+}
+
+// Forgets calls whose retention is over.
+void SweepKeys(AgentTables& tables) {
+  if (tables.now < tables.next_key_sweep) {
+    return;
+  }
+  tables.next_key_sweep = tables.now + kKeySweepInterval;
+  const auto retention = ServiceOf(tables).idempotency_retention;
+  std::erase_if(tables.keys, [&](const auto& row) {
+    const KeyEntry& entry = row.second;
+    return (entry.state == KeyState::kAnswered ||
+            entry.state == KeyState::kUncertain) &&
+           tables.wall - entry.claimed_at > retention;
+  });
+}
+
+// Whether the key was used before with another request.
+bool IsOtherRequest(const KeyEntry& entry, uint64_t fingerprint) {
+  const bool in_use = entry.runner || !entry.waiting.empty() ||
+                      entry.state == KeyState::kInFlight ||
+                      entry.state == KeyState::kAnswered ||
+                      entry.state == KeyState::kUncertain;
+  return in_use && entry.fingerprint != fingerprint;
+}
+
+void JoinKey(AgentTables& tables,
+             const KeyHash& key,
+             KeyEntry& entry,
+             const AttemptId& id) {
+  switch (entry.state) {
+    case KeyState::kAnswered:
+      EndWithStored(tables, id, entry);
+      return;
+    case KeyState::kUncertain:
+      EndWithAnswer(tables, id,
+                    EndingOf(OutcomeUnknown(ErrorCode::kOutcomeUnknown)));
+      return;
+    case KeyState::kHeld:
+      entry.waiting.push_back(id);
+      if (!IsFresh(tables, entry.claimed_at) && !entry.runner) {
+        WantClaim(tables, key, entry);
+      }
+      return;
+    case KeyState::kInFlight:
+    case KeyState::kClaiming:
+      entry.waiting.push_back(id);
+      return;
+  }
+}
+
+}  // namespace
+
 void AwaitClaim(AgentTables& tables, const AttemptId& id) {
-  EndNotRun(tables, id, ErrorCode::kClaimUnavailable);
+  Attempt& attempt = *FindAttempt(tables, id);
+  const KeyHash key = HashOf(attempt.offer);
+  const uint64_t fingerprint = FingerprintOf(attempt.offer);
+  attempt.key = key;
+  attempt.phase = AttemptPhase::kAwaitingClaim;
+  auto [it, added] = tables.keys.try_emplace(key);
+  KeyEntry& entry = it->second;
+  if (added) {
+    WantClaim(tables, key, entry);
+  } else {
+    DropEnded(tables, entry);
+  }
+  if (IsOtherRequest(entry, fingerprint)) {
+    EndNotRun(tables, id, ErrorCode::kInvalidRequest);
+    return;
+  }
+  entry.fingerprint = fingerprint;
+  JoinKey(tables, key, entry, id);
 }
 
 bool UseClaim(AgentTables& tables, Attempt& attempt) {
-  EndNotRun(tables, attempt.id, ErrorCode::kClaimUnavailable);
-  return false;
+  auto it = tables.keys.find(*attempt.key);
+  if (it == tables.keys.end() || it->second.state != KeyState::kHeld ||
+      it->second.runner != attempt.id) {
+    EndNotRun(tables, attempt.id, ErrorCode::kClaimUnavailable);
+    return false;
+  }
+  KeyEntry& entry = it->second;
+  if (!IsFresh(tables, entry.claimed_at)) {
+    attempt.phase = AttemptPhase::kAwaitingClaim;
+    entry.waiting.insert(entry.waiting.begin(), attempt.id);
+    WantClaim(tables, *attempt.key, entry);
+    return false;
+  }
+  entry.state = KeyState::kInFlight;
+  tables.held.erase(*attempt.key);
+  tables.keyed_calls[attempt.id] = *attempt.key;
+  return true;
 }
 
 bool IsJoined(const AgentTables& tables, const Attempt& attempt) {
-  return false;
+  if (!attempt.key || attempt.phase != AttemptPhase::kAwaitingClaim) {
+    return false;
+  }
+  auto it = tables.keys.find(*attempt.key);
+  return it != tables.keys.end() && it->second.state == KeyState::kInFlight;
 }
 
-void NoteKeyedEnd(AgentTables& tables,
+void EndKeyedCall(AgentTables& tables,
                   const AttemptId& id,
-                  const Ending& ending) {}
+                  const Ending& ending) {
+  auto call = tables.keyed_calls.find(id);
+  if (call == tables.keyed_calls.end()) {
+    return;
+  }
+  const KeyHash key = call->second;
+  tables.keyed_calls.erase(call);
+  KeyEntry& entry = tables.keys[key];
+  if (ending.failure.outcome == Outcome::kNotRun) {
+    // Nothing was written to the service, so the claim is unused again.
+    HoldClaim(tables, key, entry, entry.claimed_at);
+    return;
+  }
+  entry.runner.reset();
+  const bool answered = ending.failure.code == ErrorCode::kNone;
+  entry.state = answered ? KeyState::kAnswered : KeyState::kUncertain;
+  entry.answer = ending.answer;
+  EndWaiting(tables, entry, ending);
+}
+
+void RunClaims(AgentTables& tables) {
+  for (const KeyHash& key : tables.held) {
+    GiveClaim(tables, tables.keys[key]);
+  }
+  for (auto& [index, shard] : tables.shards) {
+    RunShard(tables, shard);
+  }
+  SweepKeys(tables);
+}
+
+void OnShardRead(AgentTables& tables,
+                 const ObjectName& name,
+                 const ObjectReply& reply) {
+  ClaimShard* shard = FindShard(tables, name);
+  if (!shard || shard->outstanding != ShardOperation::kRead) {
+    return;
+  }
+  shard->outstanding = ShardOperation::kNone;
+  if (reply.status == ObjectStatus::kNotFound) {
+    TakeRecords(*shard, ObjectVersion(0), {});
+    return;
+  }
+  if (reply.status != ObjectStatus::kOk) {
+    shard->read_wanted = true;
+    BackOff(tables, *shard);
+    return;
+  }
+  std::optional<ClaimRecords> records = ParseClaims(reply.value);
+  if (!records) {
+    RefuseWanting(tables, *shard);
+    shard->loaded = false;
+    BackOff(tables, *shard);
+    return;
+  }
+  TakeRecords(*shard, reply.version, std::move(*records));
+}
+
+void OnShardWritten(AgentTables& tables,
+                    const ObjectName& name,
+                    const ObjectReply& reply) {
+  ClaimShard* shard = FindShard(tables, name);
+  if (!shard || shard->outstanding != ShardOperation::kWrite) {
+    return;
+  }
+  shard->outstanding = ShardOperation::kNone;
+  shard->next_write = tables.now + kClaimWriteInterval;
+  switch (reply.status) {
+    case ObjectStatus::kOk:
+      ++shard->writes;
+      TakeRecords(*shard, reply.version, std::move(shard->written));
+      return;
+    case ObjectStatus::kConflict:
+    case ObjectStatus::kNotFound:
+      ++tables.counters.claim_conflicts;
+      shard->read_wanted = true;
+      return;
+    case ObjectStatus::kThrottled:
+    case ObjectStatus::kNotSent:
+      BackOff(tables, *shard);
+      return;
+    case ObjectStatus::kUnknown:
+    case ObjectStatus::kNotModified:
+      shard->uncertain = shard->version;
+      shard->read_wanted = true;
+      BackOff(tables, *shard);
+      return;
+  }
+}
 
 }  // namespace burdockhatch
--- a/src/claims.h
+++ b/src/claims.h
@@ -9,23 +9,45 @@
 
 namespace burdockhatch {
 
+// Least time between two writes of one shard: 16 shards cost at most 160
+// writes/s of the several hundred that the object API handles.
+inline constexpr Duration kClaimWriteInterval = std::chrono::milliseconds(100);
+
+// Back-off after a request that the object API did not serve.
+inline constexpr Duration kMinClaimBackoff = std::chrono::milliseconds(100);
+inline constexpr Duration kMaxClaimBackoff = std::chrono::seconds(2);
+
+// A shard that would grow above this takes no new keys.
+inline constexpr size_t kMaxShardSize =
+    static_cast<size_t>(kMaxObjectSize.value()) - 4096;
+
 // Makes the accepted attempt wait for the claim on its key, join the call that
 // holds it, or take the stored answer.
 void AwaitClaim(AgentTables& tables, const AttemptId& id);
 
 // Marks the claim of a queued attempt as used, right before the dispatch.
-// Returns false, and ends or requeues the attempt, when the claim is not held
-// for it.
+// Returns false, and makes the attempt wait, when the claim is not held for it.
 bool UseClaim(AgentTables& tables, Attempt& attempt);
 
 // Whether the attempt waits for the answer of a call that was dispatched.
 bool IsJoined(const AgentTables& tables, const Attempt& attempt);
 
-// Notes the end of a dispatched call; answers the attempts that joined it.
-void NoteKeyedEnd(AgentTables& tables,
+// Notes the end of a dispatched call and ends the attempts that joined it.
+void EndKeyedCall(AgentTables& tables,
                   const AttemptId& id,
                   const Ending& ending);
 
+// Gives held claims to waiting attempts, sends the reads and writes that are
+// due and forgets keys whose retention is over.
+void RunClaims(AgentTables& tables);
+
+void OnShardRead(AgentTables& tables,
+                 const ObjectName& name,
+                 const ObjectReply& reply);
+void OnShardWritten(AgentTables& tables,
+                    const ObjectName& name,
+                    const ObjectReply& reply);
+
 }  // namespace burdockhatch
 
 #endif  // SRC_CLAIMS_H_
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -32,8 +32,9 @@
   return std::vector<StreamId>(offer.members.size(), StreamIdOf(offer.attempt));
 }
 
-StreamSpec SpecOf(const Attempt& attempt) {
-  const Offer& offer = attempt.offer;
+// Moves the texts out of the attempt, which does not need them any more.
+StreamSpec SpecOf(Attempt& attempt) {
+  Offer& offer = attempt.offer;
   StreamSpec spec;
   spec.stream = StreamIdOf(attempt.id);
   spec.model = offer.model;
@@ -43,8 +44,8 @@
   spec.prefix_hashes = offer.prefix_hashes;
   spec.imported_caches = CachesOf(offer);
   spec.first_chunk = offer.first_chunk;
-  spec.generated_prefix = offer.generated_prefix;
-  spec.prompt = offer.body;
+  spec.generated_prefix = std::move(offer.generated_prefix);
+  spec.prompt = std::move(offer.body);
   return spec;
 }
 
@@ -100,31 +101,32 @@
          tables.options.time_per_token * attempt.output.value();
 }
 
-void CheckServiceTime(AgentTables& tables, const Attempt& attempt) {
+bool WasSlow(const AgentTables& tables, const Attempt& attempt) {
   const AgentOptions& options = tables.options;
-  if (attempt.adopted || options.prefill_rate.value() <= 0 ||
+  if (options.prefill_rate.value() <= 0 ||
       options.time_per_token <= Duration(0)) {
-    return;
+    return false;
   }
   const Duration taken = tables.now - attempt.dispatched_at;
-  if (taken > SlowLimit(ExpectedServiceTime(tables, attempt))) {
-    FallBack(tables.warmup);
-  }
+  return taken > SlowLimit(ExpectedServiceTime(tables, attempt));
 }
 
-void NoteWorkDone(AgentTables& tables, const Attempt& attempt, Tokens work) {
+void NoteWorkDone(AgentTables& tables, Tokens load, Tokens work) {
   ++tables.counters.completed;
-  MeterCompleted(tables, attempt.load);
+  MeterCompleted(tables, load);
   NoteCompleted(tables.warmup, work);
 }
 
 void CompleteStream(AgentTables& tables,
                     const Attempt& attempt,
                     uint32_t chunk_count) {
-  const Tokens prompt = attempt.load - attempt.offer.max_output_tokens;
+  // What an adopted stream took and did before is not known.
   if (!attempt.adopted) {
-    NoteWorkDone(tables, attempt, prompt + attempt.output);
-    CheckServiceTime(tables, attempt);
+    const Tokens prompt = attempt.load - attempt.offer.max_output_tokens;
+    NoteWorkDone(tables, attempt.load, prompt + attempt.output);
+    if (WasSlow(tables, attempt)) {
+      FallBack(tables.warmup);
+    }
   }
   EndBooking(tables, StreamBooking(attempt.id));
   Ending ending;
@@ -147,12 +149,12 @@
   ClosedAttempt& closed = it->second;
   closed.reading_again = false;
   if (end == StreamEnd::kComplete) {
-    closed.finish.chunk_count = chunk_count;
-    closed.finish.failure = {};
-  } else if (closed.finish.failure.code == ErrorCode::kNone) {
-    closed.finish.failure = OutcomeUnknown(ErrorCode::kTargetFailed);
+    closed.ending.chunk_count = chunk_count;
+    closed.ending.failure = {};
+  } else if (closed.ending.failure.code == ErrorCode::kNone) {
+    closed.ending.failure = OutcomeUnknown(ErrorCode::kTargetFailed);
   }
-  RepeatFinish(tables, closed);
+  RepeatFinish(tables, id, closed);
 }
 
 void ResumeClosed(AgentTables& tables,
@@ -160,18 +162,18 @@
                   const Resume& resume,
                   ClosedAttempt& closed) {
   closed.entry = from;
-  const bool whole = closed.finish.failure.code == ErrorCode::kNone;
-  if (closed.completion && whole &&
-      resume.next_chunk < closed.finish.chunk_count) {
+  const bool whole = closed.ending.failure.code == ErrorCode::kNone;
+  if (IsEngineAgent(tables) && whole &&
+      resume.next_chunk < closed.ending.chunk_count) {
     closed.reading_again = true;
     Act(tables, AttachStream{StreamIdOf(resume.attempt), resume.attempt, from,
                              resume.next_chunk});
     return;
   }
   if (whole && resume.next_chunk == 0) {
-    SendAnswer(tables, from, resume.attempt, closed.answer);
+    SendAnswer(tables, from, resume.attempt, closed.ending.answer);
   }
-  RepeatFinish(tables, closed);
+  RepeatFinish(tables, resume.attempt, closed);
 }
 
 void AttachAgain(AgentTables& tables, Attempt& attempt) {
@@ -247,9 +249,11 @@
 void CancelAttempt(AgentTables& tables, const AttemptId& id) {
   Attempt* attempt = FindAttempt(tables, id);
   if (!attempt) {
+    BeginRelease(tables, StreamBooking(id));
     return;
   }
-  if (IsDispatched(*attempt)) {
+  // The call that a joined attempt waits for has run or may have.
+  if (IsDispatched(*attempt) || IsJoined(tables, *attempt)) {
     EndUnknown(tables, id, ErrorCode::kDeadlineExceeded);
   } else {
     EndNotRun(tables, id, ErrorCode::kDeadlineExceeded);
@@ -369,6 +373,8 @@
       attempt->reattach_at = tables.now + kReattachRetry;
       return;
     case StreamEnd::kFailed:
+      NoteOverload(tables.warmup);
+      [[fallthrough]];
     case StreamEnd::kCancelled:
     case StreamEnd::kNotFound:
       EndUnknown(tables, *id, CodeOf(end));
@@ -380,9 +386,8 @@
   if (tables.calls.erase(id) == 0) {
     return;
   }
-  Attempt* attempt = FindAttempt(tables, id);
-  if (attempt && answer.status == CallStatus::kAnswered) {
-    NoteWorkDone(tables, *attempt, attempt->load);
+  if (answer.status == CallStatus::kAnswered) {
+    NoteWorkDone(tables, Tokens(1), Tokens(1));
   }
   Ending ending;
   switch (answer.status) {
@@ -399,11 +404,8 @@
       ending.failure = OutcomeUnknown(ErrorCode::kOutcomeUnknown);
       break;
   }
-  NoteKeyedEnd(tables, id, ending);
-  if (attempt) {
-    SendAnswer(tables, attempt->entry, id, ending.answer);
-    CloseAttempt(tables, id, std::move(ending));
-  }
+  EndKeyedCall(tables, id, ending);
+  EndWithAnswer(tables, id, std::move(ending));
 }
 
 void ReattachStreams(AgentTables& tables) {
--- a/src/prefix_table.cc
+++ b/src/prefix_table.cc
@@ -69,6 +69,19 @@
   DropLeastUsed(table);
 }
 
+size_t CachedBlocks(const PrefixTable& table,
+                    const std::vector<uint64_t>& hashes) {
+  size_t blocks = 0;
+  for (const uint64_t hash : hashes) {
+    auto it = table.prefixes.find(hash);
+    if (it == table.prefixes.end() || !it->second.present) {
+      break;
+    }
+    ++blocks;
+  }
+  return blocks;
+}
+
 void ExpirePrefixes(PrefixTable& table, Time now) {
   std::erase_if(table.prefixes, [&](const auto& row) {
     return row.second.doubtful_until && *row.second.doubtful_until <= now;
--- a/src/prefix_table.h
+++ b/src/prefix_table.h
@@ -26,6 +26,10 @@
 // them in its cache.
 void NotePrefixUse(PrefixTable& table, const std::vector<uint64_t>& hashes);
 
+// Blocks of a prompt, from its start, that the engine has in its cache.
+size_t CachedBlocks(const PrefixTable& table,
+                    const std::vector<uint64_t>& hashes);
+
 // Drops doubtful prefixes whose time is over.
 void ExpirePrefixes(PrefixTable& table, Time now);
 
--- a/src/reconcile.cc
+++ b/src/reconcile.cc
@@ -191,6 +191,9 @@
       attempt.reattach_at = tables.now;
     }
   }
+  for (auto& [id, booking] : tables.bookings) {
+    booking.missing_lists = kMissingLists - 1;
+  }
   // A list asked for at once frees the memory of the old run.
   tables.next_list = tables.now;
 }
--- a/src/warmup.cc
+++ b/src/warmup.cc
@@ -83,6 +83,10 @@
   }
 }
 
+void NoteOverload(WarmupState& warmup) {
+  warmup.completed_since_raise = Tokens(0);
+}
+
 void ReadEngineLoad(WarmupState& warmup, const EngineLoad& load) {
   if (load.engine < warmup.engine) {
     return;  // A late report of an earlier run.
--- a/src/warmup.h
+++ b/src/warmup.h
@@ -25,6 +25,9 @@
 // Counts completed work and raises the budget when it is enough.
 void NoteCompleted(WarmupState& warmup, Tokens completed);
 
+// Notes a sign of overload: the work so far does not count towards a raise.
+void NoteOverload(WarmupState& warmup);
+
 // Reads the engine's report: the first one may show that the engine is warm,
 // later ones that it has become cold.
 void ReadEngineLoad(WarmupState& warmup, const EngineLoad& load);
