Test the entry core with faults, gangs, limits and membership

A driver plays agents, network and sessions from a seed; the invariants are checked at the end of every failure test. The home entry now grants half of what nobody asks for on top, so that demand can grow within a lease, and a target without room is chosen only if no other has room.

--- a/src/account_limits.cc
+++ b/src/account_limits.cc
@@ -65,17 +65,17 @@
   bucket.refilled = now;
 }
 
-LimitBucket& BucketOf(AccountLimits& limits,
-                      const ClientAccountId& account,
+// A new bucket holds the burst of an entry without a share.
+LimitBucket NewBucket(const ClientAccountConfig& config,
+                      int64_t entries,
                       Time now) {
-  const auto [it, is_new] = limits.buckets.try_emplace(account);
-  if (is_new) {
-    it->second.tokens = 1;
-    it->second.refilled = now;
-    it->second.window_start = now;
-    it->second.wants_share = true;
-  }
-  return it->second;
+  const int64_t even = config.limit.value() / std::max<int64_t>(entries, 1);
+  LimitBucket bucket;
+  bucket.tokens = CapacityOf(config, even * kUngrantedPercent / 100);
+  bucket.refilled = now;
+  bucket.window_start = now;
+  bucket.wants_share = true;
+  return bucket;
 }
 
 Duration TimeUntilPositive(const LimitBucket& bucket, int64_t rate) {
@@ -129,6 +129,18 @@
   return total;
 }
 
+// What the entries together do not ask for. Half of it is granted on top, so
+// that demand can grow within a lease; the other half stays for entries that
+// ask next.
+int64_t ExtraShare(const HomeAccount& home, int64_t level, int64_t total) {
+  int64_t left = total;
+  for (const auto& [entry, lease] : home.leases) {
+    left -= std::min(lease.demand, level);
+  }
+  return std::max<int64_t>(left, 0) / 2 /
+         static_cast<int64_t>(home.leases.size());
+}
+
 int64_t GrantOne(HomeAccount& home,
                  const PeerId& requester,
                  int64_t demand,
@@ -143,7 +155,9 @@
   for (const auto& [entry, it] : home.leases) {
     others += entry == requester ? 0 : CountedShare(it, now);
   }
-  const int64_t wanted = std::min(lease.demand, FairLevel(home, total));
+  const int64_t level = FairLevel(home, total);
+  const int64_t wanted =
+      std::min(lease.demand, level) + ExtraShare(home, level, total);
   const int64_t share =
       std::clamp<int64_t>(wanted, 0, std::max<int64_t>(total - others, 0));
   lease.grants.push_back({share, now + kShareLease});
@@ -265,7 +279,9 @@
                         const InstanceId& home,
                         int64_t entries,
                         Time now) {
-  LimitBucket& bucket = BucketOf(limits, account, now);
+  LimitBucket& bucket =
+      limits.buckets.try_emplace(account, NewBucket(config, entries, now))
+          .first->second;
   bucket.last_asked = now;
   bucket.window_tokens += static_cast<double>(cost.value());
   CloseDemandWindow(bucket, now);
@@ -274,7 +290,9 @@
   Refill(bucket, config, rate, now);
   if (bucket.tokens < 1) {
     const Duration wait = TimeUntilPositive(bucket, rate);
-    return {false, bucket.wants_share ? std::min(wait, kShareArrival) : wait};
+    const bool leased = bucket.lease_until > now;
+    bucket.wants_share = true;
+    return {false, leased ? wait : std::min(wait, kShareArrival)};
   }
   bucket.tokens -= static_cast<double>(cost.value());
   return {true, {}};
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -23,6 +23,10 @@
 // Extra delay of a stream on a target whose budget is used up.
 constexpr double kFullLoadUs = 50'000;
 
+// A target without room is chosen only if every other is without room as well:
+// a cold target must not attract work because it is idle.
+constexpr double kNoRoomUs = 5'000'000;
+
 // Random factor on the cost. Entries see the same reports; without it they
 // would all choose the same target until the next report.
 constexpr double kJitter = 0.2;
@@ -95,8 +99,9 @@
   const double tokens = prompt + excess +
                         static_cast<double>(hint.unanswered_tokens) -
                         CachedTokens(fleet, hint, query, load_bound);
+  const double no_room = excess > 0 ? kNoRoomUs : 0;
   return hint.wait_us + tokens * hint.us_per_token +
-         LoadOf(hint) * kFullLoadUs + hint.distance_us;
+         LoadOf(hint) * kFullLoadUs + hint.distance_us + no_room;
 }
 
 double LoadBound(const FleetTable& fleet,
--- /dev/null
+++ b/tests/allocation_counter.cc
@@ -0,0 +1,45 @@
+#include "tests/allocation_counter.h"
+
+#include <cstdlib>
+#include <new>
+
+namespace {
+
+thread_local uint64_t allocations = 0;
+
+void* Allocate(std::size_t size) {
+  ++allocations;
+  if (void* memory = std::malloc(size == 0 ? 1 : size)) {
+    return memory;
+  }
+  throw std::bad_alloc();
+}
+
+}  // namespace
+
+void* operator new(std::size_t size) {
+  return Allocate(size);
+}
+void* operator new[](std::size_t size) {
+  return Allocate(size);
+}
+void operator delete(void* memory) noexcept {
+  std::free(memory);
+}
+void operator delete[](void* memory) noexcept {
+  std::free(memory);
+}
+void operator delete(void* memory, std::size_t) noexcept {
+  std::free(memory);
+}
+void operator delete[](void* memory, std::size_t) noexcept {
+  std::free(memory);
+}
+
+namespace burdockhatch {
+
+uint64_t AllocationsOfThisThread() {
+  return allocations;
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/tests/entry_faults_test.cc
@@ -0,0 +1,147 @@
+// Many faults at once, from a seed. Every run checks all invariants.
+#include <gtest/gtest.h>
+
+#include "tests/entry_driver.h"
+#include "tests/entry_invariants.h"
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void AddFleet(EntryDriver& driver) {
+  for (int i = 0; i < 6; ++i) {
+    const std::string data_centre = i % 3 == 0 ? "dc-a" : "dc-b";
+    driver.AddAgent("engine-" + std::to_string(i), data_centre, "model", "");
+  }
+  for (int i = 0; i < 3; ++i) {
+    driver.AddAgent("desk-" + std::to_string(i), "dc-a", "", "service");
+  }
+}
+
+RequestSpec RandomSpec(EntryDriver& driver, Random& random) {
+  const Duration timeout(1'000'000 +
+                         static_cast<int64_t>(random.Below(12'000'000)));
+  const uint64_t kind = random.Below(4);
+  if (kind < 2) {
+    return driver.Completion(static_cast<int64_t>(random.Below(30'000)),
+                             timeout);
+  }
+  RequestSpec spec = driver.ServiceCall(kind == 2, timeout);
+  if (random.Below(2) == 0) {
+    spec.key = IdempotencyKey(std::to_string(random.Below(50)));
+  }
+  return spec;
+}
+
+// Operators withdraw and return a data centre, and the list tells of leaving
+// instances, now and then.
+void RandomOperation(EntryDriver& driver, Random& random) {
+  const uint64_t kind = random.Below(60);
+  auto& withdrawn = driver.config().withdrawn_data_centres;
+  if (kind == 0) {
+    withdrawn.insert(DataCentreId("dc-b"));
+    driver.PushConfig();
+  } else if (kind == 1) {
+    withdrawn.clear();
+    driver.PushConfig();
+  } else if (kind == 2) {
+    FakeAgent& agent =
+        driver.agent("engine-" + std::to_string(random.Below(6)));
+    agent.info.state = agent.info.state == InstanceState::kLive
+                           ? InstanceState::kLeaving
+                           : InstanceState::kLive;
+    driver.PushInstances();
+  } else if (kind == 3) {
+    FakeAgent& agent =
+        driver.agent("engine-" + std::to_string(random.Below(6)));
+    agent.draining = !agent.draining;
+  } else if (kind == 4) {
+    driver.PushInstances();
+  }
+}
+
+void RunWithFaults(uint64_t seed, const FaultPlan& faults) {
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  EntryDriver driver(seed, faults);
+  AddFleet(driver);
+  driver.Start();
+  Random random(seed * 77 + 1);
+  for (int i = 0; i < 300; ++i) {
+    const RequestId request = driver.Submit(RandomSpec(driver, random));
+    driver.Run(milliseconds(10 + random.Below(150)));
+    RandomOperation(driver, random);
+    if (random.Below(25) == 0 && !driver.End(request)) {
+      driver.record(request).caller_gone = true;
+      driver.core().OnCallerGone(request, driver.Now());
+    }
+  }
+  driver.Run(seconds(15));
+  CheckAll(driver);
+}
+
+class EntryFaultsTest : public testing::TestWithParam<uint64_t> {};
+
+// Guards against outcomes that are wrong when messages are lost, late,
+// duplicated or crossed.
+TEST_P(EntryFaultsTest, FaultyNetwork) {
+  FaultPlan faults;
+  faults.lost = 0.05;
+  faults.late = 0.05;
+  faults.duplicated = 0.1;
+  faults.unsent = 0.05;
+  RunWithFaults(GetParam(), faults);
+}
+
+// Guards against outcomes that are wrong when agents die, restart and pause.
+TEST_P(EntryFaultsTest, FaultyAgents) {
+  FaultPlan faults;
+  faults.refused = 0.2;
+  faults.failed_streams = 0.02;
+  faults.restarts = 0.05;
+  faults.deaths = 0.05;
+  faults.pauses = 0.05;
+  RunWithFaults(GetParam(), faults);
+}
+
+// Guards against outcomes that are wrong when both happen at once.
+TEST_P(EntryFaultsTest, EverythingAtOnce) {
+  FaultPlan faults;
+  faults.lost = 0.1;
+  faults.late = 0.1;
+  faults.duplicated = 0.2;
+  faults.unsent = 0.05;
+  faults.refused = 0.1;
+  faults.failed_streams = 0.02;
+  faults.restarts = 0.1;
+  faults.deaths = 0.05;
+  faults.pauses = 0.1;
+  RunWithFaults(GetParam(), faults);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         EntryFaultsTest,
+                         testing::Range<uint64_t>(1, 13));
+
+// Guards against a healthy fleet that refuses or fails work.
+TEST(EntryHealthyFleetTest, CompletesEverything) {
+  EntryDriver driver(5);
+  AddFleet(driver);
+  driver.Start();
+  Random random(3);
+  for (int i = 0; i < 300; ++i) {
+    driver.Submit(RandomSpec(driver, random));
+    driver.Run(milliseconds(20));
+  }
+  driver.Run(seconds(15));
+  for (const auto& [request, record] : driver.records()) {
+    ASSERT_EQ(record.ends.size(), 1u);
+    EXPECT_TRUE(record.ends[0].completed) << ToString(request);
+    EXPECT_EQ(record.offers.size(), 1u) << ToString(request);
+  }
+  CheckAll(driver);
+}
+
+}  // namespace
+}  // namespace burdockhatch
--- /dev/null
+++ b/tests/entry_requests_test.cc
@@ -0,0 +1,417 @@
+// The life of a request over its attempts, with one fault at a time.
+#include <gtest/gtest.h>
+
+#include "src/request_end.h"
+#include "src/requests.h"
+#include "src/retry_budget.h"
+#include "tests/entry_driver.h"
+#include "tests/entry_invariants.h"
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Two model engines and two agents of a plain service.
+class EntryRequestsTest : public testing::Test {
+ protected:
+  EntryRequestsTest() : driver_(1) {
+    driver_.AddAgent("engine-1", "dc-a", "model", "");
+    driver_.AddAgent("engine-2", "dc-a", "model", "");
+    driver_.AddAgent("desk-1", "dc-a", "", "service");
+    driver_.AddAgent("desk-2", "dc-a", "", "service");
+    driver_.Start();
+  }
+
+  // The agent that the last offer of `request` went to.
+  FakeAgent& AgentOf(const RequestId& request) {
+    const auto& offers = driver_.record(request).offers;
+    return driver_.agent(offers.at(offers.size() - 1).to.value());
+  }
+
+  FakeAgent& Other(const FakeAgent& agent) {
+    const std::string& name = agent.info.instance.value();
+    return driver_.agent(name == "engine-1"   ? "engine-2"
+                         : name == "engine-2" ? "engine-1"
+                         : name == "desk-1"   ? "desk-2"
+                                              : "desk-1");
+  }
+
+  template <class Body>
+  int CountSent(const InstanceId& to) const {
+    int count = 0;
+    for (const SendToAgent& it : driver_.sent()) {
+      count += it.to.instance == to && std::holds_alternative<Body>(it.body);
+    }
+    return count;
+  }
+
+  void ExpectFailure(const RequestId& request,
+                     ErrorCode code,
+                     Outcome outcome) {
+    const EndRecord* end = driver_.End(request);
+    ASSERT_NE(end, nullptr);
+    EXPECT_FALSE(end->completed);
+    EXPECT_EQ(ToString(end->failure.code), ToString(code));
+    EXPECT_EQ(ToString(end->failure.outcome), ToString(outcome));
+  }
+
+  EntryDriver driver_;
+};
+
+// Guards against an answer that ends before its last chunk.
+TEST_F(EntryRequestsTest, CompletesOnceTheSessionHasEveryChunk) {
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(seconds(1));
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  CheckAll(driver_);
+}
+
+// Guards against an entry that takes work before it knows the limits and
+// withdrawals.
+TEST(EntryRequestsWithoutConfigTest, AnswersNotReady) {
+  EntryCore core({{InstanceId("entry"), Incarnation(1)}, {}, {}, 1, 48});
+  RequestSpec spec;
+  spec.request = {1, 1};
+  spec.deadline = Time(seconds(5));
+  core.OnRequest(spec, Time(seconds(1)));
+  const auto actions = core.TakeActions();
+  ASSERT_EQ(actions.size(), 1u);
+  const auto& failed = std::get<FailRequest>(actions[0]);
+  EXPECT_EQ(failed.failure.code, ErrorCode::kNotReady);
+  EXPECT_EQ(failed.failure.outcome, Outcome::kNotRun);
+}
+
+// Guards against chunks that are lost for good: the gap must be asked for.
+TEST_F(EntryRequestsTest, AsksAgainForLostChunks) {
+  driver_.agent("engine-1").loses_chunks = true;
+  driver_.agent("engine-2").loses_chunks = true;
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(seconds(2));
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  EXPECT_GE(CountSent<Resume>(AgentOf(request).info.instance), 1);
+  CheckAll(driver_);
+}
+
+// Guards against a whole answer that is told although chunks are missing, when
+// Finish overtakes them.
+TEST_F(EntryRequestsTest, FinishAloneDoesNotCompleteARequest) {
+  for (const char* name : {"engine-1", "engine-2"}) {
+    driver_.agent(name).chunk_interval = seconds(100);
+  }
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(milliseconds(50));
+  Finish finish;
+  finish.attempt = driver_.record(request).current;
+  finish.chunk_count = 5;
+  finish.state = driver_.StateOf(AgentOf(request));
+  driver_.Deliver(AgentOf(request), finish);
+  driver_.Run(milliseconds(100));
+  EXPECT_EQ(driver_.End(request), nullptr);
+  driver_.Run(seconds(12));
+  CheckOneEndByDeadline(driver_);
+}
+
+// Guards against a caller that waits past its deadline, and against not_run for
+// work that may have run.
+TEST_F(EntryRequestsTest, SilentAgentLeadsToUnknownAtTheDeadline) {
+  driver_.agent("desk-1").silent_to_offers = true;
+  driver_.agent("desk-2").silent_to_offers = true;
+  const RequestId request = driver_.Submit(driver_.ServiceCall(false));
+  driver_.Run(seconds(6));
+  ExpectFailure(request, ErrorCode::kDeadlineExceeded, Outcome::kUnknown);
+  EXPECT_EQ(driver_.record(request).offers.size(), 1u);
+  CheckAll(driver_);
+}
+
+// Guards against a second dispatch of a call that must not be repeated, after
+// its agent was restarted. The new run has not dispatched the call, but cannot
+// speak for the old one.
+TEST_F(EntryRequestsTest, RestartOfTheAgentIsNoProofOfNotRun) {
+  const RequestId request = driver_.Submit(driver_.ServiceCall(false));
+  driver_.Run(milliseconds(30));
+  ASSERT_EQ(driver_.record(request).dispatches.size(), 1u);
+  driver_.Restart(AgentOf(request), false);
+  driver_.Run(seconds(6));
+  ExpectFailure(request, ErrorCode::kTargetFailed, Outcome::kUnknown);
+  CheckAll(driver_);
+}
+
+// Guards against a call that is lost although nobody has run it.
+TEST_F(EntryRequestsTest, ProvenNotRunLetsANonRepeatableCallGoElsewhere) {
+  driver_.agent("desk-1").refuse_all = ErrorCode::kTargetNotReady;
+  for (int i = 0; i < 10; ++i) {
+    const RequestId request = driver_.Submit(driver_.ServiceCall(false));
+    driver_.Run(seconds(1));
+    ASSERT_NE(driver_.End(request), nullptr);
+    EXPECT_TRUE(driver_.End(request)->completed);
+  }
+  CheckAll(driver_);
+}
+
+// Guards against an offer that was never written counting as run.
+TEST_F(EntryRequestsTest, UnwrittenOfferIsProofOfNotRun) {
+  driver_.faults().unsent = 1;
+  const RequestId request =
+      driver_.Submit(driver_.ServiceCall(false, seconds(10)));
+  driver_.Run(seconds(6));
+  ExpectFailure(request, ErrorCode::kNoTarget, Outcome::kNotRun);
+  CheckAll(driver_);
+}
+
+// Guards against callers that wait for their deadline although every target has
+// said that it is full.
+TEST_F(EntryRequestsTest, OverloadEverywhereEndsTheRequestEarly) {
+  for (const char* name : {"engine-1", "engine-2"}) {
+    driver_.agent(name).refuse_all = ErrorCode::kOverloaded;
+    driver_.agent(name).retry_after = milliseconds(700);
+  }
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(milliseconds(100));
+  ExpectFailure(request, ErrorCode::kOverloaded, Outcome::kNotRun);
+  EXPECT_EQ(driver_.End(request)->failure.retry_after, milliseconds(700));
+  EXPECT_EQ(driver_.record(request).offers.size(), 2u);
+  CheckAll(driver_);
+}
+
+// Guards against an answer that starts anew, or is lost, when a target dies.
+TEST_F(EntryRequestsTest, RepeatableWorkMovesWithWhatTheCallerHas) {
+  driver_.agent("engine-1").chunk_interval = milliseconds(500);
+  driver_.agent("engine-2").chunk_interval = milliseconds(500);
+  const RequestId request =
+      driver_.Submit(driver_.Completion(1000, seconds(20)));
+  driver_.Run(milliseconds(1300));
+  FakeAgent& agent = AgentOf(request);
+  agent.alive = false;
+  agent.alive_again = driver_.Now() + seconds(60);
+  driver_.Run(seconds(15));
+  const RequestRecord& record = driver_.record(request);
+  ASSERT_EQ(record.offers.size(), 2u);
+  EXPECT_EQ(record.offers[1].to, Other(agent).info.instance);
+  EXPECT_EQ(record.offers[1].first_chunk, 2u);
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  EXPECT_GE(CountSent<Resume>(agent.info.instance), 2);
+  CheckAll(driver_);
+}
+
+// Guards against an agent that goes on with an attempt that was moved, because
+// its only Cancel was lost.
+TEST_F(EntryRequestsTest, CancelIsRepeatedUntilTheDeadline) {
+  driver_.agent("engine-1").silent_to_offers = true;
+  driver_.agent("engine-2").silent_to_offers = true;
+  const RequestId request =
+      driver_.Submit(driver_.Completion(1000, seconds(20)));
+  FakeAgent& agent = AgentOf(request);
+  Other(agent).silent_to_offers = false;
+  driver_.Run(milliseconds(600));
+  agent.alive = false;
+  agent.alive_again = driver_.Now() + seconds(60);
+  driver_.Run(seconds(8));
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  EXPECT_GE(CountSent<Cancel>(agent.info.instance), 4);
+  const int before = CountSent<Cancel>(agent.info.instance);
+  driver_.Run(seconds(20));
+  EXPECT_GT(CountSent<Cancel>(agent.info.instance), before);
+  const int at_deadline = CountSent<Cancel>(agent.info.instance);
+  driver_.Run(seconds(3));
+  EXPECT_EQ(CountSent<Cancel>(agent.info.instance), at_deadline);
+  CheckAll(driver_);
+}
+
+// Guards against an answer put together from two attempts: an attempt that was
+// given up must not end the request.
+TEST_F(EntryRequestsTest, FinishOfAnOldAttemptIsIgnored) {
+  driver_.agent("engine-1").silent_to_offers = true;
+  driver_.agent("engine-2").silent_to_offers = true;
+  const RequestId request =
+      driver_.Submit(driver_.Completion(1000, seconds(20)));
+  FakeAgent& old = AgentOf(request);
+  const AttemptId old_attempt = driver_.record(request).current;
+  driver_.Run(milliseconds(3700));
+  ASSERT_EQ(driver_.record(request).offers.size(), 2u);
+  Finish finish;
+  finish.attempt = old_attempt;
+  finish.chunk_count = 0;
+  finish.state = driver_.StateOf(old);
+  driver_.Deliver(old, finish);
+  EXPECT_EQ(driver_.End(request), nullptr);
+  finish.failure = {ErrorCode::kTargetFailed, Outcome::kUnknown, {}};
+  driver_.Deliver(old, finish);
+  EXPECT_EQ(driver_.record(request).offers.size(), 2u);
+  EXPECT_EQ(driver_.End(request), nullptr);
+  driver_.Run(seconds(20));
+  CheckAll(driver_);
+}
+
+// Guards against retries that multiply the load of a brown-out.
+TEST_F(EntryRequestsTest, RetriesAreBoundedByTheAccountsBudget) {
+  driver_.faults().failed_streams = 1;
+  size_t offers = 0;
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i) {
+    const RequestId request = driver_.Submit(driver_.Completion());
+    driver_.Run(milliseconds(200));
+    offers += driver_.record(request).offers.size();
+  }
+  const size_t retries = offers - kRequests;
+  const size_t initial = kInitialRetryCredit / kRetryCost;
+  EXPECT_GT(retries, initial);
+  EXPECT_LE(retries, initial + kRequests / 10);
+  driver_.Run(seconds(10));
+  CheckAll(driver_);
+}
+
+// Guards against a planned stop that uses up the retry budget and so costs
+// callers their answers.
+TEST_F(EntryRequestsTest, RefusalsOfADrainingAgentAreNotCharged) {
+  driver_.faults().lost = 0;
+  for (int i = 0; i < 200; ++i) {
+    // A stale report hides the drain from the entry until it is refused.
+    driver_.agent("engine-1").draining = false;
+    driver_.Deliver(driver_.agent("engine-1"),
+                    LoadReport{driver_.StateOf(driver_.agent("engine-1"))});
+    driver_.agent("engine-1").draining = true;
+    const RequestId request = driver_.Submit(driver_.Completion());
+    driver_.Run(milliseconds(200));
+    ASSERT_NE(driver_.End(request), nullptr);
+    EXPECT_TRUE(driver_.End(request)->completed);
+  }
+  CheckAll(driver_);
+}
+
+// Guards against two agents that both run a call with an idempotency key.
+TEST_F(EntryRequestsTest, AKeyAlwaysGoesToTheSameAgent) {
+  std::set<InstanceId> all;
+  for (int key = 0; key < 16; ++key) {
+    std::set<InstanceId> used;
+    for (int i = 0; i < 4; ++i) {
+      RequestSpec spec = driver_.ServiceCall(false);
+      spec.key = IdempotencyKey("key-" + std::to_string(key));
+      const RequestId request = driver_.Submit(spec);
+      used.insert(AgentOf(request).info.instance);
+    }
+    EXPECT_EQ(used.size(), 1u) << key;
+    all.insert(used.begin(), used.end());
+  }
+  EXPECT_EQ(all.size(), 2u);
+  driver_.Run(seconds(5));
+  CheckAll(driver_);
+}
+
+// Guards against work that goes on for a caller that has gone, and counts that
+// are kept for it.
+TEST_F(EntryRequestsTest, CallerGoneCancelsTheAttempt) {
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.record(request).caller_gone = true;
+  driver_.core().OnCallerGone(request, driver_.Now());
+  driver_.Run(milliseconds(100));
+  EXPECT_GE(CountSent<Cancel>(AgentOf(request).info.instance), 1);
+  EXPECT_TRUE(driver_.record(request).ends.empty());
+  CheckAll(driver_);
+}
+
+// Guards against a planned stop that interrupts requests.
+TEST_F(EntryRequestsTest, DrainCompletesOpenRequestsAndRefusesNewOnes) {
+  const RequestId open = driver_.Submit(driver_.Completion());
+  driver_.Drain();
+  EXPECT_FALSE(driver_.core().Drained());
+  const RequestId late = driver_.Submit(driver_.Completion());
+  ExpectFailure(late, ErrorCode::kNotReady, Outcome::kNotRun);
+  driver_.Run(seconds(1));
+  EXPECT_TRUE(driver_.End(open)->completed);
+  EXPECT_TRUE(driver_.core().Drained());
+  CheckAll(driver_);
+}
+
+// Guards against work for a data centre that operators took out of service,
+// even before its agents know of it.
+TEST_F(EntryRequestsTest, WithdrawnTargetsGetNoNewWork) {
+  driver_.config().withdrawn_targets.insert(TargetId("target-engine-1"));
+  driver_.PushConfig();
+  for (int i = 0; i < 50; ++i) {
+    const RequestId request = driver_.Submit(driver_.Completion());
+    EXPECT_EQ(AgentOf(request).info.instance, InstanceId("engine-2"));
+  }
+  driver_.config().withdrawn_targets.clear();
+  driver_.config().withdrawn_data_centres.insert(DataCentreId("dc-a"));
+  driver_.PushConfig();
+  const RequestId refused = driver_.Submit(driver_.Completion());
+  EXPECT_TRUE(driver_.record(refused).offers.empty());
+  driver_.Run(seconds(10));
+  ExpectFailure(refused, ErrorCode::kNoTarget, Outcome::kNotRun);
+  CheckAll(driver_);
+}
+
+// Guards against a leaving or draining target that still gets work.
+TEST_F(EntryRequestsTest, LeavingAndDrainingTargetsGetNoNewWork) {
+  driver_.Deliver(driver_.agent("engine-1"), Goodbye{});
+  for (int i = 0; i < 20; ++i) {
+    const RequestId request = driver_.Submit(driver_.Completion());
+    EXPECT_EQ(AgentOf(request).info.instance, InstanceId("engine-2"));
+  }
+  driver_.agent("engine-2").draining = true;
+  driver_.Run(seconds(2));
+  const RequestId none = driver_.Submit(driver_.Completion());
+  EXPECT_TRUE(driver_.record(none).offers.empty());
+  driver_.Run(seconds(10));
+  CheckAll(driver_);
+}
+
+// Guards against a service that stays away after a data centre has returned.
+TEST_F(EntryRequestsTest, AReturnedDataCentreServesAgain) {
+  driver_.config().withdrawn_data_centres.insert(DataCentreId("dc-a"));
+  driver_.PushConfig();
+  driver_.Run(seconds(20));
+  driver_.config().withdrawn_data_centres.clear();
+  driver_.PushConfig();
+  driver_.Run(seconds(2));
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(seconds(1));
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  CheckAll(driver_);
+}
+
+// Guards against an older report that overwrites a newer one.
+TEST_F(EntryRequestsTest, AnOlderStateIsDropped) {
+  FakeAgent& agent = driver_.agent("engine-1");
+  const AgentState older = driver_.StateOf(agent);
+  agent.draining = true;
+  driver_.Deliver(agent, LoadReport{driver_.StateOf(agent)});
+  driver_.Deliver(agent, LoadReport{older});
+  for (int i = 0; i < 20; ++i) {
+    const RequestId request = driver_.Submit(driver_.Completion());
+    EXPECT_EQ(AgentOf(request).info.instance, InstanceId("engine-2"));
+  }
+  driver_.Run(seconds(2));
+  CheckAll(driver_);
+}
+
+// Guards against an accepted attempt that nobody wants any more and that no
+// message ends.
+TEST_F(EntryRequestsTest, LateAcceptanceOfAnUnknownAttemptIsCancelled) {
+  FakeAgent& agent = driver_.agent("engine-1");
+  OfferReply reply;
+  reply.attempt = {{9, 9}, AttemptNumber(1)};
+  reply.verdict = Verdict::kAccepted;
+  reply.state = driver_.StateOf(agent);
+  const int before = CountSent<Cancel>(agent.info.instance);
+  driver_.Deliver(agent, reply);
+  EXPECT_EQ(CountSent<Cancel>(agent.info.instance), before + 1);
+}
+
+// Guards against a dump that cannot be read while requests are open.
+TEST_F(EntryRequestsTest, DumpListsOpenRequests) {
+  const RequestId request = driver_.Submit(driver_.Completion());
+  const std::string dump = driver_.core().Dump(driver_.Now());
+  EXPECT_NE(dump.find(ToString(request)), std::string::npos);
+  EXPECT_NE(dump.find("\"phase\":\"offered\""), std::string::npos);
+}
+
+}  // namespace
+}  // namespace burdockhatch
