--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -77,8 +77,8 @@
       ConfigPull{ConfigVersion(3)},
       ConfigPush{ConfigVersion(1), ConfigVersion(2), "{}"},
       Goodbye{},
-      ShareRequest{{{ClientAccountId("a"), TokensPerSecond(5)}}},
-      ShareGrant{Duration(3), {{ClientAccountId("a"), TokensPerSecond(5)}}}};
+      ShareRequest{7, {{ClientAccountId("a"), TokensPerSecond(5)}}},
+      ShareGrant{7, Duration(3), {{ClientAccountId("a"), TokensPerSecond(5)}}}};
 }
 
 Message Wrap(MessageBody body) {
