--- a/tests/engine_http_test.cc
+++ b/tests/engine_http_test.cc
@@ -23,39 +23,46 @@
 using standins::FakeEngineOptions;
 
 // What the callbacks of one reader have said. Shared by the control thread and
-// a traffic thread.
+// a traffic thread, and by callbacks that come after the test's last check.
+struct ReadingState {
+  std::mutex mutex;
+  std::optional<StartStatus> start;
+  std::optional<StreamEnd> end;
+  std::map<uint32_t, std::string> chunks;
+  uint32_t chunk_count = 0;
+  uint32_t events = 0;
+  int ends = 0;
+};
+
 class Reading {
  public:
   Engine::StreamCallbacks Callbacks() {
-    return {[this](StartStatus status) {
-              const std::lock_guard lock(mutex_);
-              start_ = status;
+    return {[state = state_](StartStatus status) {
+              const std::lock_guard lock(state->mutex);
+              state->start = status;
             },
-            [this](StreamChunk chunk) {
-              const std::lock_guard lock(mutex_);
-              ++events_;
-              chunks_[chunk.index] = chunk.data;
+            [state = state_](StreamChunk chunk) {
+              const std::lock_guard lock(state->mutex);
+              ++state->events;
+              state->chunks[chunk.index] = chunk.data;
             },
-            [this](StreamEnd end, uint32_t chunk_count) {
-              const std::lock_guard lock(mutex_);
-              end_ = end;
-              chunk_count_ = chunk_count;
-              ++ends_;
+            [state = state_](StreamEnd end, uint32_t chunk_count) {
+              const std::lock_guard lock(state->mutex);
+              state->end = end;
+              state->chunk_count = chunk_count;
+              ++state->ends;
             }};
   }
 
-  std::optional<StartStatus> start() {
-    const std::lock_guard lock(mutex_);
-    return start_;
-  }
-  std::optional<StreamEnd> end() {
-    const std::lock_guard lock(mutex_);
-    return end_;
-  }
+  std::optional<StartStatus> start() { return Read(&ReadingState::start); }
+  std::optional<StreamEnd> end() { return Read(&ReadingState::end); }
   std::map<uint32_t, std::string> chunks() {
-    const std::lock_guard lock(mutex_);
-    return chunks_;
+    return Read(&ReadingState::chunks);
   }
+  uint32_t chunk_count() { return Read(&ReadingState::chunk_count); }
+  uint32_t events() { return Read(&ReadingState::events); }
+  int ends() { return Read(&ReadingState::ends); }
+
   std::string Answer() {
     std::string answer;
     for (const auto& [index, data] : chunks()) {
@@ -63,18 +70,6 @@
     }
     return answer;
   }
-  uint32_t chunk_count() {
-    const std::lock_guard lock(mutex_);
-    return chunk_count_;
-  }
-  int ends() {
-    const std::lock_guard lock(mutex_);
-    return ends_;
-  }
-  uint32_t events() {
-    const std::lock_guard lock(mutex_);
-    return events_;
-  }
 
   StreamEnd WaitForEnd() {
     EXPECT_TRUE(WaitFor([&] { return end().has_value(); }));
@@ -86,13 +81,13 @@
   }
 
  private:
-  std::mutex mutex_;
-  std::optional<StartStatus> start_;
-  std::optional<StreamEnd> end_;
-  std::map<uint32_t, std::string> chunks_;
-  uint32_t chunk_count_ = 0;
-  uint32_t events_ = 0;
-  int ends_ = 0;
+  template <class Field>
+  Field Read(Field ReadingState::*field) {
+    const std::lock_guard lock(state_->mutex);
+    return (*state_).*field;
+  }
+
+  std::shared_ptr<ReadingState> state_ = std::make_shared<ReadingState>();
 };
 
 FakeEngineOptions FastEngine() {
@@ -138,11 +133,11 @@
   // Runs a call that answers one value and waits for it.
   template <class Value, class Call>
   Value Ask(Call call) {
-    std::promise<Value> promise;
+    auto promise = std::make_shared<std::promise<Value>>();
     control_.Run([&] {
-      call(*engine_, [&](Value value) { promise.set_value(value); });
+      call(*engine_, [promise](Value value) { promise->set_value(value); });
     });
-    return promise.get_future().get();
+    return promise->get_future().get();
   }
   std::optional<EngineList> List() {
     return Ask<std::optional<EngineList>>([](Engine& engine, auto done) {
--- a/tests/plain_service_http_test.cc
+++ b/tests/plain_service_http_test.cc
@@ -53,9 +53,9 @@
     return CallAsync(std::move(request)).get();
   }
   bool Probe() {
-    std::promise<bool> promise;
-    service_->Probe([&](bool healthy) { promise.set_value(healthy); });
-    return promise.get_future().get();
+    auto promise = std::make_shared<std::promise<bool>>();
+    service_->Probe([promise](bool healthy) { promise->set_value(healthy); });
+    return promise->get_future().get();
   }
 
   RunningFake<FakeService> fake_;
--- a/tests/standins_test_util.cc
+++ b/tests/standins_test_util.cc
@@ -32,12 +32,12 @@
 }
 
 void IoThread::Run(const std::function<void()>& task) {
-  std::promise<void> done;
-  boost::asio::post(io, [&] {
+  auto done = std::make_shared<std::promise<void>>();
+  boost::asio::post(io, [&task, done] {
     task();
-    done.set_value();
+    done->set_value();
   });
-  done.get_future().wait();
+  done->get_future().wait();
 }
 
 TestClient::TestClient(const std::string& address)
