--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -183,6 +183,9 @@
 
 namespace {
 
+// What a session does once bytes are written.
+enum class After : uint8_t { kNothing, kRead, kClose };
+
 class Session : public std::enable_shared_from_this<Session> {
  public:
   Session(tcp::socket socket,
@@ -201,11 +204,14 @@
                      });
   }
 
-  void Write(std::string text, std::function<void()> written) {
+  // `written` must not own the session.
+  void Write(std::string text,
+             After after = After::kNothing,
+             std::function<void()> written = {}) {
     if (!socket_.is_open()) {
       return;
     }
-    queue_.push_back({std::move(text), std::move(written)});
+    queue_.push_back({std::move(text), after, std::move(written)});
     if (queue_.size() == 1) {
       WriteFront();
     }
@@ -222,6 +228,7 @@
  private:
   struct Pending {
     std::string text;
+    After after = After::kNothing;
     std::function<void()> written;
   };
 
@@ -253,13 +260,18 @@
       Close();
       return;
     }
-    std::function<void()> written = std::move(queue_.front().written);
+    const Pending done = std::move(queue_.front());
     queue_.pop_front();
     if (!queue_.empty()) {
       WriteFront();
     }
-    if (written) {
-      written();
+    if (done.written) {
+      done.written();
+    }
+    if (done.after == After::kRead) {
+      Read();
+    } else if (done.after == After::kClose) {
+      Close();
     }
   }
 
@@ -289,18 +301,10 @@
   std::string text = ResponseText(response, keep_alive_);
   if (cut_answer) {
     text.resize(text.size() / 2);
-    session_->Write(std::move(text),
-                    [session = session_] { session->Close(); });
+    session_->Write(std::move(text), After::kClose);
     return;
   }
-  session_->Write(std::move(text),
-                  [session = session_, keep_alive = keep_alive_] {
-                    if (keep_alive) {
-                      session->Read();
-                    } else {
-                      session->Close();
-                    }
-                  });
+  session_->Write(std::move(text), keep_alive_ ? After::kRead : After::kClose);
 }
 
 void Exchange::BeginEvents() {
@@ -310,16 +314,15 @@
   }
   session_->Write(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-      "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n",
-      {});
+      "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n");
 }
 
 void Exchange::SendEvent(std::string_view data) {
-  session_->Write(HttpChunk(fmt::format("data: {}\n\n", data)), {});
+  session_->Write(HttpChunk(fmt::format("data: {}\n\n", data)));
 }
 
 void Exchange::SendComment() {
-  session_->Write(HttpChunk(":\n\n"), {});
+  session_->Write(HttpChunk(":\n\n"));
 }
 
 void Exchange::EndEvents(std::function<void()> written) {
@@ -327,17 +330,8 @@
     return;
   }
   ended_ = true;
-  session_->Write("0\r\n\r\n", [session = session_, keep_alive = keep_alive_,
-                                written = std::move(written)] {
-    if (written) {
-      written();
-    }
-    if (keep_alive) {
-      session->Read();
-    } else {
-      session->Close();
-    }
-  });
+  session_->Write("0\r\n\r\n", keep_alive_ ? After::kRead : After::kClose,
+                  std::move(written));
 }
 
 void Exchange::Close() {
