--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -94,11 +94,19 @@
   }
 }
 
+// Entries repeat a Cancel until a Finish answers it, so each one gets it.
 void OnCancel(AgentTables& tables, const PeerId& from, const AttemptId& id) {
-  if (!FindAttempt(tables, id) && !tables.closed.contains(id)) {
+  if (FindAttempt(tables, id)) {
+    CancelAttempt(tables, id);
+    return;
+  }
+  if (!tables.closed.contains(id)) {
+    BeginRelease(tables, StreamBooking(id));
     RecordCancelled(tables, from, id);
   }
-  CancelAttempt(tables, id);
+  ClosedAttempt& closed = tables.closed[id];
+  closed.entry = from;
+  RepeatFinish(tables, id, closed);
 }
 
 void OnBody(AgentTables& tables, const Message& message) {
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -249,7 +249,6 @@
 void CancelAttempt(AgentTables& tables, const AttemptId& id) {
   Attempt* attempt = FindAttempt(tables, id);
   if (!attempt) {
-    BeginRelease(tables, StreamBooking(id));
     return;
   }
   // The call that a joined attempt waits for has run or may have.
--- /dev/null
+++ b/tests/agent_invariants.h
@@ -0,0 +1,108 @@
+// Checks of what must hold after every run of agents in an AgentWorld.
+#ifndef TESTS_AGENT_INVARIANTS_H_
+#define TESTS_AGENT_INVARIANTS_H_
+
+#include <gtest/gtest.h>
+
+#include "tests/agent_world.h"
+
+namespace burdockhatch {
+
+// The agent books what the engine holds, and nothing else. Only true once
+// cancels, releases and lists have settled.
+inline void CheckBookedMemory(const WorldNode& node) {
+  std::map<BookingId, Tokens> held;
+  for (const auto& [id, stream] : node.engine.streams) {
+    held[{id, false}] = stream.memory;
+  }
+  for (const auto& [id, memory] : node.engine.caches) {
+    held[{id, true}] = memory;
+  }
+  std::map<BookingId, Tokens> booked;
+  for (const auto& [id, booking] : node.core->tables().bookings) {
+    booked[id] = booking.memory;
+  }
+  EXPECT_EQ(booked, held) << node.options.self.instance.value();
+}
+
+// No start took the tokens in flight above the warm-up budget, or the engine
+// above its memory.
+inline void CheckWarmupBudget(const AgentWorld& world) {
+  EXPECT_EQ(world.over_budget, 0);
+  EXPECT_EQ(world.overcommitted, 0);
+}
+
+// Each attempt was dispatched at most once, over all runs of all agents, and
+// never after its deadline.
+inline void CheckDispatchedOnce(const AgentWorld& world) {
+  for (const auto& [attempt, count] : world.dispatches) {
+    EXPECT_LE(count, 1) << ToString(attempt);
+  }
+  EXPECT_EQ(world.late_dispatches, 0);
+}
+
+// Each idempotency key was run at most once, over all agents.
+inline void CheckKeysRunOnce(const AgentWorld& world) {
+  for (const auto& [key, count] : world.key_executions) {
+    EXPECT_LE(count, 1) << key;
+  }
+}
+
+// Each accepted offer got exactly one Finish, by its deadline, unless its agent
+// restarted. `paused` is the longest pause of an agent in the run.
+inline void CheckFinishedInTime(const AgentWorld& world,
+                                Duration paused = Duration(0)) {
+  for (const auto& [attempt, record] : world.offers) {
+    if (!record.accepted || record.interrupted) {
+      continue;
+    }
+    if (world.now() <= record.deadline + paused + AgentWorld::kStep) {
+      continue;  // Not due yet.
+    }
+    ASSERT_EQ(record.finishes.size(), 1u) << ToString(attempt);
+    EXPECT_LE(record.finishes[0].first,
+              record.deadline + paused + AgentWorld::kStep)
+        << ToString(attempt);
+  }
+}
+
+// What a caller was told not to have run did not run.
+inline void CheckNotRunIsTrue(const AgentWorld& world) {
+  for (const auto& [attempt, record] : world.offers) {
+    auto it = world.executions.find(attempt);
+    if (record.told_not_run && it != world.executions.end()) {
+      EXPECT_EQ(it->second, 0) << ToString(attempt);
+    }
+  }
+}
+
+// A whole answer names the number of chunks that its stream made, or carries
+// the answer of the service.
+inline void CheckWholeAnswers(const AgentWorld& world) {
+  for (const auto& [attempt, record] : world.offers) {
+    for (const auto& [time, finish] : record.finishes) {
+      if (finish.failure.code != ErrorCode::kNone) {
+        continue;
+      }
+      EXPECT_GT(finish.chunk_count, 0u) << ToString(attempt);
+      const bool call = record.offer.kind == WorkKind::kServiceCall;
+      EXPECT_TRUE(!call || !record.chunks.empty()) << ToString(attempt);
+    }
+  }
+}
+
+inline void CheckAll(const AgentWorld& world, Duration paused = Duration(0)) {
+  CheckWarmupBudget(world);
+  CheckDispatchedOnce(world);
+  CheckKeysRunOnce(world);
+  CheckFinishedInTime(world, paused);
+  CheckNotRunIsTrue(world);
+  CheckWholeAnswers(world);
+  for (const auto& node : world.nodes) {
+    CheckBookedMemory(*node);
+  }
+}
+
+}  // namespace burdockhatch
+
+#endif  // TESTS_AGENT_INVARIANTS_H_
