Number share requests on the wire and count service calls as their agents do

A grant without the number of its request could extend a lease. Progress that a session reported before it heard of a move now counts, otherwise a moved request whose session had every chunk never completed.

--- a/src/fleet_table.cc
+++ b/src/fleet_table.cc
@@ -174,9 +174,7 @@
     if (!row.used) {
       continue;
     }
-    row.withdrawn =
-        config.withdrawn_targets.contains(row.info.target) ||
-        config.withdrawn_data_centres.contains(row.info.data_centre);
+    row.withdrawn = IsWithdrawn(config, row.info.target, row.info.data_centre);
     RefreshStanding(tables.fleet, slot, now);
   }
 }
--- a/src/request_admission.cc
+++ b/src/request_admission.cc
@@ -59,6 +59,10 @@
   return std::max(spec.prompt_tokens + spec.max_output_tokens, Tokens(1));
 }
 
+Tokens LoadOf(const RequestSpec& spec) {
+  return spec.kind == WorkKind::kCompletion ? CostOf(spec) : Tokens(1);
+}
+
 std::optional<Failure> CheckAdmission(EntryTables& tables,
                                       const RequestSpec& spec,
                                       Time now) {
--- a/src/request_placing.cc
+++ b/src/request_placing.cc
@@ -179,7 +179,7 @@
   PlacementQuery query;
   query.candidates = slots;
   query.prompt = row.spec.prompt_tokens;
-  query.total = CostOf(row.spec);
+  query.total = LoadOf(row.spec);
   query.prefix_hashes = &row.spec.prefix_hashes;
   query.draw = tables.random.Next();
   const PlacementChoice choice = ChooseTarget(tables.fleet, query);
@@ -304,7 +304,7 @@
     WaitOrGiveUp(tables, row, now);
     return;
   }
-  OfferTo(tables, row, NextAttempt(row), *slot, CostOf(row.spec).value(), now);
+  OfferTo(tables, row, NextAttempt(row), *slot, LoadOf(row.spec).value(), now);
 }
 
 void ContinueGang(EntryTables& tables, RequestRow& row, Time now) {
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -28,12 +28,9 @@
   FailRow(tables, row, ErrorCode::kDeadlineExceeded, Duration(0), now);
 }
 
-// The open request whose current attempt this is. An event that comes after the
-// deadline ends the request instead.
-RequestRow* FindAttempt(EntryTables& tables,
-                        const AttemptId& attempt,
-                        Time now) {
-  const auto it = tables.requests.find(attempt.request);
+// An event that comes after the deadline ends the request instead.
+RequestRow* FindOpen(EntryTables& tables, const RequestId& request, Time now) {
+  const auto it = tables.requests.find(request);
   if (it == tables.requests.end()) {
     return nullptr;
   }
@@ -42,7 +39,15 @@
     FailAtDeadline(tables, row, now);
     return nullptr;
   }
-  return row.attempt && row.attempt->id == attempt ? &row : nullptr;
+  return &row;
+}
+
+// The open request whose current attempt this is.
+RequestRow* FindAttempt(EntryTables& tables,
+                        const AttemptId& attempt,
+                        Time now) {
+  RequestRow* row = FindOpen(tables, attempt.request, now);
+  return row && row->attempt && row->attempt->id == attempt ? row : nullptr;
 }
 
 bool IsFrom(const EntryTables& tables,
@@ -232,6 +237,12 @@
          now - row.attempt->resuming_since < kResumeInterval;
 }
 
+// A late copy of an offer finds its attempt complete. The answer can be had
+// with Resume, unless it belongs to another call with the same key.
+bool HasItsAnswer(const RequestRow& row, const Failure& failure) {
+  return failure.code == ErrorCode::kAlreadyRan && !row.spec.key;
+}
+
 // What an agent says of the end of an attempt that is not the current one ends
 // only the repetition of Cancel.
 void NoteEnd(EntryTables& tables,
@@ -247,6 +258,12 @@
   if (row->attempt->finish) {
     return;
   }
+  if (HasItsAnswer(*row, failure)) {
+    if (row->phase != RequestPhase::kResuming) {
+      StartResuming(tables, *row, now);
+    }
+    return;
+  }
   if (ProvesNotRun(row->attempt->offered_to, sender.incarnation, failure)) {
     RetryAfterRefusal(tables, *row, failure, now);
   } else {
@@ -350,15 +367,20 @@
   }
 }
 
+// Progress that is reported for an attempt that was given up still counts: the
+// session has these chunks, and later attempts leave them out.
 void NoteProgress(EntryTables& tables,
                   const AttemptId& attempt,
                   uint32_t next_chunk,
                   Time now) {
-  RequestRow* row = FindAttempt(tables, attempt, now);
+  RequestRow* row = FindOpen(tables, attempt.request, now);
   if (!row || next_chunk <= row->next_chunk) {
     return;
   }
   row->next_chunk = next_chunk;
+  if (!row->attempt || attempt != row->attempt->id) {
+    return;
+  }
   if (row->attempt->finish) {
     row->attempt->resuming_since = now;
     CompleteIfWhole(tables, *row);
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -189,6 +189,7 @@
 
 void PutBody(const ShareRequest& from, wire::Envelope* envelope) {
   wire::ShareRequest* to = envelope->mutable_share_request();
+  to->set_number(from.number);
   for (const AccountDemand& it : from.demands) {
     PutRate(it.account, it.demand, to->add_demands());
   }
@@ -196,6 +197,7 @@
 
 void PutBody(const ShareGrant& from, wire::Envelope* envelope) {
   wire::ShareGrant* to = envelope->mutable_share_grant();
+  to->set_number(from.number);
   to->set_lease_us(from.lease.count());
   for (const AccountShare& it : from.shares) {
     PutRate(it.account, it.share, to->add_shares());
@@ -389,6 +391,7 @@
   ShareRequest Body(const wire::ShareRequest& from) {
     CheckCount(from.demands_size(), kMaxAccountRates);
     ShareRequest to;
+    to.number = from.number();
     for (const wire::AccountRate& it : from.demands()) {
       to.demands.push_back({RequiredId<ClientAccountId>(it.account()),
                             Read<TokensPerSecond>(it.tokens_per_second())});
@@ -399,6 +402,7 @@
   ShareGrant Body(const wire::ShareGrant& from) {
     CheckCount(from.shares_size(), kMaxAccountRates);
     ShareGrant to;
+    to.number = from.number();
     to.lease = ReadDuration(from.lease_us());
     for (const wire::AccountRate& it : from.shares()) {
       to.shares.push_back({RequiredId<ClientAccountId>(it.account()),
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -392,6 +392,62 @@
   CheckAll(driver_);
 }
 
+// Guards against a request that never completes: progress that the session
+// reported before it heard of the new attempt reaches the core after the move.
+TEST_F(EntryRequestsTest, ProgressOfAnOldAttemptCounts) {
+  driver_.agent("engine-1").silent_to_offers = true;
+  driver_.agent("engine-2").silent_to_offers = true;
+  const RequestId request =
+      driver_.Submit(driver_.Completion(1000, seconds(20)));
+  const AttemptId old_attempt = driver_.record(request).current;
+  driver_.Run(milliseconds(3700));
+  ASSERT_EQ(driver_.record(request).offers.size(), 2u);
+  driver_.core().OnProgress(old_attempt, 5, driver_.Now());
+  Finish finish;
+  finish.attempt = driver_.record(request).current;
+  finish.chunk_count = 5;
+  finish.state = driver_.StateOf(AgentOf(request));
+  driver_.Deliver(AgentOf(request), finish);
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  CheckOneEndByDeadline(driver_);
+}
+
+// Guards against a completed answer that is given up because a late copy of the
+// offer is refused as already run.
+TEST_F(EntryRequestsTest, ALateCopyOfTheOfferDoesNotEndTheAttempt) {
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(milliseconds(30));
+  OfferReply reply;
+  reply.attempt = driver_.record(request).current;
+  reply.verdict = Verdict::kRefused;
+  reply.failure = {ErrorCode::kAlreadyRan, Outcome::kRan, {}};
+  reply.state = driver_.StateOf(AgentOf(request));
+  driver_.Deliver(AgentOf(request), reply);
+  driver_.Run(seconds(2));
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  EXPECT_EQ(driver_.record(request).offers.size(), 1u);
+  CheckAll(driver_);
+}
+
+// Guards against service calls that are counted in tokens, while their agents
+// count calls: every agent would appear full at once.
+TEST_F(EntryRequestsTest, ServiceCallsCountAsOneEach) {
+  for (int i = 0; i < 20; ++i) {
+    RequestSpec spec = driver_.ServiceCall(true);
+    spec.prompt_tokens = Tokens(5000);
+    driver_.Submit(spec);
+  }
+  int64_t total = 0;
+  for (const TargetHint& it : driver_.core().tables().fleet.hints) {
+    total += it.own_tokens;
+  }
+  EXPECT_EQ(total, 20);
+  driver_.Run(seconds(5));
+  CheckAll(driver_);
+}
+
 // Guards against an accepted attempt that nobody wants any more and that no
 // message ends.
 TEST_F(EntryRequestsTest, LateAcceptanceOfAnUnknownAttemptIsCancelled) {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -60,25 +60,25 @@
   call.method = "POST";
   call.path = "/hold?x=1";
   const Failure failure{ErrorCode::kOverloaded, Outcome::kNotRun, Duration(7)};
-  return {
-      offer,
-      call,
-      Cancel{kAttempt},
-      Resume{kAttempt, 5, Duration(6)},
-      Hold{kAttempt, Tokens(7), Duration(8)},
-      HoldRelease{kAttempt},
-      Subscribe{Duration(9)},
-      OfferReply{kAttempt, Verdict::kAccepted, failure, SampleState()},
-      HoldReply{kAttempt, Verdict::kRefused, failure, SampleState()},
-      Chunk{kAttempt, 4, 5, "data"},
-      Finish{kAttempt, 6, failure, 201, "text/plain", SampleState()},
-      LoadReport{SampleState()},
-      Heartbeat{Role::kAgent, DataCentreId("dc"), "127.0.0.1:1", true},
-      ConfigPull{ConfigVersion(3)},
-      ConfigPush{ConfigVersion(1), ConfigVersion(2), "{}"},
-      Goodbye{},
-      ShareRequest{{{ClientAccountId("a"), TokensPerSecond(5)}}},
-      ShareGrant{Duration(3), {{ClientAccountId("a"), TokensPerSecond(5)}}}};
+  return {offer,
+          call,
+          Cancel{kAttempt},
+          Resume{kAttempt, 5, Duration(6)},
+          Hold{kAttempt, Tokens(7), Duration(8)},
+          HoldRelease{kAttempt},
+          Subscribe{Duration(9)},
+          OfferReply{kAttempt, Verdict::kAccepted, failure, SampleState()},
+          HoldReply{kAttempt, Verdict::kRefused, failure, SampleState()},
+          Chunk{kAttempt, 4, 5, "data"},
+          Finish{kAttempt, 6, failure, 201, "text/plain", SampleState()},
+          LoadReport{SampleState()},
+          Heartbeat{Role::kAgent, DataCentreId("dc"), "127.0.0.1:1", true},
+          ConfigPull{ConfigVersion(3)},
+          ConfigPush{ConfigVersion(1), ConfigVersion(2), "{}"},
+          Goodbye{},
+          ShareRequest{11, {{ClientAccountId("a"), TokensPerSecond(5)}}},
+          ShareGrant{
+              12, Duration(3), {{ClientAccountId("a"), TokensPerSecond(5)}}}};
 }
 
 Message Wrap(MessageBody body) {
