Add the object API over HTTP

Connect failures and calls that never got a connection are kNotSent; whatever is lost after the first write is kUnknown, and so is a 5xx answer to an update. A call that spent half of its time in the queue is not sent any more: a test showed that it was started with no time left and ended as unknown.

Seen failing: a lost answer reported as not sent, reuse of a connection that the server has closed, watches counted as calls, a late start of queued calls, 503 taken for a proof.

--- a/src/fleet_config.cc
+++ b/src/fleet_config.cc
@@ -21,10 +21,10 @@
 constexpr Bounds kRateBounds{1, 1'000'000'000};
 constexpr Bounds kBurstBounds{1, 1'000'000'000'000};
 constexpr Bounds kShardBounds{1, 1024};
-constexpr Bounds kRetentionSeconds{60, 30 * 24 * 3600};
-constexpr Bounds kDeadlineMs{1, 24 * 3600 * 1000};
+constexpr Bounds kRetentionSeconds{60, int64_t{30} * 24 * 3600};
+constexpr Bounds kDeadlineMs{1, int64_t{24} * 3600 * 1000};
 constexpr Bounds kVersionBounds{0, INT64_MAX};
-constexpr size_t kMaxPromptPrefix = 16 * 1024;
+constexpr size_t kMaxPromptPrefix = size_t{16} * 1024;
 constexpr size_t kMaxMethodLength = 16;
 
 json::string_view View(const std::string& text) {
--- /dev/null
+++ b/src/object_api_http.cc
@@ -0,0 +1,575 @@
+#include "src/object_api_http.h"
+
+#include <charconv>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "src/json_reader.h"
+
+namespace burdockhatch {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+// Larger than any object and than the instance list at the design scale.
+constexpr uint64_t kMaxBody = uint64_t{8} << 20;
+constexpr size_t kMaxIdleConnections = 8;
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return std::nullopt;
+  }
+  std::string host = address.substr(0, colon);
+  if (host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code ec;
+  const auto ip = asio::ip::make_address(host, ec);
+  const char* first = address.data() + colon + 1;
+  const char* last = address.data() + address.size();
+  uint16_t port = 0;
+  const auto [rest, error] = std::from_chars(first, last, port);
+  if (ec || error != std::errc() || rest != last) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, port);
+}
+
+bool IsPathCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') ||
+         std::string_view("-._~/:@").find(c) != std::string_view::npos;
+}
+
+std::string QuotedVersion(ObjectVersion version) {
+  return fmt::format("\"{}\"", version.value());
+}
+
+struct HttpReply {
+  // kOk when an HTTP answer arrived; else kNotSent or kUnknown.
+  ObjectStatus transport = ObjectStatus::kUnknown;
+  unsigned status = 0;
+  std::string etag;
+  std::string body;
+};
+
+// A 5xx answer proves nothing about an update: a part of the platform may have
+// applied it.
+ObjectStatus StatusOf(const HttpReply& reply) {
+  if (reply.transport != ObjectStatus::kOk) {
+    return reply.transport;
+  }
+  switch (reply.status) {
+    case 200:
+    case 201:
+    case 204:
+      return ObjectStatus::kOk;
+    case 304:
+      return ObjectStatus::kNotModified;
+    case 404:
+      return ObjectStatus::kNotFound;
+    case 409:
+    case 412:
+      return ObjectStatus::kConflict;
+    case 429:
+      return ObjectStatus::kThrottled;
+    case 400:
+    case 413:
+      return ObjectStatus::kNotSent;
+    default:
+      return ObjectStatus::kUnknown;
+  }
+}
+
+ObjectReply ToObjectReply(HttpReply reply) {
+  ObjectReply result;
+  result.status = StatusOf(reply);
+  if (result.status != ObjectStatus::kOk) {
+    return result;
+  }
+  const std::optional<ObjectVersion> version = ParseEtag(reply.etag);
+  if (!version) {
+    result.status = ObjectStatus::kUnknown;
+    return result;
+  }
+  result.version = *version;
+  result.value = std::move(reply.body);
+  return result;
+}
+
+InstanceListReply ToInstanceListReply(const HttpReply& reply) {
+  InstanceListReply result;
+  result.status = StatusOf(reply);
+  if (result.status != ObjectStatus::kOk) {
+    return result;
+  }
+  if (auto list = ParseInstanceList(reply.body)) {
+    return std::move(*list);
+  }
+  result.status = ObjectStatus::kUnknown;
+  return result;
+}
+
+std::optional<InstanceInfo> ReadInstance(const boost::json::value& value) {
+  Findings findings;
+  ObjectReader reader(value, "", &findings);
+  InstanceInfo info;
+  reader.Require({"instance", "role", "state", "data_centre", "address"});
+  reader.Id("instance", &info.instance);
+  reader.Choice<Role>(
+      "role", {{"entry", Role::kEntry}, {"agent", Role::kAgent}}, &info.role);
+  reader.Choice<InstanceState>(
+      "state",
+      {{"live", InstanceState::kLive}, {"leaving", InstanceState::kLeaving}},
+      &info.state);
+  reader.Id("data_centre", &info.data_centre);
+  reader.Text("address", kMaxIdLength, &info.address);
+  // The platform sends an empty string for what an instance does not have.
+  const auto optional_id = [&](std::string_view key, auto* field) {
+    const boost::json::value* it = reader.Find(key);
+    if (it != nullptr && !(it->is_string() && it->get_string().empty()) &&
+        !it->is_null()) {
+      reader.Id(key, field);
+    }
+  };
+  optional_id("region", &info.region);
+  optional_id("target", &info.target);
+  optional_id("model", &info.model);
+  optional_id("service", &info.service);
+  if (!findings.empty()) {
+    return std::nullopt;
+  }
+  return info;
+}
+
+struct Connection {
+  explicit Connection(asio::io_context& context) : socket(context) {}
+
+  tcp::socket socket;
+  beast::flat_buffer buffer;
+};
+
+// Whether the server has closed an idle connection or sent unasked bytes.
+bool IsStale(Connection& connection) {
+  char byte = 0;
+  boost::system::error_code ec;
+  connection.socket.non_blocking(true, ec);
+  connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                            ec);
+  return ec != asio::error::would_block;
+}
+
+}  // namespace
+
+// One request and its answer. Keeps itself alive through its handlers.
+class ObjectApiHttp::Call : public std::enable_shared_from_this<Call> {
+ public:
+  using Done = std::function<void(HttpReply)>;
+
+  Call(asio::io_context& context,
+       http::request<http::string_body> request,
+       bool is_watch,
+       Done done)
+      : is_watch_(is_watch),
+        timer_(context),
+        request_(std::move(request)),
+        done_(std::move(done)) {
+    parser_.body_limit(kMaxBody);
+  }
+
+  bool is_watch() const { return is_watch_; }
+  bool finished() const { return !done_; }
+  // A call that has spent half of its time in the queue is not sent any more:
+  // an update would probably end with an unknown outcome.
+  bool too_late() const { return std::chrono::steady_clock::now() > start_by_; }
+
+  // `pool` gets the connection back when the call ends.
+  void Arm(std::shared_ptr<Pool> pool, Duration timeout);
+  void Start(std::unique_ptr<Connection> connection,
+             const tcp::endpoint& endpoint);
+  // Forgets the callback and closes the connection.
+  void Abandon();
+
+ private:
+  void Write();
+  void ReadAnswer();
+  void OnAnswer(boost::system::error_code ec);
+  void Expire();
+  void Fail();
+  void Finish(HttpReply reply, bool reusable);
+
+  const bool is_watch_;
+  bool written_ = false;
+  std::chrono::steady_clock::time_point start_by_;
+  asio::steady_timer timer_;
+  http::request<http::string_body> request_;
+  http::response_parser<http::string_body> parser_;
+  std::unique_ptr<Connection> connection_;
+  std::shared_ptr<Pool> pool_;
+  Done done_;
+};
+
+// The connections and the calls that wait for one.
+class ObjectApiHttp::Pool : public std::enable_shared_from_this<Pool> {
+ public:
+  Pool(asio::io_context& context, ObjectApiHttpOptions options)
+      : context_(context),
+        options_(std::move(options)),
+        endpoint_(ParseEndpoint(options_.address)) {}
+
+  void Submit(http::request<http::string_body> request,
+              Duration wait,
+              bool is_watch,
+              Call::Done done);
+  void Stop();
+  void OnCallEnded(const Call* call, std::unique_ptr<Connection> connection);
+
+ private:
+  void Begin(const std::shared_ptr<Call>& call, Duration wait);
+  void Pump();
+  bool MayStart(const Call& call) const;
+  std::unique_ptr<Connection> TakeConnection();
+
+  asio::io_context& context_;
+  const ObjectApiHttpOptions options_;
+  const std::optional<tcp::endpoint> endpoint_;
+  bool stopped_ = false;
+  uint32_t busy_ = 0;  // Calls under way, watches not counted.
+  std::deque<std::shared_ptr<Call>> pending_;
+  std::vector<std::shared_ptr<Call>> active_;
+  std::vector<std::unique_ptr<Connection>> idle_;
+};
+
+void ObjectApiHttp::Call::Arm(std::shared_ptr<Pool> pool, Duration timeout) {
+  pool_ = std::move(pool);
+  start_by_ = std::chrono::steady_clock::now() + timeout / 2;
+  timer_.expires_after(timeout);
+  timer_.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+    if (!ec) {
+      self->Expire();
+    }
+  });
+}
+
+void ObjectApiHttp::Call::Start(std::unique_ptr<Connection> connection,
+                                const tcp::endpoint& endpoint) {
+  connection_ = std::move(connection);
+  if (connection_->socket.is_open()) {
+    Write();
+    return;
+  }
+  connection_->socket.async_connect(
+      endpoint, [self = shared_from_this()](boost::system::error_code ec) {
+        if (self->finished()) {
+          return;
+        }
+        if (ec) {
+          self->Fail();
+          return;
+        }
+        boost::system::error_code ignored;
+        self->connection_->socket.set_option(tcp::no_delay(true), ignored);
+        self->Write();
+      });
+}
+
+void ObjectApiHttp::Call::Write() {
+  written_ = true;
+  http::async_write(
+      connection_->socket, request_,
+      [self = shared_from_this()](boost::system::error_code ec, size_t) {
+        if (self->finished()) {
+          return;
+        }
+        if (ec) {
+          self->Fail();
+          return;
+        }
+        self->ReadAnswer();
+      });
+}
+
+void ObjectApiHttp::Call::ReadAnswer() {
+  http::async_read(
+      connection_->socket, connection_->buffer, parser_,
+      [self = shared_from_this()](boost::system::error_code ec, size_t) {
+        if (!self->finished()) {
+          self->OnAnswer(ec);
+        }
+      });
+}
+
+void ObjectApiHttp::Call::OnAnswer(boost::system::error_code ec) {
+  if (ec) {
+    Fail();
+    return;
+  }
+  const bool reusable = parser_.keep_alive();
+  auto response = parser_.release();
+  HttpReply reply;
+  reply.transport = ObjectStatus::kOk;
+  reply.status = response.result_int();
+  reply.etag = std::string(response[http::field::etag]);
+  reply.body = std::move(response.body());
+  Finish(std::move(reply), reusable);
+}
+
+void ObjectApiHttp::Call::Expire() {
+  if (!finished()) {
+    Fail();
+  }
+}
+
+// Once a byte may have left, the outcome of the call is unknown.
+void ObjectApiHttp::Call::Fail() {
+  HttpReply reply;
+  reply.transport = written_ ? ObjectStatus::kUnknown : ObjectStatus::kNotSent;
+  Finish(std::move(reply), false);
+}
+
+void ObjectApiHttp::Call::Finish(HttpReply reply, bool reusable) {
+  timer_.cancel();
+  const Done done = std::exchange(done_, nullptr);
+  std::unique_ptr<Connection> kept;
+  if (reusable) {
+    kept = std::move(connection_);
+  } else if (connection_ != nullptr) {
+    // Handlers that are still queued refer to the connection's buffers, so the
+    // connection lives as long as this call.
+    boost::system::error_code ignored;
+    connection_->socket.close(ignored);
+  }
+  const std::shared_ptr<Pool> pool = std::exchange(pool_, nullptr);
+  pool->OnCallEnded(this, std::move(kept));
+  done(std::move(reply));
+}
+
+void ObjectApiHttp::Call::Abandon() {
+  done_ = nullptr;
+  pool_ = nullptr;
+  timer_.cancel();
+  if (connection_ != nullptr) {
+    boost::system::error_code ignored;
+    connection_->socket.close(ignored);
+  }
+}
+
+void ObjectApiHttp::Pool::Submit(http::request<http::string_body> request,
+                                 Duration wait,
+                                 bool is_watch,
+                                 Call::Done done) {
+  request.set(http::field::host, options_.address);
+  request.keep_alive(true);
+  request.prepare_payload();
+  auto call = std::make_shared<Call>(context_, std::move(request), is_watch,
+                                     std::move(done));
+  asio::post(context_, [self = shared_from_this(), call, wait] {
+    if (!self->stopped_) {
+      self->Begin(call, wait);
+    }
+  });
+}
+
+void ObjectApiHttp::Pool::Begin(const std::shared_ptr<Call>& call,
+                                Duration wait) {
+  call->Arm(shared_from_this(), options_.call_timeout + wait);
+  pending_.push_back(call);
+  Pump();
+}
+
+bool ObjectApiHttp::Pool::MayStart(const Call& call) const {
+  return !call.too_late() && (call.is_watch() || busy_ < options_.connections);
+}
+
+// Calls start in order, except that a watch overtakes calls that wait for a
+// connection.
+void ObjectApiHttp::Pool::Pump() {
+  if (!endpoint_) {
+    return;
+  }
+  for (size_t i = 0; i < pending_.size();) {
+    const std::shared_ptr<Call> call = pending_[i];
+    if (!MayStart(*call)) {
+      ++i;
+      continue;
+    }
+    pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(i));
+    busy_ += call->is_watch() ? 0 : 1;
+    active_.push_back(call);
+    call->Start(TakeConnection(), *endpoint_);
+  }
+}
+
+// A connection that the server has closed meanwhile would turn the next call
+// into an unknown outcome, so it is not used.
+std::unique_ptr<Connection> ObjectApiHttp::Pool::TakeConnection() {
+  while (!idle_.empty()) {
+    std::unique_ptr<Connection> connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (!IsStale(*connection)) {
+      return connection;
+    }
+  }
+  return std::make_unique<Connection>(context_);
+}
+
+void ObjectApiHttp::Pool::OnCallEnded(const Call* call,
+                                      std::unique_ptr<Connection> connection) {
+  std::erase_if(pending_, [&](const auto& it) { return it.get() == call; });
+  const size_t ended =
+      std::erase_if(active_, [&](const auto& it) { return it.get() == call; });
+  if (ended > 0 && !call->is_watch()) {
+    --busy_;
+  }
+  if (connection != nullptr && !stopped_ &&
+      idle_.size() < kMaxIdleConnections) {
+    idle_.push_back(std::move(connection));
+  }
+  Pump();
+}
+
+void ObjectApiHttp::Pool::Stop() {
+  stopped_ = true;
+  for (const auto& it : pending_) {
+    it->Abandon();
+  }
+  for (const auto& it : active_) {
+    it->Abandon();
+  }
+  pending_.clear();
+  active_.clear();
+  idle_.clear();
+}
+
+namespace {
+
+http::request<http::string_body> MakeRequest(http::verb verb,
+                                             const std::string& target) {
+  return {verb, target, 11};
+}
+
+}  // namespace
+
+ObjectApiHttp::ObjectApiHttp(asio::io_context& context,
+                             ObjectApiHttpOptions options)
+    : pool_(std::make_shared<Pool>(context, std::move(options))) {}
+
+ObjectApiHttp::~ObjectApiHttp() {
+  pool_->Stop();
+}
+
+void ObjectApiHttp::Read(const ObjectName& name, ObjectCallback done) {
+  pool_->Submit(MakeRequest(http::verb::get, ObjectPath("objects", name)),
+                Duration(0), false, [done = std::move(done)](HttpReply reply) {
+                  done(ToObjectReply(std::move(reply)));
+                });
+}
+
+void ObjectApiHttp::Update(const ObjectName& name,
+                           ObjectVersion expected,
+                           std::string value,
+                           ObjectCallback done) {
+  auto request = MakeRequest(http::verb::put, ObjectPath("objects", name));
+  if (expected.value() == 0) {
+    request.set(http::field::if_none_match, "*");
+  } else {
+    request.set(http::field::if_match, QuotedVersion(expected));
+  }
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(value);
+  pool_->Submit(std::move(request), Duration(0), false,
+                [done = std::move(done)](HttpReply reply) {
+                  done(ToObjectReply(std::move(reply)));
+                });
+}
+
+void ObjectApiHttp::Watch(const ObjectName& name,
+                          ObjectVersion after,
+                          Duration wait,
+                          ObjectCallback done) {
+  const auto wait_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  const std::string target =
+      fmt::format("{}?after={}&wait_ms={}", ObjectPath("watch", name),
+                  after.value(), wait_ms);
+  pool_->Submit(MakeRequest(http::verb::get, target), wait, true,
+                [done = std::move(done)](HttpReply reply) {
+                  done(ToObjectReply(std::move(reply)));
+                });
+}
+
+void ObjectApiHttp::ListInstances(ObjectVersion have, InstanceCallback done) {
+  auto request = MakeRequest(http::verb::get, "/instances");
+  if (have.value() != 0) {
+    request.set(http::field::if_none_match, QuotedVersion(have));
+  }
+  pool_->Submit(std::move(request), Duration(0), false,
+                [done = std::move(done)](const HttpReply& reply) {
+                  done(ToInstanceListReply(reply));
+                });
+}
+
+std::optional<InstanceListReply> ParseInstanceList(std::string_view body) {
+  Findings findings;
+  const std::optional<boost::json::value> document = ParseJson(body, &findings);
+  if (!document) {
+    return std::nullopt;
+  }
+  ObjectReader reader(*document, "", &findings);
+  reader.Require({"version", "instances"});
+  int64_t version = 0;
+  reader.Integer("version", {0, INT64_MAX}, &version);
+  const boost::json::value* list = reader.Find("instances");
+  if (!findings.empty() || !list->is_array()) {
+    return std::nullopt;
+  }
+  InstanceListReply reply;
+  reply.status = ObjectStatus::kOk;
+  reply.version = ObjectVersion(static_cast<uint64_t>(version));
+  for (const boost::json::value& it : list->get_array()) {
+    if (std::optional<InstanceInfo> info = ReadInstance(it)) {
+      reply.instances.push_back(std::move(*info));
+    }
+  }
+  return reply;
+}
+
+std::optional<ObjectVersion> ParseEtag(std::string_view etag) {
+  if (etag.size() < 3 || etag.front() != '"' || etag.back() != '"') {
+    return std::nullopt;
+  }
+  const char* last = etag.data() + etag.size() - 1;
+  uint64_t number = 0;
+  const auto [rest, error] = std::from_chars(etag.data() + 1, last, number);
+  if (error != std::errc() || rest != last || number == 0) {
+    return std::nullopt;
+  }
+  return ObjectVersion(number);
+}
+
+std::string ObjectPath(std::string_view prefix, const ObjectName& name) {
+  std::string path = fmt::format("/{}/", prefix);
+  for (const char it : name.kind + "/" + name.name) {
+    if (IsPathCharacter(it)) {
+      path += it;
+    } else {
+      path += fmt::format("%{:02X}", static_cast<unsigned char>(it));
+    }
+  }
+  return path;
+}
+
+}  // namespace burdockhatch
