--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -2,9 +2,9 @@
 
 #include <csignal>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <set>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "src/config_edit.h"
 #include "src/log.h"
 #include "src/object_api_http.h"
 #include "src/random.h"
@@ -29,8 +30,6 @@
 namespace {
 
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
-constexpr Duration kConfigWatch = std::chrono::seconds(25);
-constexpr auto kConfigRetry = std::chrono::milliseconds(700);
 constexpr auto kInstancePoll = std::chrono::seconds(15);
 // A process that has not yet read the list asks more often, so that it serves
 // soon after its start.
@@ -41,14 +40,26 @@
 // After the work is done, peers may still ask for a lost chunk.
 constexpr Duration kStopLinger = std::chrono::milliseconds(300);
 
-const ObjectName kConfigObject{"config", "fleet"};
-
 Incarnation IncarnationNow() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now);
   return Incarnation(static_cast<uint64_t>(ms.count()));
 }
 
+ConfigSpreadOptions SpreadOptions(const Settings& settings,
+                                  const PeerId& self) {
+  ConfigSpreadOptions options;
+  options.self = self;
+  options.role = settings.role;
+  options.data_centre = settings.data_centre;
+  options.address = settings.bus_address;
+  options.seed = self.incarnation.value();
+  for (const PeerSettings& it : settings.seed_peers) {
+    options.seed_peers.push_back({it.instance, it.address});
+  }
+  return options;
+}
+
 bool IsReplacedByTheNext(const MessageBody& body) {
   return std::holds_alternative<LoadReport>(body) ||
          std::holds_alternative<Heartbeat>(body);
@@ -57,19 +68,19 @@
 }  // namespace
 
 struct DaemonLoop::Parts {
-  explicit Parts(asio::io_context& control)
-      : tick(control),
-        config_timer(control),
+  Parts(asio::io_context& control, ConfigSpreadOptions options, Time now)
+      : spread(std::move(options), now),
+        tick(control),
         instance_timer(control),
         signals(control, SIGTERM, SIGINT) {}
 
+  ConfigSpread spread;
+  Time next_spread_tick{};
   asio::steady_timer tick;
-  asio::steady_timer config_timer;
   asio::steady_timer instance_timer;
   asio::signal_set signals;
   std::vector<std::thread> threads;
   Random random{0};
-  ObjectVersion config_seen;
   ObjectVersion instance_version;
   bool instances_known = false;
   std::atomic<uint64_t> waiting_messages = 0;
@@ -82,7 +93,9 @@
 DaemonLoop::DaemonLoop(Settings settings)
     : settings_(std::move(settings)),
       self_{settings_.instance, IncarnationNow()},
-      parts_(std::make_unique<Parts>(control_)) {
+      parts_(std::make_unique<Parts>(control_,
+                                     SpreadOptions(settings_, self_),
+                                     clock_.Now())) {
   parts_->random = Random(self_.incarnation.value());
 }
 
@@ -104,7 +117,6 @@
        {"bus", settings_.bus_address},
        {"http", settings_.http_address}});
   OnStart();
-  FollowConfig();
   PollInstances();
   StartTick();
   parts_->signals.async_wait([this](boost::system::error_code ec, int number) {
@@ -125,8 +137,9 @@
 }
 
 bool DaemonLoop::StartParts() {
-  object_api_ =
-      MakeHttpObjectApi(control_, traffic_, settings_.object_api_address);
+  ObjectApiHttpOptions object_api_options;
+  object_api_options.address = settings_.object_api_address;
+  object_api_ = std::make_unique<ObjectApiHttp>(control_, object_api_options);
   BusOptions bus_options;
   bus_options.self = self_;
   bus_options.bind_address = settings_.bus_address;
@@ -135,7 +148,10 @@
     ReceiveOnBusThread(std::move(message));
   };
   handlers.on_unreachable = [this](const InstanceId& peer) {
-    Post([this, peer](Time now) { OnUnreachable(peer, now); });
+    Post([this, peer](Time now) {
+      parts_->spread.OnPeerUnreachable(peer, now);
+      OnUnreachable(peer, now);
+    });
   };
   HttpEntryOptions http_options;
   http_options.address = settings_.http_address;
@@ -173,6 +189,7 @@
 }
 
 void DaemonLoop::Settle() {
+  ExecuteConfigActions();
   ExecuteActions(Now());
 }
 
@@ -189,6 +206,10 @@
 
 void DaemonLoop::Tick() {
   const Time now = Now();
+  if (now >= parts_->next_spread_tick) {
+    parts_->next_spread_tick = now + kConfigTick;
+    parts_->spread.Tick(now);
+  }
   OnTick(now);
   Settle();
   UpdatePhase(now);
@@ -224,6 +245,7 @@
 void DaemonLoop::BeginStop(int signal_number) {
   Log(LogLevel::kInfo, "planned_stop",
       {{"signal", std::to_string(signal_number)}});
+  parts_->spread.BeginDrain();
   parts_->phase = ServingPhase::kLeaving;
   parts_->accept_until = Now() + AcceptAfterStop();
   UpdatePhase(Now());
@@ -237,41 +259,61 @@
 
 // --- Configuration and instances --------------------------------------------
 
-void DaemonLoop::FollowConfig() {
-  object_api_->Watch(kConfigObject, parts_->config_seen, kConfigWatch,
-                     [this](ObjectReply reply) { OnConfigObject(reply); });
+void DaemonLoop::ExecuteConfigActions() {
+  for (ConfigSpreadAction& it : parts_->spread.TakeActions()) {
+    std::visit([this](auto& action) { Execute(action); }, it);
+  }
 }
 
-void DaemonLoop::OnConfigObject(const ObjectReply& reply) {
-  if (reply.status == ObjectStatus::kOk) {
-    // A rejected document is not read again until it changes.
-    parts_->config_seen = reply.version;
-    Findings findings;
-    std::optional<FleetConfig> config = ParseFleetConfig(
-        reply.value, ConfigVersion(reply.version.value()), &findings);
-    if (!config) {
-      Log(LogLevel::kError, "config_rejected",
-          {{"version", std::to_string(reply.version.value())},
-           {"findings", ToString(findings)}});
-    } else if (!config_ || config->version > config_->version) {
-      config_ = std::make_shared<const FleetConfig>(std::move(*config));
-      bus_->SetConfigVersion(config_->version);
-      http_->SetConfig(config_);
-      OnConfig(config_, Now());
-      Settle();
-      Log(LogLevel::kInfo, "config_applied",
-          {{"version", std::to_string(config_->version.value())}});
-    }
+void DaemonLoop::Execute(SendConfigMessage& action) {
+  bus_->Send(action.to, std::move(action.body));
+}
+
+void DaemonLoop::Execute(const WatchConfig& action) {
+  object_api_->Watch(FleetConfigObject(), action.after, action.wait,
+                     [this](const ObjectReply& reply) {
+                       parts_->spread.OnObjectReply(reply, Now());
+                       Settle();
+                     });
+}
+
+void DaemonLoop::Execute(const ApplyConfig& action) {
+  config_ = action.config;
+  bus_->SetConfigVersion(config_->version);
+  http_->SetConfig(config_);
+  OnConfig(config_, Now());
+  Log(LogLevel::kInfo, "config_applied",
+      {{"version", std::to_string(config_->version.value())}});
+}
+
+void DaemonLoop::Execute(const ConnectConfigPeer& action) {
+  Connect(ConnectionUser::kConfig, action.instance, action.address);
+}
+
+void DaemonLoop::Execute(const DisconnectConfigPeer& action) {
+  Disconnect(ConnectionUser::kConfig, action.instance);
+}
+
+void DaemonLoop::Connect(ConnectionUser user,
+                         const InstanceId& peer,
+                         const std::string& address) {
+  std::vector<ConnectionUser>& users = connections_[peer];
+  if (std::find(users.begin(), users.end(), user) == users.end()) {
+    users.push_back(user);
+  }
+  bus_->Connect(peer, address);
+}
+
+void DaemonLoop::Disconnect(ConnectionUser user, const InstanceId& peer) {
+  const auto it = connections_.find(peer);
+  if (it == connections_.end()) {
+    return;
+  }
+  std::erase(it->second, user);
+  if (it->second.empty()) {
+    connections_.erase(it);
+    bus_->Disconnect(peer);
   }
-  const bool answered = reply.status == ObjectStatus::kOk ||
-                        reply.status == ObjectStatus::kNotModified;
-  parts_->config_timer.expires_after(answered ? std::chrono::milliseconds(50)
-                                              : kConfigRetry);
-  parts_->config_timer.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      FollowConfig();
-    }
-  });
 }
 
 void DaemonLoop::PollInstances() {
@@ -285,6 +327,7 @@
   if (reply.status == ObjectStatus::kOk) {
     parts.instance_version = reply.version;
     parts.instances_known = true;
+    parts.spread.OnInstances(reply.instances, Now());
     OnInstances(reply.instances, Now());
     Settle();
   }
@@ -317,6 +360,7 @@
   ++parts.waiting_messages;
   Post([this, message = std::move(message)](Time now) {
     --parts_->waiting_messages;
+    parts_->spread.OnMessage(message, now);
     OnMessage(message, now);
   });
 }
@@ -335,12 +379,12 @@
       "\"config_version\":{},\"bus\":{{\"sent\":{},\"received\":{},"
       "\"not_sent\":{},\"rejected\":{},\"other_incarnation\":{},"
       "\"connections\":{},\"queued\":{}}},\"sessions\":{{\"connections\":{},"
-      "\"requests\":{}}},\"core\":{}}}\n",
+      "\"requests\":{}}},\"config\":{},\"core\":{}}}\n",
       settings_.instance.value(), self_.incarnation.value(),
       settings_.data_centre.value(), config_ ? config_->version.value() : 0,
       bus.sent, bus.received, bus.not_sent, bus.rejected, bus.other_incarnation,
       bus.connections, bus.queued, http.connections, http.requests,
-      DumpCore(Now()));
+      parts_->spread.Dump(Now()), DumpCore(Now()));
 }
 
 std::string DaemonLoop::MetricsText() {
--- a/src/daemon_loop.h
+++ b/src/daemon_loop.h
@@ -5,13 +5,16 @@
 #define SRC_DAEMON_LOOP_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "src/bus.h"
 #include "src/clock.h"
+#include "src/config_spread.h"
 #include "src/http_entry.h"
 #include "src/metrics.h"
 #include "src/object_api.h"
@@ -69,6 +72,16 @@
   // Executes the actions of the core after an event that was run by an adapter.
   void Settle();
 
+  // Parts of the daemon that ask for connections.
+  enum class ConnectionUser : uint8_t { kCore, kConfig };
+
+  // Keeps a connection to `peer` while at least one user asks for it. The
+  // address given last is used.
+  void Connect(ConnectionUser user,
+               const InstanceId& peer,
+               const std::string& address);
+  void Disconnect(ConnectionUser user, const InstanceId& peer);
+
   Time Now() const { return clock_.Now(); }
 
   const Settings settings_;
@@ -83,6 +96,7 @@
   std::unique_ptr<Bus> bus_;
   std::unique_ptr<HttpEntry> http_;
   FleetConfigPtr config_;
+  std::map<InstanceId, std::vector<ConnectionUser>> connections_;
 
  private:
   struct Parts;
@@ -93,8 +107,12 @@
   void UpdatePhase(Time now);
   void BeginStop(int signal_number);
   void FinishStop();
-  void FollowConfig();
-  void OnConfigObject(const ObjectReply& reply);
+  void ExecuteConfigActions();
+  void Execute(SendConfigMessage& action);
+  void Execute(const WatchConfig& action);
+  void Execute(const ApplyConfig& action);
+  void Execute(const ConnectConfigPeer& action);
+  void Execute(const DisconnectConfigPeer& action);
   void PollInstances();
   void OnInstanceList(const InstanceListReply& reply);
   void ReceiveOnBusThread(Message message);
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <mutex>
-#include <set>
 #include <utility>
 #include <variant>
 
@@ -106,8 +105,8 @@
   bool IsDrained() const override { return core_.Drained(); }
 
   void SayGoodbye() override {
-    for (const InstanceId& it : connected_) {
-      bus_->Send({it, Incarnation()}, Goodbye{});
+    for (const auto& [peer, users] : connections_) {
+      bus_->Send({peer, Incarnation()}, Goodbye{});
     }
   }
 
@@ -148,17 +147,14 @@
   void Execute(const FailRequest& action) { http_->Fail(action); }
 
   void Execute(const ConnectPeer& action) {
-    connected_.insert(action.instance);
-    bus_->Connect(action.instance, action.address);
+    Connect(ConnectionUser::kCore, action.instance, action.address);
   }
 
   void Execute(const DisconnectPeer& action) {
-    connected_.erase(action.instance);
-    bus_->Disconnect(action.instance);
+    Disconnect(ConnectionUser::kCore, action.instance);
   }
 
   EntryCore core_;
-  std::set<InstanceId> connected_;
   bool instances_known_ = false;
 
   std::mutex progress_mutex_;  // Guards the two members below.
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -114,11 +114,33 @@
   reader.Finish();
 }
 
+void ReadSeedPeers(const json::value& value,
+                   const std::string& place,
+                   std::vector<PeerSettings>* peers,
+                   Findings* findings) {
+  if (!value.is_array()) {
+    findings->Add(place, "expected an array");
+    return;
+  }
+  for (const json::value& it : value.get_array()) {
+    ObjectReader reader(it, ChildPlace(place, peers->size()), findings);
+    PeerSettings& peer = peers->emplace_back();
+    reader.Require({"instance", "address"});
+    reader.Id("instance", &peer.instance);
+    ReadAddress("address", &reader, &peer.address, findings);
+    reader.Finish();
+  }
+}
+
 void ReadRole(ObjectReader* reader, Settings* settings, Findings* findings) {
   reader->Choice("role", {{"entry", Role::kEntry}, {"agent", Role::kAgent}},
                  &settings->role);
   if (settings->role == Role::kEntry) {
     reader->Count("subset_size", kSubsetBounds, &settings->subset_size);
+    if (const json::value* peers = reader->Find("seed_peers")) {
+      ReadSeedPeers(*peers, reader->PlaceOf("seed_peers"),
+                    &settings->seed_peers, findings);
+    }
     return;
   }
   reader->Require({"target"});
--- a/src/settings.h
+++ b/src/settings.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/leaf/result.hpp>
 
@@ -47,6 +48,13 @@
   uint32_t max_connections = 4'096;
 };
 
+// An entry that may be asked for the configuration before the instance list is
+// known.
+struct PeerSettings {
+  InstanceId instance;
+  std::string address;  // "ip:port" of its bus.
+};
+
 struct Settings {
   Role role = Role::kEntry;
   InstanceId instance;
@@ -56,7 +64,8 @@
   std::string http_address;
   std::string object_api_address;
   uint32_t subset_size = 48;  // Entries only: agents that the entry knows.
-  TargetSettings target;      // Agents only.
+  std::vector<PeerSettings> seed_peers;  // Entries only.
+  TargetSettings target;                 // Agents only.
   LimitSettings limits;
 };
 
