--- a/src/reconcile.cc
+++ b/src/reconcile.cc
@@ -72,18 +72,19 @@
 }
 
 // Whether a list asked for at `asked_at` must show what the booking stands for.
+// A start without an answer may reach the engine after its cancel.
 bool MustBeListed(const Booking& booking, Time asked_at) {
-  if (booking.releasing_since) {
-    return *booking.releasing_since < asked_at;
+  if (!booking.releasing_since) {
+    return booking.confirmed_at && *booking.confirmed_at < asked_at;
   }
-  return booking.confirmed_at && *booking.confirmed_at < asked_at;
+  const Duration settle = booking.confirmed_at ? Duration(0) : kStartSettle;
+  return *booking.releasing_since + settle < asked_at;
 }
 
-// Lists needed to end a booking. One is enough for a cancelled stream that the
-// engine had confirmed. A start without an answer may still be on its way to
-// the engine when the first list is made.
+// Lists needed to end a booking. A stream that was not cancelled may be missing
+// from one list because it has just ended.
 int ListsNeeded(const Booking& booking) {
-  return booking.releasing_since && booking.confirmed_at ? 1 : kMissingLists;
+  return booking.releasing_since ? 1 : kMissingLists;
 }
 
 // Returns whether the booking is over.
--- a/src/reconcile.h
+++ b/src/reconcile.h
@@ -16,6 +16,10 @@
 // or Hold.
 inline constexpr Duration kAdoptionGrace = std::chrono::seconds(10);
 
+// How late a start that got no answer may still reach the engine. Its booking
+// is kept that long after the first cancel.
+inline constexpr Duration kStartSettle = std::chrono::seconds(2);
+
 // Consecutive lists without a stream after which its booking ends.
 inline constexpr int kMissingLists = 2;
 
--- a/tests/agent_faults_test.cc
+++ b/tests/agent_faults_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "src/booking.h"
 #include "tests/agent_invariants.h"
 #include "tests/agent_world.h"
 
@@ -56,6 +57,7 @@
   world_.faults.start_not_sent = 0.05;
   world_.faults.cancel_lost = 0.4;
   world_.faults.list_lost = 0.2;
+  world_.faults.stream_hangs = 0.1;
   world_.faults.end_lost = 0.05;
   world_.faults.duplicate_offer = 0.3;
   OfferCompletions(node, 200, seconds(20));
@@ -65,6 +67,63 @@
   EXPECT_GT(world_.executions.size(), 50u);
 }
 
+// Guards against an engine that is given more than its memory when the answers
+// to starts are lost or late and its agent restarts.
+TEST_P(AgentFaultsTest, MemoryPressure) {
+  WorldNode& node = world_.AddEngineAgent("agent-1");
+  node.options.memory = Tokens(30'000);
+  node.options.full_budget = Tokens(400'000);
+  world_.Reconfigure(node);
+  world_.Run(seconds(1));
+  world_.faults.start_answer_lost = 0.15;
+  world_.faults.start_late = 0.15;
+  world_.faults.cancel_lost = 0.5;
+  world_.faults.stream_hangs = 0.3;
+  for (int i = 0; i < 300; ++i) {
+    const Tokens prompt(1'000 +
+                        static_cast<int64_t>(world_.random().Below(3'000)));
+    world_.SendOffer(node, world_.Completion(prompt, Tokens(200), seconds(3)));
+    world_.Run(milliseconds(40));
+    if (i % 100 == 99) {
+      world_.RestartAgent(node);
+    }
+  }
+  world_.faults = {};
+  world_.Run(seconds(60));
+  CheckAll(world_);
+}
+
+// Guards against caches of gang members that are leaked or freed too early when
+// the entry, the agent or the engine's answers are lost.
+TEST_P(AgentFaultsTest, HoldsOfGangs) {
+  WorldNode& node = world_.AddEngineAgent("agent-1");
+  world_.Run(seconds(1));
+  world_.faults.start_lost = 0.1;
+  world_.faults.start_answer_lost = 0.1;
+  world_.faults.cancel_lost = 0.4;
+  world_.faults.list_lost = 0.2;
+  for (uint64_t i = 0; i < 60; ++i) {
+    const AttemptId attempt{{2, 1 + world_.random().Below(30)},
+                            AttemptNumber(1)};
+    const Tokens tokens(20'000 *
+                        static_cast<int64_t>(1 + attempt.request.low % 4));
+    world_.Send(node, Hold{attempt, tokens,
+                           milliseconds(500 + world_.random().Below(4'000))});
+    world_.Run(milliseconds(100 + world_.random().Below(400)));
+    EXPECT_LE(GangMemory(node.core->tables()), GangLimit(node.core->tables()));
+    if (world_.random().Below(3) == 0) {
+      world_.Send(node, HoldRelease{attempt});
+    }
+    if (i == 30) {
+      world_.RestartAgent(node);
+    }
+  }
+  world_.faults = {};
+  world_.Run(seconds(60));
+  CheckAll(world_);
+  EXPECT_TRUE(node.engine.caches.empty());
+}
+
 // Guards against a new run of the agent that forgets what the engine holds,
 // dispatches a late copy again or accepts work before it knows.
 TEST_P(AgentFaultsTest, AgentAndEngineRestarts) {
@@ -73,6 +132,7 @@
   world_.faults.start_answer_lost = 0.05;
   world_.faults.cancel_lost = 0.3;
   world_.faults.list_lost = 0.2;
+  world_.faults.stream_hangs = 0.1;
   world_.faults.duplicate_offer = 0.5;
   for (int i = 0; i < 8; ++i) {
     OfferCompletions(node, 20, seconds(2));
@@ -125,6 +185,7 @@
   world_.faults.object_late = 0.15;
   world_.faults.object_throttled = 0.1;
   world_.faults.call_lost = 0.1;
+  world_.faults.call_slow = 0.1;
   world_.faults.call_not_sent = 0.1;
   world_.faults.duplicate_offer = 0.3;
   OfferCalls(400, 60, seconds(40));
--- a/tests/agent_world.cc
+++ b/tests/agent_world.cc
@@ -1,6 +1,7 @@
 #include "tests/agent_world.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "src/booking.h"
@@ -69,6 +70,7 @@
   node.core->Tick(now(), clock_.WallNow());
   node.core->OnConfig(config_, now());
   node.core->OnServiceProbe(true, now());
+  node.known = node.options.self;
   Pump(node);
 }
 
@@ -108,7 +110,7 @@
                          std::function<void(AgentCore&)> event) {
   const Incarnation run = node.options.self.incarnation;
   auto deliver = [this, &node, run, event = std::move(event)] {
-    if (node.options.self.incarnation == run) {
+    if (node.options.self.incarnation == run && !node.down) {
       event(*node.core);
       Pump(node);
     }
@@ -129,7 +131,7 @@
 
 void AgentWorld::StepNode(WorldNode& node) {
   StepEngine(node);
-  if (node.paused) {
+  if (node.paused || node.down) {
     return;
   }
   node.core->Tick(now(), clock_.WallNow());
@@ -161,14 +163,19 @@
 
 void AgentWorld::RestartAgent(WorldNode& node) {
   for (auto& [id, record] : offers) {
-    record.interrupted =
-        record.interrupted || record.agent == node.options.self;
+    record.interrupted = record.interrupted || record.agent == node.known;
   }
   node.options.self.incarnation = node.options.self.incarnation.Next();
   node.paused = false;
   node.inbox.clear();
   node.relays.clear();
-  StartCore(node);
+  node.down = true;
+  After(kRestartTime, [this, &node, run = node.options.self.incarnation] {
+    if (node.options.self.incarnation == run) {
+      node.down = false;
+      StartCore(node);
+    }
+  });
 }
 
 void AgentWorld::RestartEngine(WorldNode& node) {
@@ -220,10 +227,9 @@
   offer.attempt = {{1, ++request_count_}, AttemptNumber(1)};
   OfferRecord& record = offers[offer.attempt];
   record.offer = offer;
-  record.agent = node.options.self;
+  record.agent = node.known;
   record.deadline = now() + offer.time_left;
-  const Message message{entry, node.options.self.incarnation, ConfigVersion(1),
-                        offer};
+  const Message message{entry, node.known.incarnation, ConfigVersion(1), offer};
   // A late copy may reach another run of the agent.
   const int copies = Chance(faults.duplicate_offer) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
@@ -238,7 +244,7 @@
 }
 
 void AgentWorld::Send(WorldNode& node, MessageBody body) {
-  const Message message{entry, node.options.self.incarnation, ConfigVersion(1),
+  const Message message{entry, node.known.incarnation, ConfigVersion(1),
                         std::move(body)};
   Deliver(node,
           [this, message](AgentCore& core) { core.OnMessage(message, now()); });
@@ -335,6 +341,9 @@
   const auto output = static_cast<uint32_t>(spec.max_output_tokens.value());
   stream.chunks = spec.first_chunk + output / kTokensPerChunk + 1;
   stream.produced = spec.first_chunk;
+  if (Chance(faults.stream_hangs)) {
+    stream.chunks = std::numeric_limits<uint32_t>::max();
+  }
   Tokens held = stream.memory;
   for (const auto& [id, other] : node.engine.streams) {
     held += other.memory;
@@ -453,6 +462,9 @@
 
 void AgentWorld::Do(WorldNode& node, DispatchCall& action) {
   ++dispatches[action.attempt];
+  if (InFlight(node.core->tables()) > node.core->tables().warmup.budget) {
+    ++over_budget;
+  }
   const bool not_sent =
       Chance(faults.call_not_sent) || now() >= action.not_after;
   if (now() >= action.not_after) {
@@ -472,7 +484,10 @@
   answer.http_status = 200;
   answer.content_type = "text/plain";
   answer.body = "permit of " + ToString(action.attempt);
-  const Duration delay = not_sent ? Duration(0) : milliseconds(20);
+  const bool slow = Chance(faults.call_slow);
+  const Duration delay = not_sent ? Duration(0)
+                         : slow   ? milliseconds(3'000)
+                                  : milliseconds(20);
   After(delay, [this, &node, id = action.attempt, answer] {
     Deliver(node, [this, id, answer](AgentCore& core) {
       core.OnServiceAnswer(id, answer, now());
--- a/tests/agent_world.h
+++ b/tests/agent_world.h
@@ -28,12 +28,14 @@
   double start_not_sent = 0;
   double cancel_lost = 0;
   double list_lost = 0;
-  double end_lost = 0;     // The relay breaks before the end of the stream.
-  double object_lost = 0;  // The request never arrives; no answer.
+  double stream_hangs = 0;  // The stream makes no progress.
+  double end_lost = 0;      // The relay breaks before the end of the stream.
+  double object_lost = 0;   // The request never arrives; no answer.
   double object_answer_lost = 0;  // It takes effect; no answer.
   double object_late = 0;         // It takes effect after it was given up.
   double object_throttled = 0;
   double call_lost = 0;  // The call runs; no answer.
+  double call_slow = 0;  // The call runs; the answer comes after 3 s.
   double call_not_sent = 0;
   double duplicate_offer = 0;
   bool outage = false;  // Of the object API.
@@ -62,6 +64,8 @@
   std::unique_ptr<AgentCore> core;
   WorldEngine engine;
   bool paused = false;
+  PeerId known;       // The run that the entry has heard of last.
+  bool down = false;  // Between two runs of the agent.
   std::vector<std::function<void()>> inbox;  // Events during a pause.
   std::map<StreamId, uint64_t> relays;       // Number of the current relay.
   uint64_t relay_count = 0;
@@ -90,6 +94,9 @@
  public:
   static constexpr Duration kStep = std::chrono::milliseconds(10);
 
+  // Longer than a request of the former run can be under way.
+  static constexpr Duration kRestartTime = std::chrono::milliseconds(1'100);
+
   explicit AgentWorld(uint64_t seed) : random_(seed) {}
 
   WorldNode& AddEngineAgent(const std::string& name);
@@ -102,10 +109,13 @@
   void Run(Duration time);
   void After(Duration delay, std::function<void()> event);
 
+  // Ends the agent's run; the next one starts kRestartTime later.
   void RestartAgent(WorldNode& node);
   void RestartEngine(WorldNode& node);
   void Pause(WorldNode& node) { node.paused = true; }
   void Unpause(WorldNode& node);
+  // Replaces the core by one with the node's changed options.
+  void Reconfigure(WorldNode& node) { StartCore(node); }
   void SetConfig(FleetConfigPtr config);
 
   // Sends an offer as a new attempt; returns its id.
