--- /dev/null
+++ b/src/attempts.cc
@@ -0,0 +1,197 @@
+#include "src/attempts.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/agent_report.h"
+
+namespace burdockhatch {
+
+namespace {
+
+void ReplyToOffer(AgentTables& tables,
+                  const PeerId& to,
+                  const AttemptId& attempt,
+                  Verdict verdict,
+                  const Failure& failure) {
+  SendTo(tables, to, OfferReply{attempt, verdict, failure, MakeState(tables)});
+}
+
+// What a duplicate of a closed attempt's offer is told.
+Failure FailureOfDuplicate(const ClosedAttempt& closed) {
+  if (closed.ending.failure.code == ErrorCode::kNone) {
+    return {ErrorCode::kAlreadyRan, Outcome::kRan, Duration(0)};
+  }
+  return closed.ending.failure;
+}
+
+Time RecordEnd(const AgentTables& tables, const Offer& offer) {
+  const Duration left = std::clamp(offer.time_left, Duration(0), kMaxTimeLeft);
+  return tables.now + left + kTombstoneMargin;
+}
+
+ClosedAttempt& Record(AgentTables& tables,
+                      const AttemptId& id,
+                      const PeerId& entry,
+                      Time deadline) {
+  ClosedAttempt& closed = tables.closed[id];
+  closed.entry = entry;
+  closed.ended_at = tables.now;
+  closed.expires = std::max(deadline, tables.now) + kTombstoneMargin;
+  return closed;
+}
+
+}  // namespace
+
+void AdvanceTime(AgentTables& tables, Time now) {
+  const Duration gap = now - tables.now;
+  if (tables.clock_started && gap > kPauseThreshold) {
+    for (auto& [id, closed] : tables.closed) {
+      closed.expires += gap;
+    }
+    tables.pause = gap;
+    tables.pause_ended = now;
+  }
+  tables.clock_started = true;
+  tables.now = std::max(tables.now, now);
+}
+
+Duration TimeLeft(const AgentTables& tables, const Offer& offer) {
+  const Duration bounded = std::min(offer.time_left, kMaxTimeLeft);
+  if (tables.now < tables.pause_ended + kPauseSettle) {
+    return bounded - tables.pause;
+  }
+  return bounded;
+}
+
+Attempt* FindAttempt(AgentTables& tables, const AttemptId& id) {
+  auto it = tables.attempts.find(id);
+  return it == tables.attempts.end() ? nullptr : &it->second;
+}
+
+bool AnswerDuplicate(AgentTables& tables,
+                     const PeerId& from,
+                     const Offer& offer) {
+  if (FindAttempt(tables, offer.attempt)) {
+    ++tables.counters.duplicate_offers;
+    ReplyToOffer(tables, from, offer.attempt, Verdict::kAccepted, {});
+    return true;
+  }
+  auto it = tables.closed.find(offer.attempt);
+  if (it == tables.closed.end()) {
+    return false;
+  }
+  ++tables.counters.duplicate_offers;
+  ClosedAttempt& closed = it->second;
+  closed.expires = std::max(closed.expires, RecordEnd(tables, offer));
+  ReplyToOffer(tables, from, offer.attempt, Verdict::kRefused,
+               FailureOfDuplicate(closed));
+  return true;
+}
+
+void RefuseOffer(AgentTables& tables,
+                 const PeerId& from,
+                 const Offer& offer,
+                 const Failure& failure) {
+  ++tables.counters.refused;
+  ClosedAttempt& closed = Record(tables, offer.attempt, from, tables.now);
+  closed.expires = RecordEnd(tables, offer);
+  closed.ending.failure = failure;
+  ReplyToOffer(tables, from, offer.attempt, Verdict::kRefused, failure);
+}
+
+void RecordCancelled(AgentTables& tables,
+                     const PeerId& from,
+                     const AttemptId& id) {
+  ClosedAttempt& closed = Record(tables, id, from, tables.now);
+  closed.ending.failure = OutcomeUnknown(ErrorCode::kDeadlineExceeded);
+}
+
+Attempt& AcceptOffer(AgentTables& tables, const PeerId& from, Offer offer) {
+  ++tables.counters.accepted;
+  const AttemptId id = offer.attempt;
+  Attempt& attempt = tables.attempts[id];
+  attempt.id = id;
+  attempt.entry = from;
+  attempt.accepted_at = tables.now;
+  attempt.deadline = tables.now + TimeLeft(tables, offer);
+  attempt.length = LengthClassOf(offer.prompt_tokens);
+  attempt.next_chunk = offer.first_chunk;
+  attempt.offer = std::move(offer);
+  ReplyToOffer(tables, from, id, Verdict::kAccepted, {});
+  return attempt;
+}
+
+void CloseAttempt(AgentTables& tables, const AttemptId& id, Ending ending) {
+  auto it = tables.attempts.find(id);
+  if (it == tables.attempts.end()) {
+    return;
+  }
+  const Attempt attempt = std::move(it->second);
+  tables.attempts.erase(it);
+  ClosedAttempt& closed =
+      Record(tables, attempt.id, attempt.entry, attempt.deadline);
+  closed.ending = std::move(ending);
+  RepeatFinish(tables, attempt.id, closed);
+}
+
+void EndWithAnswer(AgentTables& tables, const AttemptId& id, Ending ending) {
+  const Attempt* attempt = FindAttempt(tables, id);
+  if (!attempt) {
+    return;
+  }
+  if (ending.failure.code == ErrorCode::kNone) {
+    SendAnswer(tables, attempt->entry, id, ending.answer);
+  }
+  CloseAttempt(tables, id, std::move(ending));
+}
+
+void RepeatFinish(AgentTables& tables,
+                  const AttemptId& id,
+                  const ClosedAttempt& closed) {
+  Finish finish;
+  finish.attempt = id;
+  finish.chunk_count = closed.ending.chunk_count;
+  finish.failure = closed.ending.failure;
+  finish.http_status = closed.ending.http_status;
+  finish.content_type = closed.ending.content_type;
+  finish.state = MakeState(tables);
+  SendTo(tables, closed.entry, std::move(finish));
+}
+
+void SendAnswer(AgentTables& tables,
+                const PeerId& to,
+                const AttemptId& attempt,
+                uint64_t answer) {
+  if (const ServiceAnswer* found = FindAnswer(tables.answers, answer)) {
+    SendTo(tables, to, Chunk{attempt, 0, 0, found->body});
+  }
+}
+
+uint64_t StoreAnswer(AnswerStore& store, ServiceAnswer answer) {
+  const uint64_t number = store.next++;
+  store.bytes += answer.body.size();
+  store.answers.emplace(number, std::move(answer));
+  // The newest answer is still to be sent, so it stays even when it is larger
+  // than the limit.
+  while (store.bytes > kMaxAnswerBytes && store.answers.size() > 1) {
+    store.bytes -= store.answers.begin()->second.body.size();
+    store.answers.erase(store.answers.begin());
+  }
+  return number;
+}
+
+const ServiceAnswer* FindAnswer(const AnswerStore& store, uint64_t number) {
+  auto it = store.answers.find(number);
+  return it == store.answers.end() ? nullptr : &it->second;
+}
+
+void ExpireClosed(AgentTables& tables) {
+  std::erase_if(tables.closed, [&](const auto& row) {
+    return row.second.expires <= tables.now;
+  });
+  std::erase_if(tables.released_holds,
+                [&](const auto& row) { return row.second <= tables.now; });
+}
+
+}  // namespace burdockhatch
--- a/src/object_api_http.cc
+++ b/src/object_api_http.cc
@@ -1,5 +1,6 @@
 #include "src/object_api_http.h"
 
+#include <atomic>
 #include <charconv>
 #include <deque>
 #include <utility>
@@ -9,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -22,6 +24,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
+using Strand = asio::strand<asio::io_context::executor_type>;
 
 // Larger than any object and than the instance list at the design scale.
 constexpr uint64_t kMaxBody = uint64_t{8} << 20;
@@ -156,7 +159,7 @@
 }
 
 struct Connection {
-  explicit Connection(asio::io_context& context) : socket(context) {}
+  explicit Connection(const Strand& strand) : socket(strand) {}
 
   tcp::socket socket;
   beast::flat_buffer buffer;
@@ -179,12 +182,12 @@
  public:
   using Done = std::function<void(HttpReply)>;
 
-  Call(asio::io_context& context,
+  Call(const Strand& strand,
        http::request<http::string_body> request,
        bool is_watch,
        Done done)
       : is_watch_(is_watch),
-        timer_(context),
+        timer_(strand),
         request_(std::move(request)),
         done_(std::move(done)) {
     parser_.body_limit(kMaxBody);
@@ -225,25 +228,34 @@
 // The connections and the calls that wait for one.
 class ObjectApiHttp::Pool : public std::enable_shared_from_this<Pool> {
  public:
-  Pool(asio::io_context& context, ObjectApiHttpOptions options)
-      : context_(context),
+  Pool(asio::io_context& control,
+       asio::io_context& traffic,
+       ObjectApiHttpOptions options)
+      : control_(control),
+        strand_(asio::make_strand(traffic)),
         options_(std::move(options)),
         endpoint_(ParseEndpoint(options_.address)) {}
 
+  // From any thread: `convert` turns the answer into a callback, which runs on
+  // the control thread.
   void Submit(http::request<http::string_body> request,
               Duration wait,
               bool is_watch,
-              Call::Done done);
-  void Stop();
+              std::function<std::function<void()>(HttpReply)> convert);
+  // On the control thread: no callback runs from now on.
+  void Close();
   void OnCallEnded(const Call* call, std::unique_ptr<Connection> connection);
 
  private:
+  void Stop();
   void Begin(const std::shared_ptr<Call>& call, Duration wait);
   void Pump();
   bool MayStart(const Call& call) const;
   std::unique_ptr<Connection> TakeConnection();
 
-  asio::io_context& context_;
+  asio::io_context& control_;
+  const Strand strand_;  // Guards everything below but `closed_`.
+  std::atomic<bool> closed_ = false;
   const ObjectApiHttpOptions options_;
   const std::optional<tcp::endpoint> endpoint_;
   bool stopped_ = false;
@@ -367,22 +379,36 @@
   }
 }
 
-void ObjectApiHttp::Pool::Submit(http::request<http::string_body> request,
-                                 Duration wait,
-                                 bool is_watch,
-                                 Call::Done done) {
+void ObjectApiHttp::Pool::Submit(
+    http::request<http::string_body> request,
+    Duration wait,
+    bool is_watch,
+    std::function<std::function<void()>(HttpReply)> convert) {
   request.set(http::field::host, options_.address);
   request.keep_alive(true);
   request.prepare_payload();
-  auto call = std::make_shared<Call>(context_, std::move(request), is_watch,
+  auto done = [self = shared_from_this(),
+               convert = std::move(convert)](HttpReply reply) {
+    asio::post(self->control_, [self, callback = convert(std::move(reply))] {
+      if (!self->closed_) {
+        callback();
+      }
+    });
+  };
+  auto call = std::make_shared<Call>(strand_, std::move(request), is_watch,
                                      std::move(done));
-  asio::post(context_, [self = shared_from_this(), call, wait] {
+  asio::post(strand_, [self = shared_from_this(), call, wait] {
     if (!self->stopped_) {
       self->Begin(call, wait);
     }
   });
 }
 
+void ObjectApiHttp::Pool::Close() {
+  closed_ = true;
+  asio::post(strand_, [self = shared_from_this()] { self->Stop(); });
+}
+
 void ObjectApiHttp::Pool::Begin(const std::shared_ptr<Call>& call,
                                 Duration wait) {
   call->Arm(shared_from_this(), options_.call_timeout + wait);
@@ -423,7 +449,7 @@
       return connection;
     }
   }
-  return std::make_unique<Connection>(context_);
+  return std::make_unique<Connection>(strand_);
 }
 
 void ObjectApiHttp::Pool::OnCallEnded(const Call* call,
@@ -463,19 +489,35 @@
 
 }  // namespace
 
-ObjectApiHttp::ObjectApiHttp(asio::io_context& context,
+ObjectApiHttp::ObjectApiHttp(asio::io_context& control,
+                             asio::io_context& traffic,
                              ObjectApiHttpOptions options)
-    : pool_(std::make_shared<Pool>(context, std::move(options))) {}
+    : pool_(std::make_shared<Pool>(control, traffic, std::move(options))) {}
 
 ObjectApiHttp::~ObjectApiHttp() {
-  pool_->Stop();
+  pool_->Close();
+}
+
+std::unique_ptr<ObjectApi> MakeHttpObjectApi(asio::io_context& control,
+                                             asio::io_context& traffic,
+                                             std::string address) {
+  return std::make_unique<ObjectApiHttp>(
+      control, traffic, ObjectApiHttpOptions{.address = std::move(address)});
+}
+
+namespace {
+
+auto ObjectConverter(ObjectApi::ObjectCallback done) {
+  return [done = std::move(done)](HttpReply reply) -> std::function<void()> {
+    return [done, result = ToObjectReply(std::move(reply))] { done(result); };
+  };
 }
 
+}  // namespace
+
 void ObjectApiHttp::Read(const ObjectName& name, ObjectCallback done) {
   pool_->Submit(MakeRequest(http::verb::get, ObjectPath("objects", name)),
-                Duration(0), false, [done = std::move(done)](HttpReply reply) {
-                  done(ToObjectReply(std::move(reply)));
-                });
+                Duration(0), false, ObjectConverter(std::move(done)));
 }
 
 void ObjectApiHttp::Update(const ObjectName& name,
@@ -491,9 +533,7 @@
   request.set(http::field::content_type, "application/json");
   request.body() = std::move(value);
   pool_->Submit(std::move(request), Duration(0), false,
-                [done = std::move(done)](HttpReply reply) {
-                  done(ToObjectReply(std::move(reply)));
-                });
+                ObjectConverter(std::move(done)));
 }
 
 void ObjectApiHttp::Watch(const ObjectName& name,
@@ -506,9 +546,7 @@
       fmt::format("{}?after={}&wait_ms={}", ObjectPath("watch", name),
                   after.value(), wait_ms);
   pool_->Submit(MakeRequest(http::verb::get, target), wait, true,
-                [done = std::move(done)](HttpReply reply) {
-                  done(ToObjectReply(std::move(reply)));
-                });
+                ObjectConverter(std::move(done)));
 }
 
 void ObjectApiHttp::ListInstances(ObjectVersion have, InstanceCallback done) {
@@ -516,10 +554,12 @@
   if (have.value() != 0) {
     request.set(http::field::if_none_match, QuotedVersion(have));
   }
-  pool_->Submit(std::move(request), Duration(0), false,
-                [done = std::move(done)](const HttpReply& reply) {
-                  done(ToInstanceListReply(reply));
-                });
+  pool_->Submit(
+      std::move(request), Duration(0), false,
+      [done =
+           std::move(done)](const HttpReply& reply) -> std::function<void()> {
+        return [done, result = ToInstanceListReply(reply)] { done(result); };
+      });
 }
 
 std::optional<InstanceListReply> ParseInstanceList(std::string_view body) {
