--- a/tests/config_object_api_http_test.cc
+++ b/tests/config_object_api_http_test.cc
@@ -144,7 +144,9 @@
  public:
   explicit Client(const std::string& address,
                   Duration timeout = std::chrono::seconds(20))
-      : api_(context_, {.address = address, .call_timeout = timeout}) {}
+      : api_(context_,
+             context_,
+             {.address = address, .call_timeout = timeout}) {}
 
   ObjectApi& api() { return api_; }
   asio::io_context& context() { return context_; }
@@ -337,7 +339,7 @@
       [&](const TinyServer::Request&) { return Script{.silent = true}; });
   asio::io_context context;
   auto api = std::make_unique<ObjectApiHttp>(
-      context,
+      context, context,
       ObjectApiHttpOptions{.address = server.address(),
                            .call_timeout = std::chrono::milliseconds(20)});
   int calls = 0;
@@ -351,6 +353,23 @@
   EXPECT_EQ(calls, 0);
 }
 
+// Guards against a callback that was queued on the control thread and runs
+// after its owner has destroyed the adapter.
+TEST(ObjectApiHttpTest, DestructionDropsQueuedCallbacks) {
+  TinyServer server(
+      [&](const TinyServer::Request&) { return Script{.etag = "\"7\""}; });
+  asio::io_context control;
+  asio::io_context traffic;
+  auto api = std::make_unique<ObjectApiHttp>(
+      control, traffic, ObjectApiHttpOptions{.address = server.address()});
+  int calls = 0;
+  api->Read(Fleet(), [&](const ObjectReply&) { ++calls; });
+  traffic.run();
+  api.reset();
+  EXPECT_EQ(control.run(), 1u);
+  EXPECT_EQ(calls, 0);
+}
+
 TEST(ObjectApiHttpTest, InstanceListIsParsed) {
   TinyServer server([&](const TinyServer::Request& request) {
     if (request[http::field::if_none_match] == "\"12\"") {
