--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -139,7 +139,8 @@
 bool DaemonLoop::StartParts() {
   ObjectApiHttpOptions object_api_options;
   object_api_options.address = settings_.object_api_address;
-  object_api_ = std::make_unique<ObjectApiHttp>(control_, object_api_options);
+  object_api_ =
+      std::make_unique<ObjectApiHttp>(control_, traffic_, object_api_options);
   BusOptions bus_options;
   bus_options.self = self_;
   bus_options.bind_address = settings_.bus_address;
