--- a/src/object_api_http.h
+++ b/src/object_api_http.h
@@ -30,12 +30,15 @@
   uint32_t connections = 4;
 };
 
-// Runs on one io_context, which one thread runs; calls may come from any
-// thread. Destroy it on that thread; callbacks of calls that are pending then
-// are dropped.
+// Connections run on `traffic`, which any number of threads may run; callbacks
+// run on `control`, which one thread runs. The two may be the same. Calls may
+// come from any thread. Destroy it on the control thread; callbacks of calls
+// that are pending then are dropped.
 class ObjectApiHttp : public ObjectApi {
  public:
-  ObjectApiHttp(boost::asio::io_context& context, ObjectApiHttpOptions options);
+  ObjectApiHttp(boost::asio::io_context& control,
+                boost::asio::io_context& traffic,
+                ObjectApiHttpOptions options);
   ~ObjectApiHttp() override;
   ObjectApiHttp(const ObjectApiHttp&) = delete;
   ObjectApiHttp& operator=(const ObjectApiHttp&) = delete;
@@ -58,6 +61,11 @@
   std::shared_ptr<Pool> pool_;
 };
 
+// An ObjectApiHttp with default options.
+std::unique_ptr<ObjectApi> MakeHttpObjectApi(boost::asio::io_context& control,
+                                             boost::asio::io_context& traffic,
+                                             std::string address);
+
 // Parses the body of GET /instances. Lines that are malformed or describe other
 // software are left out, so that one bad line does not hide the fleet. Returns
 // nullopt when the body as a whole is malformed.
