--- /dev/null
+++ b/tests/metrics_test.cc
@@ -0,0 +1,55 @@
+#include "src/metrics.h"
+
+#include <gtest/gtest.h>
+
+#include "src/log.h"
+
+namespace burdockhatch {
+namespace {
+
+TEST(MetricsTest, WritesTheTextFormat) {
+  Metrics metrics;
+  metrics.Count("requests_total", "code=\"none\"");
+  metrics.Count("requests_total", "code=\"none\"", 2);
+  metrics.SetGauge("open", "", -3);
+  const std::string text = metrics.Text();
+  EXPECT_NE(text.find("# TYPE requests_total counter\n"
+                      "requests_total{code=\"none\"} 3\n"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find("# TYPE open gauge\nopen -3\n"), std::string::npos);
+}
+
+// Guards against observations that are lost outside the buckets, and buckets
+// that do not add up.
+TEST(MetricsTest, HistogramBucketsAreCumulative) {
+  Metrics metrics;
+  metrics.Observe("seconds", "", Duration(0));
+  metrics.Observe("seconds", "", std::chrono::milliseconds(50));
+  metrics.Observe("seconds", "", std::chrono::hours(2));
+  const std::string text = metrics.Text();
+  EXPECT_NE(text.find("seconds_bucket{le=\"0.001\"} 1\n"), std::string::npos)
+      << text;
+  EXPECT_NE(text.find("seconds_bucket{le=\"0.1\"} 2\n"), std::string::npos);
+  EXPECT_NE(text.find("seconds_bucket{le=\"300\"} 2\n"), std::string::npos);
+  EXPECT_NE(text.find("seconds_bucket{le=\"+Inf\"} 3\n"), std::string::npos);
+  EXPECT_NE(text.find("seconds_count 3\n"), std::string::npos);
+}
+
+// Guards against a value from outside that forges a line or a field.
+TEST(LogTest, EventsStayOnOneLine) {
+  testing::internal::CaptureStderr();
+  SetLogIdentity(InstanceId("i-1"), DataCentreId("dc"));
+  LogRequest(LogLevel::kWarning, {1, 2}, "event",
+             {{"key", "a\nlevel=error b=\"c\""}});
+  const std::string line = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(std::count(line.begin(), line.end(), '\n'), 1);
+  EXPECT_NE(line.find("level=warning instance=i-1 data_centre=dc event=event "
+                      "request=00000000000000010000000000000002 "
+                      "key=\"a\\x0alevel=error b=\\\"c\\\"\""),
+            std::string::npos)
+      << line;
+}
+
+}  // namespace
+}  // namespace burdockhatch
