--- a/tests/agent_invariants.h
+++ b/tests/agent_invariants.h
@@ -11,16 +11,17 @@
 // The agent books what the engine holds, and nothing else. Only true once
 // cancels, releases and lists have settled.
 inline void CheckBookedMemory(const WorldNode& node) {
-  std::map<BookingId, Tokens> held;
+  std::map<std::string, int64_t> held;
   for (const auto& [id, stream] : node.engine.streams) {
-    held[{id, false}] = stream.memory;
+    held[id.value()] = stream.memory.value();
   }
   for (const auto& [id, memory] : node.engine.caches) {
-    held[{id, true}] = memory;
+    held["cache " + id.value()] = memory.value();
   }
-  std::map<BookingId, Tokens> booked;
+  std::map<std::string, int64_t> booked;
   for (const auto& [id, booking] : node.core->tables().bookings) {
-    booked[id] = booking.memory;
+    booked[(id.is_cache ? "cache " : "") + id.stream.value()] =
+        booking.memory.value();
   }
   EXPECT_EQ(booked, held) << node.options.self.instance.value();
 }
--- /dev/null
+++ b/tests/agent_report_test.cc
@@ -0,0 +1,174 @@
+#include <gtest/gtest.h>
+#include <boost/json.hpp>
+
+#include "src/agent_report.h"
+#include "src/prefix_table.h"
+#include "tests/agent_invariants.h"
+#include "tests/agent_world.h"
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against entries that plan with old hints, and against reports that
+// exceed the control-plane budget.
+TEST(AgentReportTest, SubscribersGetOneReportASecond) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddEngineAgent("agent-1");
+  world.Run(milliseconds(100));
+  world.Send(node, Subscribe{seconds(10)});
+  for (int i = 0; i < 5; ++i) {
+    world.Run(seconds(1));
+    world.Send(node, Subscribe{seconds(10)});
+  }
+  // One at once, then one a second.
+  EXPECT_EQ(world.reports.size(), 6u);
+  for (size_t i = 1; i < world.reports.size(); ++i) {
+    EXPECT_GT(world.reports[i].second.state.sequence,
+              world.reports[i - 1].second.state.sequence);
+  }
+  world.Run(seconds(30));
+  EXPECT_LE(world.reports.size(), 6u + 10u);
+}
+
+// Guards against a burst of reports after a pause.
+TEST(AgentReportTest, MissedReportsAreNotMadeUpFor) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddEngineAgent("agent-1");
+  world.Run(milliseconds(100));
+  world.Send(node, Subscribe{seconds(600)});
+  world.Pause(node);
+  world.Run(seconds(60));
+  world.Unpause(node);
+  const size_t before = world.reports.size();
+  world.Run(milliseconds(500));
+  EXPECT_LE(world.reports.size(), before + 1);
+}
+
+// Guards against a drain that entries learn of too late, that ends before the
+// running work, or that says goodbye early.
+TEST(AgentReportTest, DrainIsToldAtOnceAndGoodbyeAtTheEnd) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddEngineAgent("agent-1");
+  world.Run(milliseconds(100));
+  world.Send(node, Subscribe{seconds(60)});
+  const AttemptId running = world.SendOffer(
+      node, world.Completion(Tokens(1'000), Tokens(2'000), seconds(30)));
+  world.Run(milliseconds(50));
+  node.core->BeginDrain(world.now());
+  world.Run(AgentWorld::kStep);
+  EXPECT_TRUE(world.reports.back().second.state.draining);
+  EXPECT_FALSE(node.core->Drained());
+  EXPECT_EQ(world.goodbyes, 0);
+  world.Run(seconds(5));
+  EXPECT_TRUE(node.core->Drained());
+  EXPECT_EQ(world.goodbyes, 1);
+  EXPECT_EQ(world.offers[running].finishes[0].second.failure.code,
+            ErrorCode::kNone);
+  CheckAll(world);
+}
+
+// Guards against a drain that gives up a keyed call, whose key could then not
+// be used anywhere.
+TEST(AgentReportTest, DrainLetsKeyedCallsEnd) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddServiceAgent("agent-1");
+  world.Run(milliseconds(100));
+  const AttemptId call =
+      world.SendOffer(node, world.KeyedCall("k", seconds(5)));
+  world.Run(Duration(1));
+  node.core->BeginDrain(world.now());
+  world.Run(seconds(1));
+  EXPECT_EQ(world.executions[call], 1);
+  EXPECT_TRUE(node.core->Drained());
+}
+
+// Guards against new work at a target that has been leaving for longer than the
+// bound of 3 s.
+TEST(AgentReportTest, DrainEndsCallsThatWaitForAClaim) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddServiceAgent("agent-1");
+  world.Run(milliseconds(100));
+  world.faults.outage = true;
+  const AttemptId call =
+      world.SendOffer(node, world.KeyedCall("k", seconds(30)));
+  world.Run(milliseconds(20));
+  node.core->BeginDrain(world.now());
+  world.Run(seconds(3));
+  ASSERT_EQ(world.offers[call].finishes.size(), 1u);
+  EXPECT_EQ(world.offers[call].finishes[0].second.failure.code,
+            ErrorCode::kTargetDraining);
+  EXPECT_TRUE(node.core->Drained());
+}
+
+// Guards against a state that contradicts the tables.
+TEST(AgentReportTest, StateCountsTheWork) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddEngineAgent("agent-1");
+  world.Run(milliseconds(100));
+  world.SendOffer(node,
+                  world.Completion(Tokens(45'000), Tokens(2'000), seconds(30)));
+  world.SendOffer(node,
+                  world.Completion(Tokens(20'000), Tokens(100), seconds(30)));
+  world.Run(milliseconds(20));
+  const AgentState state = node.core->State(world.now());
+  EXPECT_TRUE(state.ready);
+  EXPECT_EQ(state.running, 1u);
+  EXPECT_EQ(state.waiting, 1u);
+  EXPECT_EQ(state.in_flight, Tokens(47'000));
+  EXPECT_EQ(state.queued, Tokens(20'100));
+  EXPECT_EQ(state.memory_free, Tokens(450'000 - 47'000));
+  EXPECT_EQ(state.warm_budget, Tokens(50'000));
+  EXPECT_EQ(state.full_budget, Tokens(400'000));
+}
+
+// Guards against a dump that no tool can read.
+TEST(AgentReportTest, DumpIsJson) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddEngineAgent("agent-1");
+  world.Run(milliseconds(100));
+  world.SendOffer(node,
+                  world.Completion(Tokens(4'000), Tokens(2'000), seconds(30)));
+  world.Run(milliseconds(20));
+  const auto root =
+      boost::json::parse(node.core->Dump(world.now())).as_object();
+  EXPECT_EQ(root.at("bookings").as_array().size(), 1u);
+  EXPECT_EQ(root.at("attempts").as_array().size(), 1u);
+  EXPECT_EQ(root.at("in_flight").to_number<int64_t>(), 6'000);
+}
+
+constexpr Time kNow{seconds(100)};
+
+// Guards against a late event that undoes a newer one.
+TEST(AgentPrefixTableTest, LateEventIsDropped) {
+  PrefixTable table;
+  ApplyCacheEvents(table, {{1, true, 7}, {3, false, 7}, {2, true, 7}}, kNow);
+  EXPECT_TRUE(RecentPrefixes(table, 10).empty());
+}
+
+// Guards against prefixes that are reported for good although the event of
+// their eviction was lost.
+TEST(AgentPrefixTableTest, GapMakesOlderPrefixesDoubtful) {
+  PrefixTable table;
+  ApplyCacheEvents(table, {{1, true, 7}, {2, true, 8}}, kNow);
+  ApplyCacheEvents(table, {{9, true, 8}}, kNow);
+  ExpirePrefixes(table, kNow + seconds(1));
+  EXPECT_EQ(RecentPrefixes(table, 10), (std::vector<uint64_t>{8, 7}));
+  ExpirePrefixes(table, kNow + kDoubtfulPrefixTime);
+  EXPECT_EQ(RecentPrefixes(table, 10), std::vector<uint64_t>{8});
+}
+
+// Guards against a table that grows without bound.
+TEST(AgentPrefixTableTest, LeastUsedPrefixesMakeRoom) {
+  PrefixTable table;
+  for (uint64_t i = 1; i <= 3 * kMaxPrefixes; ++i) {
+    ApplyCacheEvents(table, {{i, true, i}}, kNow);
+  }
+  EXPECT_LE(table.prefixes.size(), kMaxPrefixes);
+  EXPECT_EQ(RecentPrefixes(table, 1), std::vector<uint64_t>{3 * kMaxPrefixes});
+}
+
+}  // namespace
+}  // namespace burdockhatch
