--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -13,16 +13,19 @@
 #include <absl/flags/usage.h>
 #include <fmt/format.h>
 
+#include "bench/control_cost.h"
 #include "bench/experiments.h"
 #include "bench/report.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "Seed of the workloads.");
 ABSL_FLAG(int, replicas, 16, "Model-serving replicas.");
 ABSL_FLAG(bool, json, false, "Print the figures as JSON.");
-ABSL_FLAG(std::string,
-          only,
-          "",
-          "Run one experiment: slowdown, overload, long, data_centre, cold.");
+ABSL_FLAG(
+    std::string,
+    only,
+    "",
+    "Run one experiment: slowdown, overload, long, data_centre, cold, control, "
+    "decision.");
 
 namespace burdockhatch::bench {
 namespace {
@@ -32,7 +35,8 @@
 constexpr std::pair<std::string_view, Experiment> kExperiments[] = {
     {"slowdown", RunSlowdown}, {"overload", RunOverload},
     {"long", RunLongPrompts},  {"data_centre", RunDataCentreChange},
-    {"cold", RunColdTargets},
+    {"cold", RunColdTargets},  {"decision", RunDecision},
+    {"control", RunControl},
 };
 
 int Main() {
