--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -38,6 +38,7 @@
 constexpr double kMostReads = 2'000;
 constexpr double kMostSpreadSeconds = 9;
 
+constexpr uint64_t kDistinctBlocks = 200;  // Keeps runs of a fleet short.
 constexpr double kInstancePollSeconds = 15;
 constexpr double kClaimWritesPerService = 160;
 
@@ -297,6 +298,7 @@
   options->agents = 84;
   options->subset_size = 12;
   options->service_time = 500ms;
+  options->distinct_blocks = kDistinctBlocks;
 }
 
 void RunFleetSlopes(uint64_t seed, Report* report, Slopes* slopes) {
@@ -490,6 +492,7 @@
   options.accounts = kAccounts;
   options.active_accounts = kAccounts;
   options.requests_per_entry = kRequestsPerEntry;
+  options.distinct_blocks = kDistinctBlocks;
   return options;
 }
 
@@ -526,20 +529,29 @@
 
 void RunControl(const ExperimentOptions& options, Report* report) {
   Slopes slopes;
+  const auto progress = [](const char* part) {
+    fmt::print(stderr, "control: {}\n", part);
+  };
+  progress("targets");
   RunTargetSlopes(options.seed, report, &slopes);
   RunListedSlopes(options.seed, report, &slopes);
   RunSubscriberSlopes(options.seed, report, &slopes);
+  progress("requests");
   RunRequestSlopes(options.seed, report, &slopes);
   RunRunningSlopes(options.seed, report, &slopes);
+  progress("entries");
   RunFleetSlopes(options.seed, report, &slopes);
+  progress("accounts");
   RunActiveAccountSlopes(options.seed, report);
   RunChangeSlopes(options.seed, report, &slopes);
   RunDocumentSlopes(options.seed, report, &slopes);
+  progress("whole fleet");
   const auto [followed, subscribers] = RunFleet(options.seed, report);
   Extrapolate(slopes, followed, subscribers, report);
   report->Check("control", "configuration document, 2,800 accounts", "B",
                 slopes.document.At(kAccounts) + 64 * 1024,
                 {Sense::kAtMost, 1 << 20});
+  progress("spread");
   RunSpread(options.seed, report);
   report->Add({"control", "1,000,000 steps of the reference loop", "ms",
                ReferenceSeconds() * 1e3, std::nullopt, false});
--- a/bench/fleet_sim.cc
+++ b/bench/fleet_sim.cc
@@ -422,7 +422,10 @@
   spec.prompt_tokens = options_.prompt;
   spec.max_output_tokens = kOutput;
   for (int64_t i = 0; i < options_.prompt.value() / kTokensPerBlock; ++i) {
-    spec.prefix_hashes.push_back(random_.Next());
+    spec.prefix_hashes.push_back(
+        options_.distinct_blocks == 0
+            ? random_.Next()
+            : MixHash(options_.seed, random_.Below(options_.distinct_blocks)));
   }
   spec.deadline = now_ + options_.deadline;
   return spec;
--- a/bench/fleet_sim.h
+++ b/bench/fleet_sim.h
@@ -36,6 +36,9 @@
   Duration service_time = std::chrono::seconds(4);
   Duration deadline = std::chrono::seconds(30);
   Tokens prompt{10'000};
+  // Blocks that prompts are made of; 0: no two prompts share a block. Agents
+  // scan the prefixes that they know for each state that they send.
+  uint64_t distinct_blocks = 0;
   int cached_prefixes = 32;  // That each target reports.
   double lost_messages = 0;  // Probability.
 };
