--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -33,10 +33,11 @@
 using Experiment = void (*)(const ExperimentOptions&, Report*);
 
 constexpr std::pair<std::string_view, Experiment> kExperiments[] = {
-    {"slowdown", RunSlowdown}, {"overload", RunOverload},
-    {"long", RunLongPrompts},  {"data_centre", RunDataCentreChange},
-    {"cold", RunColdTargets},  {"decision", RunDecision},
-    {"control", RunControl},
+    {"slowdown", RunSlowdown},   {"overload", RunOverload},
+    {"long", RunLongPrompts},    {"data_centre", RunDataCentreChange},
+    {"cold", RunColdTargets},    {"decision", RunDecision},
+    {"control", RunControl},     {"fleet", RunFleet},
+    {"spread", RunConfigSpread},
 };
 
 int Main() {
--- a/bench/control_cost.h
+++ b/bench/control_cost.h
@@ -9,9 +9,15 @@
 
 namespace burdockhatch::bench {
 
-// Slopes at small sizes, and the whole fleet at the design scale.
+// Slopes at small sizes, extrapolated to the design scale.
 void RunControl(const ExperimentOptions& options, Report* report);
 
+// The whole fleet at the design scale; checks the extrapolation.
+void RunFleet(const ExperimentOptions& options, Report* report);
+
+// Changes of the configuration through all processes of the design scale.
+void RunConfigSpread(const ExperimentOptions& options, Report* report);
+
 // Time and allocations of one choice among all targets.
 void RunDecision(const ExperimentOptions& options, Report* report);
 
