Do not renew shares of accounts that no caller uses

Each renewal extended the lease, and an account with a lease was never forgotten: an entry renewed the share of every account that it had seen, every 1.5 s. An account is now renewed only if a caller has used it since its share was asked for, while it is in debt, or while the home entry owes an answer.

--- a/src/account_limits.cc
+++ b/src/account_limits.cc
@@ -188,6 +188,21 @@
   return TokensPerSecond(static_cast<int64_t>(demand) + 1);
 }
 
+// An account that no caller has used since its share was asked for needs no
+// renewal. Most accounts at an entry are used once within a lease; renewing
+// their shares until they are forgotten made up most of the share traffic.
+// While the home entry owes an answer, the request is repeated.
+bool NeedsRenewal(const AccountLimits& limits,
+                  const LimitBucket& bucket,
+                  const InstanceId& home) {
+  if (bucket.wants_share || bucket.tokens < 0 ||
+      bucket.last_asked >= bucket.share_asked_at) {
+    return true;
+  }
+  const auto link = limits.links.find(home);
+  return link == limits.links.end() || !link->second.unanswered.empty();
+}
+
 std::map<InstanceId, ShareNeeds> CollectDemands(EntryTables& tables, Time now) {
   std::map<InstanceId, ShareNeeds> needs;
   const int64_t entries = LiveEntries(tables);
@@ -197,6 +212,9 @@
     CloseDemandWindow(bucket, now);
     Refill(bucket, config,
            ShareInUse(tables.limits, bucket, config, home, entries, now), now);
+    if (!NeedsRenewal(tables.limits, bucket, home)) {
+      continue;
+    }
     ShareNeeds& need = needs[home];
     need.request.demands.push_back({account, DemandOf(bucket)});
     need.first = need.first || bucket.wants_share;
@@ -214,7 +232,9 @@
   request.number = ++link.last_number;
   link.unanswered.emplace_back(request.number, now);
   for (const AccountDemand& it : request.demands) {
-    limits.buckets[it.account].wants_share = false;
+    LimitBucket& bucket = limits.buckets[it.account];
+    bucket.wants_share = false;
+    bucket.share_asked_at = now;
   }
   if (home == tables.options.self.instance) {
     const ShareGrant grant =
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -111,6 +111,7 @@
   double window_tokens = 0;  // Asked for since window_start.
   Time window_start;
   Time last_asked;
+  Time share_asked_at;       // When this entry last asked for a share.
   bool wants_share = false;  // No share, or too small a one; ask soon.
   InstanceId home;
   uint64_t home_version = 0;  // Value of entries_version that `home` fits.
--- a/tests/entry_limits_test.cc
+++ b/tests/entry_limits_test.cc
@@ -119,6 +119,13 @@
 
   Time now() const { return now_; }
   int64_t admitted() const { return admitted_; }
+  int share_requests() const { return share_requests_; }
+  bool HasLease(size_t index) {
+    const EntryTables& tables = cores_[index]->tables();
+    const auto bucket = tables.limits.buckets.find(Account());
+    return bucket != tables.limits.buckets.end() &&
+           bucket->second.lease_until > now_;
+  }
   double lost = 0;
   double late = 0;
   double duplicated = 0;
@@ -139,6 +146,7 @@
   }
 
   void Post(const InstanceId& from, const SendToAgent& send) {
+    share_requests_ += std::holds_alternative<ShareRequest>(send.body) ? 1 : 0;
     const int copies = random_.Unit() < lost         ? 0
                        : random_.Unit() < duplicated ? 2
                                                      : 1;
@@ -173,6 +181,7 @@
   std::set<InstanceId> gone_;
   uint64_t next_request_ = 0;
   int64_t admitted_ = 0;
+  int share_requests_ = 0;
 };
 
 void CheckShares(ShareNet& net) {
@@ -207,6 +216,36 @@
                          EntryLimitsFaultsTest,
                          testing::Range<uint64_t>(1, 9));
 
+// Guards against share traffic for accounts that no caller uses any more: at
+// the design scale most accounts at an entry are used once within a lease.
+TEST(EntryLimitsTest, UnusedAccountIsNotRenewed) {
+  ShareNet net(1, 2);
+  const size_t entry = 1 - net.IndexOf(net.Home());
+  ASSERT_TRUE(net.Ask(entry, 1));
+  for (int i = 0; i < 1000; ++i) {
+    net.Step();
+  }
+  EXPECT_EQ(net.share_requests(), 1);
+}
+
+// Guards against a share that is never asked for again when the only request
+// for it is lost.
+TEST(EntryLimitsTest, LostRequestForAnUnusedAccountIsRepeated) {
+  ShareNet net(1, 2);
+  const size_t entry = 1 - net.IndexOf(net.Home());
+  net.lost = 1;
+  ASSERT_TRUE(net.Ask(entry, 1));
+  for (int i = 0; i < 100; ++i) {
+    net.Step();
+  }
+  EXPECT_FALSE(net.HasLease(entry));
+  net.lost = 0;
+  for (int i = 0; i < 200; ++i) {
+    net.Step();
+  }
+  EXPECT_TRUE(net.HasLease(entry));
+}
+
 // Guards against a limit that entries exceed in the long run, and against one
 // that they cannot use.
 TEST(EntryLimitsTest, AdmitsAboutTheLimitWhenAllEntriesAreBusy) {
