--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	@echo "  make unit-test     tests of the core and of single modules"
 	@echo "  make process-test  tests with real processes on loopback"
 	@echo "  make bench         policy and control-cost figures with bounds and a signature"
+	@echo "                     (BENCH_FLAGS=--only=NAME runs one experiment)"
 	@echo "  make model         check the specifications in spec/ with spin"
 	@echo "  make fuzz          run each fuzz target for FUZZ_SECONDS (default 30)"
 	@echo "  make format        format all sources; format-check only reports"
--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -539,6 +539,10 @@
   RunChangeSlopes(options.seed, report, &slopes);
   RunDocumentSlopes(options.seed, report, &slopes);
   const auto [followed, subscribers] = FleetDegrees(options.seed);
+  report->Note("control", "design scale, targets followed by an entry", "count",
+               followed);
+  report->Note("control", "design scale, subscribers of an agent", "count",
+               subscribers);
   Extrapolate(slopes, followed, subscribers, report);
   report->Check("control", "configuration document, 2,800 accounts", "B",
                 slopes.document.At(kAccounts) + 64 * 1024,
