Give every live entry its part of unused account limits

The home entry divided what nobody asked for by the leases alone: the first entry to ask got half of the whole limit and the last got nothing for 5 s. Now it divides by the live entries.

--- a/bench/engine_model.cc
+++ b/bench/engine_model.cc
@@ -43,6 +43,11 @@
   Admit();
 }
 
+Tokens EngineModel::HeldCache(uint64_t cache) const {
+  const auto it = caches_.find(cache);
+  return it == caches_.end() ? Tokens(0) : it->second;
+}
+
 Tokens EngineModel::in_flight() const {
   Tokens sum;
   for (const EngineStream& it : streams_) {
--- a/bench/engine_model.h
+++ b/bench/engine_model.h
@@ -66,6 +66,7 @@
   void Cancel(uint64_t stream);
   void HoldCache(uint64_t cache, Tokens memory);
   void ReleaseCache(uint64_t cache);
+  Tokens HeldCache(uint64_t cache) const;
 
   bool Idle() const { return streams_.empty(); }
   // Runs one step that begins now and returns how long it takes; the events
--- a/bench/experiments.cc
+++ b/bench/experiments.cc
@@ -188,7 +188,7 @@
     for (const size_t k : {n, n + 1}) {
       items[k].prompt = kLongestPrompt;
       items[k].prefix_hashes.clear();
-      items[k].deadline = 330s;
+      items[k].deadline = DeadlineFor(items[k].prompt, items[k].max_output);
     }
     items[n + 1].arrival = items[n].arrival + 1us;
   }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -42,11 +42,15 @@
   Time arrival;
   int account = 0;
   Tokens prompt;
-  Tokens output;
+  Tokens output;      // What the model generates.
+  Tokens max_output;  // What the caller asks for at most.
   std::vector<uint64_t> prefix_hashes;
   Duration deadline{0};
 };
 
+// How long a caller waits.
+Duration DeadlineFor(Tokens prompt, Tokens max_output);
+
 // Arrivals are a Poisson process. The same seed gives the same short requests
 // whatever `longest` is.
 std::vector<WorkItem> MakeWorkload(const WorkloadOptions& options);
--- a/src/account_limits.cc
+++ b/src/account_limits.cc
@@ -129,22 +129,27 @@
   return total;
 }
 
-// What the entries together do not ask for. Half of it is granted on top, so
-// that demand can grow within a lease; the other half stays for entries that
-// ask next.
-int64_t ExtraShare(const HomeAccount& home, int64_t level, int64_t total) {
+// An even part, for each live entry, of what the entries together do not ask
+// for. It is granted on top, so that demand can grow within a lease. Entries
+// that have not asked yet keep their part: dividing by the leases alone gave
+// nearly everything to the first to ask and nothing to the last for a lease.
+int64_t ExtraShare(const HomeAccount& home,
+                   int64_t level,
+                   int64_t total,
+                   int64_t entries) {
   int64_t left = total;
   for (const auto& [entry, lease] : home.leases) {
     left -= std::min(lease.demand, level);
   }
-  return std::max<int64_t>(left, 0) / 2 /
-         static_cast<int64_t>(home.leases.size());
+  const auto leases = static_cast<int64_t>(home.leases.size());
+  return std::max<int64_t>(left, 0) / std::max(leases, entries);
 }
 
 int64_t GrantOne(HomeAccount& home,
                  const PeerId& requester,
                  int64_t demand,
                  int64_t limit,
+                 int64_t entries,
                  Time now) {
   ForgetOldLeases(home, now);
   HomeLease& lease = home.leases[requester];
@@ -157,7 +162,7 @@
   }
   const int64_t level = FairLevel(home, total);
   const int64_t wanted =
-      std::min(lease.demand, level) + ExtraShare(home, level, total);
+      std::min(lease.demand, level) + ExtraShare(home, level, total, entries);
   const int64_t share =
       std::clamp<int64_t>(wanted, 0, std::max<int64_t>(total - others, 0));
   lease.grants.push_back({share, now + kShareLease});
@@ -218,7 +223,8 @@
   }
   if (home == tables.options.self.instance) {
     const ShareGrant grant =
-        GrantShares(limits, *tables.config, tables.options.self, request, now);
+        GrantShares(limits, *tables.config, tables.options.self, request,
+                    LiveEntries(tables), now);
     ApplyGrant(limits, home, grant, now);
     return;
   }
@@ -302,6 +308,7 @@
                        const FleetConfig& config,
                        const PeerId& requester,
                        const ShareRequest& request,
+                       int64_t entries,
                        Time now) {
   ShareGrant grant;
   grant.number = request.number;
@@ -313,7 +320,7 @@
     }
     const int64_t share =
         GrantOne(limits.homes[it.account], requester, it.demand.value(),
-                 account->second.limit.value(), now);
+                 account->second.limit.value(), entries, now);
     grant.shares.push_back({it.account, TokensPerSecond(share)});
   }
   return grant;
@@ -400,9 +407,9 @@
   if (!tables.config) {
     return;
   }
-  tables.actions.push_back(SendToAgent{
-      sender,
-      GrantShares(tables.limits, *tables.config, sender, request, now)});
+  tables.actions.push_back(
+      SendToAgent{sender, GrantShares(tables.limits, *tables.config, sender,
+                                      request, LiveEntries(tables), now)});
 }
 
 int64_t GrantedTotal(const AccountLimits& limits,
--- a/src/account_limits.h
+++ b/src/account_limits.h
@@ -42,11 +42,13 @@
                    Time now);
 
 // Home side: answers a request. The unexpired shares of all entries together
-// never exceed kGrantedPercent of the limit.
+// never exceed kGrantedPercent of the limit. `entries` is the number of live
+// entries, this one included.
 ShareGrant GrantShares(AccountLimits& limits,
                        const FleetConfig& config,
                        const PeerId& requester,
                        const ShareRequest& request,
+                       int64_t entries,
                        Time now);
 
 // Takes over the shares of a grant. The lease counts from when the request was
