Scan the targets once per placement decision

The load bound of affinity needs the mean load, so only targets with a cached prefix are looked at twice, and the inverse of the budget is kept.

--- a/src/affinity.cc
+++ b/src/affinity.cc
@@ -33,6 +33,7 @@
 
 void MarkCachedBlocks(FleetTable& fleet,
                       const std::vector<uint64_t>& prefix_hashes) {
+  fleet.cached.clear();
   const size_t count = std::min(prefix_hashes.size(), kMaxPrefixLookups);
   for (size_t i = count; i-- > 0;) {
     const auto entry = fleet.affinity.find(prefix_hashes[i]);
@@ -44,6 +45,7 @@
       if (hint.affinity_mark != fleet.mark) {
         hint.affinity_mark = fleet.mark;
         hint.cached_blocks = static_cast<uint32_t>(i + 1);
+        fleet.cached.push_back(slot);
       }
     }
   }
--- a/src/affinity.h
+++ b/src/affinity.h
@@ -22,7 +22,7 @@
                     const std::vector<uint64_t>& prefixes);
 
 // Sets `cached_blocks` of each target that holds a prefix, with affinity_mark =
-// fleet.mark. Does not allocate.
+// fleet.mark, and lists these targets in fleet.cached. Does not allocate.
 void MarkCachedBlocks(FleetTable& fleet,
                       const std::vector<uint64_t>& prefix_hashes);
 
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -46,11 +46,13 @@
   int64_t warm_budget = 0;        // Tokens; 0 when not reported.
   int64_t memory_total = 0;       // Tokens; 0 when not reported.
   int64_t memory_free = 0;
-  double wait_us = 0;       // Until a short request is dispatched.
-  double us_per_token = 0;  // Prefill; 0 for plain services.
-  double distance_us = 0;   // Cost of reaching its data centre.
+  double load_per_token = 0;  // Inverse of the budget.
+  double wait_us = 0;         // Until a short request is dispatched.
+  double us_per_token = 0;    // Prefill; 0 for plain services.
+  double distance_us = 0;     // Cost of reaching its data centre.
   uint64_t affinity_mark = 0;
   uint64_t excluded_mark = 0;
+  uint64_t candidate_mark = 0;
   uint32_t cached_blocks = 0;  // Valid when affinity_mark is current.
   Standing standing = Standing::kUnheard;
 };
@@ -88,6 +90,8 @@
   std::map<ServiceId, std::vector<TargetSlot>> by_service;
   AffinityIndex affinity;
   uint64_t mark = 0;  // Tells marks of this decision from older ones.
+  // Targets that hold a prefix of the request; room for all is reserved.
+  std::vector<TargetSlot> cached;
 };
 
 // Another entry.
--- a/src/fleet_table.cc
+++ b/src/fleet_table.cc
@@ -56,6 +56,7 @@
   if (fleet.free_slots.empty()) {
     fleet.rows.emplace_back();
     fleet.hints.emplace_back();
+    fleet.cached.reserve(fleet.rows.capacity());
     return static_cast<TargetSlot>(fleet.rows.size() - 1);
   }
   const TargetSlot slot = fleet.free_slots.back();
@@ -63,9 +64,18 @@
   return slot;
 }
 
+// Stands in for the budget of targets that report none.
+constexpr double kUnreportedBudget = 1e6;
+
+double BudgetOf(const AgentState& state) {
+  const int64_t budget = state.warm_budget.value();
+  return budget > 0 ? static_cast<double>(budget) : kUnreportedBudget;
+}
+
 void UpdateHint(TargetHint& hint, const AgentState& state) {
   hint.reported_tokens = (state.in_flight + state.queued).value();
   hint.warm_budget = state.warm_budget.value();
+  hint.load_per_token = 1 / BudgetOf(state);
   hint.memory_total = state.memory_total.value();
   hint.memory_free = state.memory_free.value();
   hint.wait_us = static_cast<double>(state.expected_wait.count());
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -31,16 +31,8 @@
 // would all choose the same target until the next report.
 constexpr double kJitter = 0.2;
 
-// Stands in for the budget of targets that report none.
-constexpr double kUnreportedBudget = 1e6;
-
-double BudgetOf(const TargetHint& hint) {
-  return hint.warm_budget > 0 ? static_cast<double>(hint.warm_budget)
-                              : kUnreportedBudget;
-}
-
 double LoadOf(const TargetHint& hint) {
-  return static_cast<double>(EstimatedTokens(hint)) / BudgetOf(hint);
+  return static_cast<double>(EstimatedTokens(hint)) * hint.load_per_token;
 }
 
 // In [0, 1).
@@ -78,46 +70,75 @@
   return std::max(excess, 0.0);
 }
 
-double CachedTokens(const FleetTable& fleet,
-                    const TargetHint& hint,
-                    const PlacementQuery& query,
-                    double load_bound) {
-  if (hint.affinity_mark != fleet.mark || LoadOf(hint) > load_bound) {
-    return 0;
-  }
-  const double share = static_cast<double>(hint.cached_blocks) /
-                       static_cast<double>(query.prefix_hashes->size());
-  return share * static_cast<double>(query.prompt.value());
+// Without the cached prefix.
+double CostUs(const TargetHint& hint,
+              const PlacementQuery& query,
+              double excess,
+              double load) {
+  const double tokens = static_cast<double>(query.prompt.value()) + excess +
+                        static_cast<double>(hint.unanswered_tokens);
+  const double no_room = excess > 0 ? kNoRoomUs : 0;
+  return hint.wait_us + tokens * hint.us_per_token + load * kFullLoadUs +
+         hint.distance_us + no_room;
 }
 
-double CostUs(const FleetTable& fleet,
-              const TargetHint& hint,
+struct Scan {
+  PlacementChoice choice{std::nullopt, true};
+  double best_us = 0;
+  double load_sum = 0;
+  int candidates = 0;
+};
+
+void Consider(Scan& scan,
+              TargetSlot slot,
               const PlacementQuery& query,
-              double load_bound,
-              double excess) {
-  const double prompt = static_cast<double>(query.prompt.value());
-  const double tokens = prompt + excess +
-                        static_cast<double>(hint.unanswered_tokens) -
-                        CachedTokens(fleet, hint, query, load_bound);
-  const double no_room = excess > 0 ? kNoRoomUs : 0;
-  return hint.wait_us + tokens * hint.us_per_token +
-         LoadOf(hint) * kFullLoadUs + hint.distance_us + no_room;
+              double cost_us) {
+  const double cost = cost_us * (1 + kJitter * CheapRandom(query.draw, slot));
+  if (!scan.choice.slot || cost < scan.best_us) {
+    scan.choice.slot = slot;
+    scan.best_us = cost;
+  }
 }
 
-double LoadBound(const FleetTable& fleet,
-                 const PlacementQuery& query,
-                 LengthClass length_class) {
-  double sum = 0;
-  int count = 0;
+void ScanCandidates(FleetTable& fleet,
+                    const PlacementQuery& query,
+                    LengthClass length_class,
+                    Scan& scan) {
   for (const TargetSlot slot : *query.candidates) {
+    TargetHint& hint = fleet.hints[slot];
+    if (!IsCandidate(fleet, hint, query, length_class)) {
+      continue;
+    }
+    hint.candidate_mark = fleet.mark;
+    const double load = LoadOf(hint);
+    const double excess = ExcessTokens(hint, query);
+    scan.load_sum += load;
+    ++scan.candidates;
+    scan.choice.all_full = scan.choice.all_full && excess > 0;
+    Consider(scan, slot, query, CostUs(hint, query, excess, load));
+  }
+}
+
+// The bound on the load needs the mean of all candidates, so targets with a
+// cached prefix are looked at a second time.
+void ScanCached(const FleetTable& fleet,
+                const PlacementQuery& query,
+                Scan& scan) {
+  const double tokens_per_block =
+      static_cast<double>(query.prompt.value()) /
+      static_cast<double>(std::max<size_t>(query.prefix_hashes->size(), 1));
+  const double mean = scan.load_sum / std::max(scan.candidates, 1);
+  const double bound = mean * kAffinityLoadBound + kAffinityLoadSlack;
+  for (const TargetSlot slot : fleet.cached) {
     const TargetHint& hint = fleet.hints[slot];
-    if (IsCandidate(fleet, hint, query, length_class)) {
-      sum += LoadOf(hint);
-      ++count;
+    const double load = LoadOf(hint);
+    if (hint.candidate_mark != fleet.mark || load > bound) {
+      continue;
     }
+    const double cost = CostUs(hint, query, ExcessTokens(hint, query), load);
+    const double saved = hint.cached_blocks * tokens_per_block;
+    Consider(scan, slot, query, cost - saved * hint.us_per_token);
   }
-  const double mean = count > 0 ? sum / count : 0;
-  return mean * kAffinityLoadBound + kAffinityLoadSlack;
 }
 
 bool IsLive(const TargetHint& hint) {
@@ -136,26 +157,11 @@
 }
 
 PlacementChoice ChooseTarget(FleetTable& fleet, const PlacementQuery& query) {
-  const LengthClass length_class = LengthClassOf(query.prompt);
   MarkCachedBlocks(fleet, *query.prefix_hashes);
-  const double load_bound = LoadBound(fleet, query, length_class);
-  PlacementChoice choice{std::nullopt, true};
-  double best = 0;
-  for (const TargetSlot slot : *query.candidates) {
-    const TargetHint& hint = fleet.hints[slot];
-    if (!IsCandidate(fleet, hint, query, length_class)) {
-      continue;
-    }
-    const double excess = ExcessTokens(hint, query);
-    choice.all_full = choice.all_full && excess > 0;
-    const double cost = CostUs(fleet, hint, query, load_bound, excess) *
-                        (1 + kJitter * CheapRandom(query.draw, slot));
-    if (!choice.slot || cost < best) {
-      choice.slot = slot;
-      best = cost;
-    }
-  }
-  return choice;
+  Scan scan;
+  ScanCandidates(fleet, query, LengthClassOf(query.prompt), scan);
+  ScanCached(fleet, query, scan);
+  return scan.choice;
 }
 
 std::optional<TargetSlot> ChooseForKey(
--- a/tests/entry_placement_test.cc
+++ b/tests/entry_placement_test.cc
@@ -123,7 +123,7 @@
   Finish();
 }
 
-FleetTable MakeFleet(EntryTables& tables, int count) {
+void FillFleet(EntryTables& tables, int count) {
   Random random(1);
   for (int i = 0; i < count; ++i) {
     InstanceInfo info;
@@ -146,14 +146,14 @@
     ApplyState(tables.fleet, slot, Incarnation(1), state);
     RefreshStanding(tables.fleet, slot, Time(seconds(1)));
   }
-  return tables.fleet;
 }
 
 // Guards against allocations on the path of every request, at the size of the
 // largest fleet.
 TEST(EntryPlacementScaleTest, ADecisionAmong750TargetsDoesNotAllocate) {
   EntryTables tables;
-  FleetTable fleet = MakeFleet(tables, 750);
+  FillFleet(tables, 750);
+  FleetTable& fleet = tables.fleet;
   const std::vector<uint64_t> hashes = {1, 2, 3, 4, 5, 6, 7, 8};
   PlacementQuery query;
   query.candidates = &fleet.by_model.at(ModelId("model"));
@@ -181,6 +181,7 @@
 TEST(AffinityTest, RemovedPrefixesAreNotFound) {
   FleetTable fleet;
   fleet.hints.resize(2);
+  fleet.cached.reserve(2);
   AddPrefixes(fleet.affinity, 0, {5, 6});
   AddPrefixes(fleet.affinity, 1, {6});
   RemovePrefixes(fleet.affinity, 0, {5, 6});
