--- a/src/entry_core.cc
+++ b/src/entry_core.cc
@@ -15,6 +15,10 @@
 
 namespace {
 
+// A look at all 750 targets on every tick would be a large part of an entry's
+// control cost.
+constexpr Duration kMembershipInterval = std::chrono::milliseconds(50);
+
 // A message that means an earlier run of this entry is not for this one.
 bool MeansOtherRun(const EntryTables& tables, const Message& message) {
   if (std::holds_alternative<Heartbeat>(message.body)) {
@@ -97,7 +101,10 @@
 EntryCore::~EntryCore() = default;
 
 void EntryCore::Tick(Time now) {
-  UpdateMembership(*tables_, now);
+  if (now >= tables_->next_membership) {
+    tables_->next_membership = now + kMembershipInterval;
+    UpdateMembership(*tables_, now);
+  }
   UpdateLimits(*tables_, now);
   UpdateRequests(*tables_, now);
   RepeatCancels(*tables_, now);
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -237,6 +237,7 @@
   RetryBudgets retries;
   std::map<RequestId, RequestRow> requests;
   std::map<AttemptId, AbandonedAttempt> abandoned;
+  Time next_membership;
   Time next_probe;  // For agents outside the subset.
   std::vector<EntryAction> actions;
 };
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -497,6 +497,49 @@
   EXPECT_EQ(CountSent<Cancel>(agent.info.instance), before + 1);
 }
 
+// Guards against an older configuration that brings a withdrawn data centre
+// back.
+TEST_F(EntryRequestsTest, AnOlderConfigurationIsIgnored) {
+  FleetConfig older = driver_.config();
+  older.version = ConfigVersion(1);
+  driver_.config().withdrawn_targets.insert(TargetId("target-engine-1"));
+  driver_.PushConfig();
+  driver_.core().OnConfig(std::make_shared<FleetConfig>(older), driver_.Now());
+  for (int i = 0; i < 20; ++i) {
+    const RequestId request = driver_.Submit(driver_.Completion());
+    EXPECT_EQ(AgentOf(request).info.instance, InstanceId("engine-2"));
+  }
+  driver_.Run(seconds(2));
+  CheckAll(driver_);
+}
+
+// Guards against an answer to an earlier run of this entry.
+TEST_F(EntryRequestsTest, MessagesForAnotherRunOfTheEntryAreDropped) {
+  FakeAgent& agent = driver_.agent("engine-1");
+  Message message;
+  message.sender = {agent.info.instance, agent.incarnation};
+  message.receiver = Incarnation(6);
+  agent.draining = true;
+  message.body = LoadReport{driver_.StateOf(agent)};
+  agent.draining = false;
+  driver_.core().OnMessage(message, driver_.Now());
+  const FleetTable& fleet = driver_.core().tables().fleet;
+  const TargetSlot slot = fleet.by_instance.at(agent.info.instance);
+  EXPECT_EQ(fleet.hints[slot].standing, Standing::kUsable);
+}
+
+// Guards against a member that keeps a hold that its gang gave up before the
+// answer came.
+TEST_F(EntryRequestsTest, LateHoldOfAnUnknownGangIsReleased) {
+  FakeAgent& agent = driver_.agent("engine-1");
+  HoldReply reply;
+  reply.attempt = {{9, 9}, AttemptNumber(1)};
+  reply.verdict = Verdict::kAccepted;
+  reply.state = driver_.StateOf(agent);
+  driver_.Deliver(agent, reply);
+  EXPECT_EQ(CountSent<HoldRelease>(agent.info.instance), 1);
+}
+
 // Guards against a dump that cannot be read while requests are open.
 TEST_F(EntryRequestsTest, DumpListsOpenRequests) {
   const RequestId request = driver_.Submit(driver_.Completion());
