Rename the agent's Attempt to AcceptedAttempt

The entry's tables define another struct Attempt in the same namespace; in one program the linker may take the functions of either for both. kMaxAnswerBytes clashed in the same way.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -25,7 +25,7 @@
   return static_cast<int>(length);
 }
 
-int AgedRank(const AgentTables& tables, const Attempt& attempt) {
+int AgedRank(const AgentTables& tables, const AcceptedAttempt& attempt) {
   const auto steps = (tables.now - attempt.accepted_at) / kAgingStep;
   return std::max(0, Rank(attempt.length) - static_cast<int>(steps));
 }
@@ -126,7 +126,7 @@
   return std::nullopt;
 }
 
-bool FitsClass(const AgentTables& tables, const Attempt& attempt) {
+bool FitsClass(const AgentTables& tables, const AcceptedAttempt& attempt) {
   const Tokens used = InFlightFrom(tables, attempt.length);
   const Tokens most =
       Share(tables.warmup.budget, kClassShare[Rank(attempt.length)]);
@@ -135,7 +135,7 @@
 }
 
 bool FitsMemory(const AgentTables& tables,
-                const Attempt& attempt,
+                const AcceptedAttempt& attempt,
                 Tokens reserved) {
   if (attempt.load + reserved > FreeMemory(tables)) {
     return false;
@@ -146,7 +146,7 @@
 
 // Short work keeps the part of the budget that no longer class may use, even
 // while aged work waits for room.
-bool FitsShortShare(const AgentTables& tables, const Attempt& attempt) {
+bool FitsShortShare(const AgentTables& tables, const AcceptedAttempt& attempt) {
   if (attempt.length != LengthClass::kShort) {
     return false;
   }
@@ -227,13 +227,13 @@
   return order;
 }
 
-bool HasAged(const AgentTables& tables, const Attempt& attempt) {
+bool HasAged(const AgentTables& tables, const AcceptedAttempt& attempt) {
   return attempt.length != LengthClass::kShort &&
          AgedRank(tables, attempt) == 0;
 }
 
 bool Fits(const AgentTables& tables,
-          const Attempt& attempt,
+          const AcceptedAttempt& attempt,
           const Reserve& reserve) {
   const Tokens after = InFlight(tables) + attempt.load;
   if (after > tables.warmup.budget) {
--- a/src/admission.h
+++ b/src/admission.h
@@ -58,11 +58,11 @@
   Tokens memory;
 };
 
-bool HasAged(const AgentTables& tables, const Attempt& attempt);
+bool HasAged(const AgentTables& tables, const AcceptedAttempt& attempt);
 
 // Whether the attempt can be dispatched now without touching `reserve`.
 bool Fits(const AgentTables& tables,
-          const Attempt& attempt,
+          const AcceptedAttempt& attempt,
           const Reserve& reserve);
 
 // Counts completed work towards the measured throughput.
--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -81,7 +81,7 @@
   }
   const Tokens load = LoadOf(tables, offer);
   const Duration least = LeastServiceTime(tables, offer);
-  Attempt& attempt = AcceptOffer(tables, from, offer);
+  AcceptedAttempt& attempt = AcceptOffer(tables, from, offer);
   attempt.load = load;
   const Duration wait = kMaxQueueWait[static_cast<int>(attempt.length)];
   attempt.queue_until = std::min(tables.now + wait, attempt.deadline - least);
--- a/src/agent_tables.h
+++ b/src/agent_tables.h
@@ -34,7 +34,7 @@
 };
 
 // An accepted attempt that has no Finish yet.
-struct Attempt {
+struct AcceptedAttempt {
   AttemptId id;
   PeerId entry;
   Offer offer;  // Empty but for the attempt when adopted after a restart.
@@ -226,7 +226,7 @@
   UnixSeconds wall{0};
   FleetConfigPtr config;
 
-  std::map<AttemptId, Attempt> attempts;
+  std::map<AttemptId, AcceptedAttempt> attempts;
   std::map<AttemptId, ClosedAttempt> closed;
   std::map<BookingId, Booking> bookings;
   std::set<AttemptId> calls;  // At the plain service and not answered.
--- a/src/attempts.cc
+++ b/src/attempts.cc
@@ -64,7 +64,7 @@
   return bounded;
 }
 
-Attempt* FindAttempt(AgentTables& tables, const AttemptId& id) {
+AcceptedAttempt* FindAttempt(AgentTables& tables, const AttemptId& id) {
   auto it = tables.attempts.find(id);
   return it == tables.attempts.end() ? nullptr : &it->second;
 }
@@ -107,10 +107,12 @@
   closed.ending.failure = OutcomeUnknown(ErrorCode::kDeadlineExceeded);
 }
 
-Attempt& AcceptOffer(AgentTables& tables, const PeerId& from, Offer offer) {
+AcceptedAttempt& AcceptOffer(AgentTables& tables,
+                             const PeerId& from,
+                             Offer offer) {
   ++tables.counters.accepted;
   const AttemptId id = offer.attempt;
-  Attempt& attempt = tables.attempts[id];
+  AcceptedAttempt& attempt = tables.attempts[id];
   attempt.id = id;
   attempt.entry = from;
   attempt.accepted_at = tables.now;
@@ -127,7 +129,7 @@
   if (it == tables.attempts.end()) {
     return;
   }
-  const Attempt attempt = std::move(it->second);
+  const AcceptedAttempt attempt = std::move(it->second);
   tables.attempts.erase(it);
   ClosedAttempt& closed =
       Record(tables, attempt.id, attempt.entry, attempt.deadline);
@@ -136,7 +138,7 @@
 }
 
 void EndWithAnswer(AgentTables& tables, const AttemptId& id, Ending ending) {
-  const Attempt* attempt = FindAttempt(tables, id);
+  const AcceptedAttempt* attempt = FindAttempt(tables, id);
   if (!attempt) {
     return;
   }
@@ -174,7 +176,7 @@
   store.answers.emplace(number, std::move(answer));
   // The newest answer is still to be sent, so it stays even when it is larger
   // than the limit.
-  while (store.bytes > kMaxAnswerBytes && store.answers.size() > 1) {
+  while (store.bytes > kMaxStoredAnswerBytes && store.answers.size() > 1) {
     store.bytes -= store.answers.begin()->second.body.size();
     store.answers.erase(store.answers.begin());
   }
--- a/src/attempts.h
+++ b/src/attempts.h
@@ -23,7 +23,7 @@
 inline constexpr Duration kMaxTimeLeft = std::chrono::hours(1);
 
 // Bytes of answers of plain services that are kept for retries.
-inline constexpr size_t kMaxAnswerBytes = 8 << 20;
+inline constexpr size_t kMaxStoredAnswerBytes = 8 << 20;
 
 constexpr Failure NotRun(ErrorCode code, Duration retry_after = Duration(0)) {
   return {code, Outcome::kNotRun, retry_after};
@@ -33,7 +33,7 @@
   return {code, Outcome::kUnknown, Duration(0)};
 }
 
-inline bool IsDispatched(const Attempt& attempt) {
+inline bool IsDispatched(const AcceptedAttempt& attempt) {
   return attempt.phase == AttemptPhase::kStarting ||
          attempt.phase == AttemptPhase::kRunning;
 }
@@ -46,7 +46,7 @@
 // through.
 Duration TimeLeft(const AgentTables& tables, const Offer& offer);
 
-Attempt* FindAttempt(AgentTables& tables, const AttemptId& id);
+AcceptedAttempt* FindAttempt(AgentTables& tables, const AttemptId& id);
 
 // Replies to an offer or attempt that the tables already know. Returns false
 // when they do not.
@@ -67,7 +67,9 @@
                      const AttemptId& id);
 
 // Enters an attempt into the table and replies to its offer.
-Attempt& AcceptOffer(AgentTables& tables, const PeerId& from, Offer offer);
+AcceptedAttempt& AcceptOffer(AgentTables& tables,
+                             const PeerId& from,
+                             Offer offer);
 
 // Sends the Finish and keeps a record. The attempt is not valid any more.
 void CloseAttempt(AgentTables& tables, const AttemptId& id, Ending ending);
--- a/src/booking.cc
+++ b/src/booking.cc
@@ -139,7 +139,7 @@
   return it == tables.bookings.end() ? nullptr : &it->second;
 }
 
-void BookStream(AgentTables& tables, const Attempt& attempt) {
+void BookStream(AgentTables& tables, const AcceptedAttempt& attempt) {
   Booking& booking = tables.bookings[StreamBooking(attempt.id)];
   booking.memory = attempt.load;
   booking.load = attempt.load;
--- a/src/booking.h
+++ b/src/booking.h
@@ -37,7 +37,7 @@
 BookingId CacheBooking(const AttemptId& attempt);
 Booking* FindBooking(AgentTables& tables, const BookingId& id);
 
-void BookStream(AgentTables& tables, const Attempt& attempt);
+void BookStream(AgentTables& tables, const AcceptedAttempt& attempt);
 void EndBooking(AgentTables& tables, const BookingId& id);
 
 // Cancels the stream or releases the cache until the engine's list confirms it.
--- a/src/claims.cc
+++ b/src/claims.cc
@@ -109,7 +109,7 @@
   }
   entry.runner = entry.waiting.front();
   entry.waiting.erase(entry.waiting.begin());
-  Attempt& attempt = *FindAttempt(tables, *entry.runner);
+  AcceptedAttempt& attempt = *FindAttempt(tables, *entry.runner);
   attempt.phase = AttemptPhase::kQueued;
   attempt.queue_until =
       std::min(attempt.deadline, tables.now + kMaxQueueWait[0]);
@@ -379,7 +379,7 @@
 }  // namespace
 
 void AwaitClaim(AgentTables& tables, const AttemptId& id) {
-  Attempt& attempt = *FindAttempt(tables, id);
+  AcceptedAttempt& attempt = *FindAttempt(tables, id);
   const KeyHash key = HashOf(attempt.offer);
   const uint64_t fingerprint = FingerprintOf(attempt.offer);
   attempt.key = key;
@@ -399,7 +399,7 @@
   JoinKey(tables, key, entry, id);
 }
 
-bool UseClaim(AgentTables& tables, Attempt& attempt) {
+bool UseClaim(AgentTables& tables, AcceptedAttempt& attempt) {
   auto it = tables.keys.find(*attempt.key);
   if (it == tables.keys.end() || it->second.state != KeyState::kHeld ||
       it->second.runner != attempt.id) {
@@ -419,7 +419,7 @@
   return true;
 }
 
-bool IsJoined(const AgentTables& tables, const Attempt& attempt) {
+bool IsJoined(const AgentTables& tables, const AcceptedAttempt& attempt) {
   if (!attempt.key || attempt.phase != AttemptPhase::kAwaitingClaim) {
     return false;
   }
--- a/src/claims.h
+++ b/src/claims.h
@@ -27,10 +27,10 @@
 
 // Marks the claim of a queued attempt as used, right before the dispatch.
 // Returns false, and makes the attempt wait, when the claim is not held for it.
-bool UseClaim(AgentTables& tables, Attempt& attempt);
+bool UseClaim(AgentTables& tables, AcceptedAttempt& attempt);
 
 // Whether the attempt waits for the answer of a call that was dispatched.
-bool IsJoined(const AgentTables& tables, const Attempt& attempt);
+bool IsJoined(const AgentTables& tables, const AcceptedAttempt& attempt);
 
 // Notes the end of a dispatched call and ends the attempts that joined it.
 void EndKeyedCall(AgentTables& tables,
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -33,7 +33,7 @@
 }
 
 // Moves the texts out of the attempt, which does not need them any more.
-StreamSpec SpecOf(Attempt& attempt) {
+StreamSpec SpecOf(AcceptedAttempt& attempt) {
   Offer& offer = attempt.offer;
   StreamSpec spec;
   spec.stream = StreamIdOf(attempt.id);
@@ -49,7 +49,7 @@
   return spec;
 }
 
-void DispatchStream(AgentTables& tables, Attempt& attempt) {
+void DispatchStream(AgentTables& tables, AcceptedAttempt& attempt) {
   attempt.prompt_in_flight = PromptInFlight(tables);
   attempt.prompt_dispatched = tables.prompt_dispatched;
   tables.prompt_dispatched += attempt.load - attempt.offer.max_output_tokens;
@@ -59,7 +59,7 @@
   Act(tables, StartStream{SpecOf(attempt), attempt.id, attempt.entry});
 }
 
-void DispatchServiceCall(AgentTables& tables, Attempt& attempt) {
+void DispatchServiceCall(AgentTables& tables, AcceptedAttempt& attempt) {
   Offer& offer = attempt.offer;
   ServiceRequest request;
   request.method = offer.method;
@@ -74,7 +74,7 @@
 
 // Dispatches the attempt. The checks of its deadline and claim are the last
 // steps before the action.
-void Dispatch(AgentTables& tables, Attempt& attempt) {
+void Dispatch(AgentTables& tables, AcceptedAttempt& attempt) {
   if (tables.now >= attempt.deadline) {
     EndNotRun(tables, attempt.id, ErrorCode::kDeadlineExceeded);
     return;
@@ -94,14 +94,14 @@
 // Work that the engine had to do between the attempt's dispatch and now, at the
 // speed of a warm engine.
 Duration ExpectedServiceTime(const AgentTables& tables,
-                             const Attempt& attempt) {
+                             const AcceptedAttempt& attempt) {
   const Tokens prompt = attempt.prompt_in_flight + tables.prompt_dispatched -
                         attempt.prompt_dispatched;
   return TimeFor(prompt, tables.options.prefill_rate) +
          tables.options.time_per_token * attempt.output.value();
 }
 
-bool WasSlow(const AgentTables& tables, const Attempt& attempt) {
+bool WasSlow(const AgentTables& tables, const AcceptedAttempt& attempt) {
   const AgentOptions& options = tables.options;
   if (options.prefill_rate.value() <= 0 ||
       options.time_per_token <= Duration(0)) {
@@ -118,7 +118,7 @@
 }
 
 void CompleteStream(AgentTables& tables,
-                    const Attempt& attempt,
+                    const AcceptedAttempt& attempt,
                     uint32_t chunk_count) {
   // What an adopted stream took and did before is not known.
   if (!attempt.adopted) {
@@ -176,7 +176,7 @@
   RepeatFinish(tables, resume.attempt, closed);
 }
 
-void AttachAgain(AgentTables& tables, Attempt& attempt) {
+void AttachAgain(AgentTables& tables, AcceptedAttempt& attempt) {
   attempt.reattach_at.reset();
   Act(tables, AttachStream{StreamIdOf(attempt.id), attempt.id, attempt.entry,
                            attempt.next_chunk});
@@ -188,7 +188,7 @@
                   const PeerId& from,
                   const Resume& resume) {
   const Duration left = std::clamp(resume.time_left, Duration(0), kMaxTimeLeft);
-  Attempt& attempt = tables.attempts[resume.attempt];
+  AcceptedAttempt& attempt = tables.attempts[resume.attempt];
   attempt.id = resume.attempt;
   attempt.entry = from;
   attempt.accepted_at = tables.now;
@@ -247,7 +247,7 @@
 }
 
 void CancelAttempt(AgentTables& tables, const AttemptId& id) {
-  Attempt* attempt = FindAttempt(tables, id);
+  AcceptedAttempt* attempt = FindAttempt(tables, id);
   if (!attempt) {
     return;
   }
@@ -260,13 +260,13 @@
 }
 
 void ExpireAttempts(AgentTables& tables) {
-  const auto late = Select(tables, [&](const Attempt& attempt) {
+  const auto late = Select(tables, [&](const AcceptedAttempt& attempt) {
     return attempt.deadline <= tables.now;
   });
   for (const AttemptId& id : late) {
     CancelAttempt(tables, id);
   }
-  const auto overdue = Select(tables, [&](const Attempt& attempt) {
+  const auto overdue = Select(tables, [&](const AcceptedAttempt& attempt) {
     return attempt.phase == AttemptPhase::kQueued &&
            attempt.queue_until <= tables.now;
   });
@@ -278,7 +278,7 @@
 void DispatchQueued(AgentTables& tables) {
   Reserve reserve;
   for (const AttemptId& id : DispatchOrder(tables)) {
-    Attempt& attempt = *FindAttempt(tables, id);
+    AcceptedAttempt& attempt = *FindAttempt(tables, id);
     if (Fits(tables, attempt, reserve)) {
       Dispatch(tables, attempt);
     } else if (HasAged(tables, attempt) && reserve.load == Tokens(0)) {
@@ -296,7 +296,7 @@
     tables.closed_since = tables.now;
   }
   const bool grace = tables.now < *tables.closed_since + kCloseGrace;
-  const auto queued = Select(tables, [&](const Attempt& attempt) {
+  const auto queued = Select(tables, [&](const AcceptedAttempt& attempt) {
     return !IsDispatched(attempt) && !IsJoined(tables, attempt) &&
            !(grace && attempt.key);
   });
@@ -313,7 +313,7 @@
   if (!id || !booking) {
     return;
   }
-  Attempt* attempt = FindAttempt(tables, *id);
+  AcceptedAttempt* attempt = FindAttempt(tables, *id);
   if (status == StartStatus::kStarted) {
     ConfirmBooking(tables, *booking);
     if (attempt) {
@@ -339,7 +339,7 @@
                 uint32_t next_chunk,
                 Tokens tokens) {
   const std::optional<AttemptId> id = ParseAttemptId(stream.value());
-  Attempt* attempt = id ? FindAttempt(tables, *id) : nullptr;
+  AcceptedAttempt* attempt = id ? FindAttempt(tables, *id) : nullptr;
   if (!attempt || !IsDispatched(*attempt)) {
     return;
   }
@@ -359,7 +359,7 @@
   if (!id) {
     return;
   }
-  Attempt* attempt = FindAttempt(tables, *id);
+  AcceptedAttempt* attempt = FindAttempt(tables, *id);
   if (!attempt || !IsDispatched(*attempt)) {
     OnEndOfClosed(tables, *id, end, chunk_count);
     return;
@@ -416,7 +416,7 @@
 }
 
 void OnResume(AgentTables& tables, const PeerId& from, const Resume& resume) {
-  if (Attempt* attempt = FindAttempt(tables, resume.attempt)) {
+  if (AcceptedAttempt* attempt = FindAttempt(tables, resume.attempt)) {
     attempt->entry = from;
     if (IsEngineAgent(tables) && IsDispatched(*attempt)) {
       attempt->next_chunk = resume.next_chunk;
@@ -443,8 +443,9 @@
     return other.instance == peer.instance &&
            other.incarnation <= peer.incarnation;
   };
-  const auto ids = Select(
-      tables, [&](const Attempt& attempt) { return gone(attempt.entry); });
+  const auto ids = Select(tables, [&](const AcceptedAttempt& attempt) {
+    return gone(attempt.entry);
+  });
   for (const AttemptId& id : ids) {
     CancelAttempt(tables, id);
   }
--- a/src/reconcile.cc
+++ b/src/reconcile.cc
@@ -42,7 +42,7 @@
 // An attempt that a Resume adopted before the list came gets its booking.
 void JoinAdopted(AgentTables& tables, const EngineHolding& holding) {
   const std::optional<AttemptId> id = ParseAttemptId(holding.stream.value());
-  Attempt* attempt = id ? FindAttempt(tables, *id) : nullptr;
+  AcceptedAttempt* attempt = id ? FindAttempt(tables, *id) : nullptr;
   if (holding.is_cache || !attempt || !attempt->adopted) {
     return;
   }
@@ -104,7 +104,7 @@
   Booking* booking = FindBooking(tables, id);
   const std::optional<AttemptId> attempt_id = booking->attempt;
   EndBooking(tables, id);
-  Attempt* attempt =
+  AcceptedAttempt* attempt =
       attempt_id && !id.is_cache ? FindAttempt(tables, *attempt_id) : nullptr;
   if (attempt) {
     attempt->reattach_at = tables.now;
--- a/tests/agent_claims_test.cc
+++ b/tests/agent_claims_test.cc
@@ -276,13 +276,13 @@
 TEST_F(AgentClaimsTest, AnswersAreBounded) {
   AnswerStore store;
   ServiceAnswer answer;
-  answer.body.assign(kMaxAnswerBytes / 2, 'x');
+  answer.body.assign(kMaxStoredAnswerBytes / 2, 'x');
   const uint64_t first = StoreAnswer(store, answer);
   StoreAnswer(store, answer);
   const uint64_t last = StoreAnswer(store, answer);
   EXPECT_EQ(FindAnswer(store, first), nullptr);
   EXPECT_NE(FindAnswer(store, last), nullptr);
-  EXPECT_LE(store.bytes, kMaxAnswerBytes);
+  EXPECT_LE(store.bytes, kMaxStoredAnswerBytes);
 }
 
 // Guards against claims that change on their way through the object API.
