--- a/tests/agent_claims_test.cc
+++ b/tests/agent_claims_test.cc
@@ -162,6 +162,24 @@
   CheckAll(world_);
 }
 
+// Guards against a claim that is kept after the call could not be sent.
+TEST_F(AgentClaimsTest, HeldClaimIsReleasedByTheNextWrite) {
+  WorldNode& other = world_.AddServiceAgent("agent-2");
+  world_.faults.call_not_sent = 1;
+  const AttemptId first = Call(node_, "k");
+  world_.Run(seconds(1));
+  world_.faults = {};
+  EXPECT_EQ(EndOf(first).outcome, Outcome::kNotRun);
+  for (int i = 0; i < 8; ++i) {
+    Call(node_, "next-" + std::to_string(i));
+  }
+  world_.Run(seconds(1));
+  const AttemptId retry = Call(other, "k");
+  world_.Run(seconds(1));
+  EXPECT_EQ(world_.executions[retry], 1);
+  CheckAll(world_);
+}
+
 // Guards against a claim that its own agent cannot use for a retry.
 TEST_F(AgentClaimsTest, UnusedClaimServesARetry) {
   world_.faults.object_answer_lost = 1;
