--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -206,6 +206,13 @@
   void Connect() {
     pooled_ = false;
     stream_ = std::make_unique<Stream>(asio::make_strand(server_->io));
+    // The caller's thread is not on the strand of the new connection, where a
+    // timeout may close it at any time.
+    asio::post(stream_->get_executor(),
+               [self = shared_from_this()] { self->ConnectOnStrand(); });
+  }
+
+  void ConnectOnStrand() {
     stream_->expires_at(std::min(
         deadline_, std::chrono::steady_clock::now() + kConnectTimeout));
     stream_->async_connect(*server_->endpoint,
