Keep a connection for a moment after it is dropped

An entry that applied a withdrawal closed its connections to the withdrawn agents before they had pulled the change; they learned of it from their own poll up to 30 s later. The new test fails without the delay.

--- a/src/bus.cc
+++ b/src/bus.cc
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <charconv>
+#include <chrono>
 #include <cstring>
 #include <deque>
 #include <map>
@@ -40,6 +41,10 @@
 // to leave.
 constexpr int kStopLingerMs = 300;
 constexpr int kPollMs = 1'000;
+// Closing a connection drops what is still queued in it. What was sent just
+// before a Disconnect, e.g. the configuration that withdraws a target, gets
+// this long to leave.
+constexpr std::chrono::milliseconds kDisconnectDelay(1'000);
 // One socket must not starve the other.
 constexpr int kMaxReceivesPerTurn = 256;
 
@@ -224,6 +229,7 @@
       zmq_poll(items, 3, busy ? 0 : kPollMs);
       ClearWake();
       const bool stop = SendQueued();
+      CloseDue();
       const bool more_bound = Receive(bound_);
       const bool more_connecting = Receive(connecting_);
       busy = more_bound || more_connecting;
@@ -292,12 +298,13 @@
   }
 
   void Execute(const ConnectCommand& command) {
+    closing_.erase(command.peer);
     const auto known = addresses_.find(command.peer);
     if (known != addresses_.end()) {
       if (known->second == command.address) {
         return;
       }
-      Execute(DisconnectCommand{command.peer});
+      Close(command.peer);
     }
     if (!IsIpAddressWithPort(command.address)) {
       return;
@@ -310,13 +317,28 @@
   }
 
   void Execute(const DisconnectCommand& command) {
-    const auto known = addresses_.find(command.peer);
-    if (known == addresses_.end()) {
-      return;
+    if (addresses_.contains(command.peer)) {
+      closing_[command.peer] =
+          std::chrono::steady_clock::now() + kDisconnectDelay;
+    }
+  }
+
+  void CloseDue() {
+    const auto now = std::chrono::steady_clock::now();
+    for (auto it = closing_.begin(); it != closing_.end();) {
+      if (it->second > now) {
+        ++it;
+        continue;
+      }
+      Close(it->first);
+      it = closing_.erase(it);
     }
-    const std::string endpoint = "tcp://" + known->second;
+  }
+
+  void Close(const InstanceId& peer) {
+    const std::string endpoint = "tcp://" + addresses_[peer];
     zmq_disconnect(connecting_, endpoint.c_str());
-    addresses_.erase(known);
+    addresses_.erase(peer);
     connections_ = addresses_.size();
   }
 
@@ -383,7 +405,10 @@
   void* connecting_ = nullptr;
   int wake_fd_ = -1;
   std::thread thread_;
-  std::map<InstanceId, std::string> addresses_;  // Bus thread only.
+  // Bus thread only: the connections, and when those that are not wanted any
+  // more are closed.
+  std::map<InstanceId, std::string> addresses_;
+  std::map<InstanceId, std::chrono::steady_clock::time_point> closing_;
 
   mutable std::mutex mutex_;  // Guards the three members below.
   std::deque<Command> queue_;
--- a/src/bus.h
+++ b/src/bus.h
@@ -68,6 +68,7 @@
   // Opens a connection to the bound socket of `peer`. Replaces a connection to
   // another address.
   virtual void Connect(const InstanceId& peer, const std::string& address) = 0;
+  // Closes the connection after a delay in which what was sent before leaves.
   virtual void Disconnect(const InstanceId& peer) = 0;
 
   // The highest configuration version known, stated in every message.
--- a/tests/bus_test.cc
+++ b/tests/bus_test.cc
@@ -154,6 +154,25 @@
   EXPECT_EQ(not_sent, 1);
 }
 
+// Guards against a conversation that a Disconnect cuts off: an entry that
+// applies a withdrawal tells the withdrawn agents, which pull the change, and
+// drops them from its subset at the same moment.
+TEST(BusTest, WhatWasSentBeforeADisconnectIsAnswered) {
+  Node entry("entry", 10, FreeAddress());
+  Node agent("agent", 20, FreeAddress());
+  for (size_t round = 1; round <= 2; ++round) {
+    entry.bus().Connect(agent.self().instance, agent.address());
+    ASSERT_GE(SendUntilWritten(entry, agent.self(), Goodbye{}), 0);
+    entry.bus().Send(agent.self(), Subscribe{Duration(1)});
+    entry.bus().Disconnect(agent.self().instance);
+    EXPECT_EQ(agent.WaitFor(3 * round - 1).size(), 3 * round - 1);
+    agent.bus().Send(entry.self(), ConfigPull{ConfigVersion(1)});
+    EXPECT_EQ(entry.WaitFor(round).size(), round);
+    entry.bus().Send(agent.self(), ConfigPush{{}, ConfigVersion(1), "{}"});
+    EXPECT_EQ(agent.WaitFor(3 * round).size(), 3 * round);
+  }
+}
+
 // Guards against a connection that is lost for good when a peer restarts.
 TEST(BusTest, ReconnectsToARestartedPeer) {
   Node entry("entry", 10, FreeAddress());
