Test configuration edits and the publisher with racing operators

Seen failing: no comparison of the fields with their base, no validation of the rebased document (two operators took out the last two data centres), a lost answer taken as accepted, a lost answer taken as not applied, no look for the change id, no unknown outcome at the end of the time, a log without bound, a log too short taken as proof.

--- /dev/null
+++ b/tests/config_edit_test.cc
@@ -0,0 +1,483 @@
+#include "src/config_edit.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "src/config_publisher.h"
+#include "src/config_store.h"
+#include "tests/config_sim.h"
+#include "tests/config_test_util.h"
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::string_view kLimit = "/accounts/acme/limit";
+constexpr std::string_view kBurst = "/accounts/acme/burst";
+
+Change ChangeOf(const FleetConfig& base,
+                std::string id,
+                std::string path,
+                std::optional<std::string> after) {
+  return {ChangeId(std::move(id)),
+          base.version,
+          {MakeEdit(base, std::move(path), std::move(after))}};
+}
+
+FleetConfig Next(const FleetConfig& head, const Change& change) {
+  RebaseResult result = Rebase(change, head, ConflictMode::kRebase);
+  EXPECT_EQ(result.status, RebaseStatus::kApplied) << ToString(result.findings);
+  result.config.version = head.version.Next();
+  result.config.log.back().version = result.config.version;
+  return result.config;
+}
+
+TEST(ConfigEditTest, EditsSetReplaceAndRemoveFields) {
+  FleetConfig config = SmallFleetConfig(ConfigVersion(1));
+  Findings findings;
+  ApplyEdits({{"/accounts/acme/limit", std::nullopt, "7"},
+              {"/accounts/new", std::nullopt, "{\"limit\":5}"},
+              {"/templates/acme-short", std::nullopt, std::nullopt},
+              {"/withdrawn_data_centres/ga-north-a", std::nullopt, "true"},
+              {"/withdrawn_targets/t1", std::nullopt, "true"},
+              {"/withdrawn_targets/t1", "true", std::nullopt}},
+             &config, &findings);
+  EXPECT_TRUE(findings.empty()) << ToString(findings);
+  EXPECT_EQ(FieldValue(config, kLimit), "7");
+  EXPECT_EQ(FieldValue(config, kBurst), "20000");
+  EXPECT_EQ(FieldValue(config, "/accounts/new/limit"), "5");
+  EXPECT_TRUE(config.templates.empty());
+  EXPECT_EQ(config.withdrawn_data_centres.size(), 1u);
+  EXPECT_TRUE(config.withdrawn_targets.empty());
+}
+
+// Guards against a misspelt path that is accepted and changes nothing.
+TEST(ConfigEditTest, PathsAndValuesThatAreWrongAreFindings) {
+  const std::vector<FieldEdit> edits = {
+      {"", std::nullopt, "1"},
+      {"accounts/acme", std::nullopt, "{}"},
+      {"/accounts", std::nullopt, "{}"},
+      {"/acounts/acme", std::nullopt, "{}"},
+      {"/accounts/acme/limit/x", std::nullopt, "1"},
+      {"/accounts/nobody/limit", std::nullopt, "1"},
+      {"/accounts/acme/", std::nullopt, "1"},
+      {"/accounts/acme/limmit", std::nullopt, "1"},
+      {"/accounts/acme/limit", std::nullopt, "-1"},
+      {"/accounts/acme/limit", std::nullopt, "\"5\""},
+      {"/accounts/acme/limit", std::nullopt, "{"},
+      {"/accounts/acme/limit", std::nullopt, std::nullopt},
+      {"/withdrawn_targets/t1", std::nullopt, "false"},
+      {"/withdrawn_targets/t1/x", std::nullopt, "true"},
+      {"/log/0", std::nullopt, "{}"}};
+  for (const FieldEdit& it : edits) {
+    FleetConfig config = SmallFleetConfig(ConfigVersion(1));
+    const std::string before = SerializeFleetConfig(config);
+    Findings findings;
+    ApplyEdits({it}, &config, &findings);
+    EXPECT_FALSE(findings.empty()) << it.path;
+    EXPECT_EQ(SerializeFleetConfig(config), before) << it.path;
+  }
+}
+
+// Guards against an operator's change that is lost because another operator
+// changed something else at the same time.
+TEST(ConfigEditTest, UnrelatedChangesAreRebased) {
+  const FleetConfig base = SmallFleetConfig(ConfigVersion(1));
+  const Change ours = ChangeOf(base, "ours", std::string(kLimit), "7");
+  const FleetConfig head =
+      Next(base, ChangeOf(base, "theirs", std::string(kBurst), "8"));
+  const FleetConfig both = Next(head, ours);
+  EXPECT_EQ(FieldValue(both, kLimit), "7");
+  EXPECT_EQ(FieldValue(both, kBurst), "8");
+  EXPECT_EQ(Rebase(ours, head, ConflictMode::kReject).status,
+            RebaseStatus::kConflict);
+}
+
+// Guards against a change that silently overwrites what another operator set.
+TEST(ConfigEditTest, ChangesOfTheSameFieldConflict) {
+  const FleetConfig base = SmallFleetConfig(ConfigVersion(1));
+  const Change ours = ChangeOf(base, "ours", std::string(kLimit), "7");
+  const FleetConfig head =
+      Next(base, ChangeOf(base, "theirs", std::string(kLimit), "8"));
+  const RebaseResult result = Rebase(ours, head, ConflictMode::kRebase);
+  EXPECT_EQ(result.status, RebaseStatus::kConflict);
+  EXPECT_EQ(result.conflicts,
+            (std::vector<FieldConflict>{{std::string(kLimit), "10000", "8"}}));
+}
+
+// Guards against a field that is set in an account that was removed or changed
+// meanwhile, and against the removal of an account that was changed meanwhile.
+TEST(ConfigEditTest, RemovalConflictsWithAChangeOfAField) {
+  FleetConfig base = SmallFleetConfig(ConfigVersion(1));
+  base.templates.clear();
+  const Change remove =
+      ChangeOf(base, "remove", "/accounts/acme", std::nullopt);
+  const Change set = ChangeOf(base, "set", std::string(kLimit), "7");
+  EXPECT_EQ(Rebase(remove, Next(base, set), ConflictMode::kRebase).status,
+            RebaseStatus::kConflict);
+  EXPECT_EQ(Rebase(set, Next(base, remove), ConflictMode::kRebase).status,
+            RebaseStatus::kConflict);
+}
+
+// Guards against two changes that are fine alone and break a rule together.
+TEST(ConfigEditTest, TheRebasedDocumentIsValidatedAsAWhole) {
+  FleetConfig base = SmallFleetConfig(ConfigVersion(1));
+  base.templates.clear();
+  const Change add = ChangeOf(base, "add", "/templates/t",
+                              R"({"account":"acme","model":"catalogue"})");
+  const Change remove =
+      ChangeOf(base, "remove", "/accounts/acme", std::nullopt);
+  const RebaseResult result =
+      Rebase(add, Next(base, remove), ConflictMode::kRebase);
+  ASSERT_EQ(result.status, RebaseStatus::kInvalid);
+  EXPECT_EQ(result.findings.list.front().place, "/templates/t/account");
+}
+
+TEST(ConfigEditTest, AChangeToTheSameValueIsNoChange) {
+  const FleetConfig base = SmallFleetConfig(ConfigVersion(1));
+  EXPECT_EQ(Rebase(ChangeOf(base, "c", std::string(kLimit), " 10000"), base,
+                   ConflictMode::kRebase)
+                .status,
+            RebaseStatus::kNoChange);
+}
+
+// Guards against a log that grows until the document does not fit any more.
+TEST(ConfigEditTest, TheLogIsBounded) {
+  FleetConfig config = SmallFleetConfig(ConfigVersion(1));
+  for (int i = 0; i < 400; ++i) {
+    const std::string text =
+        fmt::format("\"{}{}\"", i, std::string(1'000, 'x'));
+    config =
+        Next(config, ChangeOf(config, fmt::format("c{}", i),
+                              "/templates/acme-short/prompt_prefix", text));
+  }
+  EXPECT_EQ(config.log.size(), kChangeLogLength);
+  EXPECT_EQ(config.log.back().id, ChangeId("c399"));
+  EXPECT_EQ(config.log.front().id, ChangeId("c144"));
+  size_t bytes = 0;
+  for (const ChangeRecord& it : config.log) {
+    bytes += it.edits.size();
+  }
+  EXPECT_LE(bytes, kMaxLoggedEditBytes);
+  EXPECT_TRUE(config.log.front().edits.empty());
+  EXPECT_FALSE(config.log.back().edits.empty());
+  // A record without its edits cannot be part of a push.
+  EXPECT_EQ(ChangesSince(config, config.log.front().base), std::nullopt);
+  EXPECT_NE(ChangesSince(config, config.log.back().base), std::nullopt);
+}
+
+// Guards against processes whose documents differ at the same version.
+TEST(ConfigEditTest, ChangesGiveTheSendersDocument) {
+  std::vector<FleetConfig> versions = {SmallFleetConfig(ConfigVersion(1))};
+  for (int i = 0; i < 300; ++i) {
+    const FleetConfig& head = versions.back();
+    versions.push_back(
+        Next(head, ChangeOf(head, fmt::format("c{}", i), std::string(kLimit),
+                            std::to_string(100 + i))));
+  }
+  const FleetConfig& latest = versions.back();
+  for (const size_t have : {45u, 100u, 299u}) {
+    const auto text = ChangesSince(latest, versions[have].version);
+    ASSERT_TRUE(text) << have;
+    // A process may have moved on since it asked.
+    for (const size_t now : {have, size_t{299}}) {
+      Findings findings;
+      const auto result =
+          ApplyChanges(versions[now], *text, latest.version, &findings);
+      ASSERT_TRUE(result) << ToString(findings);
+      EXPECT_EQ(SerializeFleetConfig(*result), SerializeFleetConfig(latest));
+      EXPECT_EQ(result->version, latest.version);
+    }
+  }
+  EXPECT_EQ(ChangesSince(latest, versions[20].version), std::nullopt);
+}
+
+TEST(ConfigEditTest, MalformedOrForeignChangesAreRejected) {
+  const FleetConfig base = SmallFleetConfig(ConfigVersion(5));
+  const FleetConfig next =
+      Next(base, ChangeOf(base, "c", std::string(kLimit), "7"));
+  const std::string good = *ChangesSince(next, base.version);
+  FleetConfig other = base;
+  other.accounts[ClientAccountId("other")] = {};
+  FleetConfig older = base;
+  older.version = ConfigVersion(4);
+  Findings findings;
+  EXPECT_TRUE(ApplyChanges(base, good, next.version, &findings));
+  EXPECT_FALSE(ApplyChanges(other, good, next.version, &findings));
+  EXPECT_FALSE(ApplyChanges(older, good, next.version, &findings));
+  for (const std::string_view text :
+       {"", "[]", "{}", R"({"changes":{},"hash":""})",
+        R"({"changes":[],"hash":""})", R"({"changes":[1],"hash":""})",
+        R"({"changes":[{"id":"c","base":5,"edits":1}],"hash":""})",
+        R"({"changes":[{"id":"c","base":5,"edits":[{}]}],"hash":""})",
+        R"({"changes":[{"id":"c","base":-5,"edits":[]}],"hash":""})"}) {
+    Findings ignored;
+    EXPECT_FALSE(ApplyChanges(base, text, next.version, &ignored)) << text;
+  }
+}
+
+TEST(ConfigStoreTest, NeverAppliesALowerOrEqualVersion) {
+  ConfigStore store;
+  EXPECT_EQ(store.version(), ConfigVersion());
+  EXPECT_TRUE(store.Apply(SmallFleetConfig(ConfigVersion(5))));
+  EXPECT_FALSE(store.Apply(SmallFleetConfig(ConfigVersion(5))));
+  EXPECT_FALSE(store.Apply(SmallFleetConfig(ConfigVersion(4))));
+  EXPECT_TRUE(store.Apply(SmallFleetConfig(ConfigVersion(6))));
+  EXPECT_EQ(store.version(), ConfigVersion(6));
+}
+
+// An object API with a small document, and operators.
+class PublisherTest : public testing::Test {
+ protected:
+  void Open(uint64_t seed) {
+    api_ = std::make_unique<SimObjectApi>(&timeline_, seed);
+    api_->Overwrite(SerializeFleetConfig(SmallFleetConfig(ConfigVersion())));
+  }
+  FleetConfig Head() {
+    Findings findings;
+    return *ParseFleetConfig(api_->value(),
+                             ConfigVersion(api_->version().value()), &findings);
+  }
+  SimOperator& Start(Change change, PublishOptions options = {}) {
+    operators_.push_back(std::make_unique<SimOperator>(&timeline_, api_.get()));
+    operators_.back()->Start(std::move(change), options);
+    return *operators_.back();
+  }
+  int RecordsOf(const ChangeId& id) {
+    int count = 0;
+    for (const ChangeRecord& it : Head().log) {
+      count += it.id == id ? 1 : 0;
+    }
+    return count;
+  }
+
+  Timeline timeline_;
+  std::unique_ptr<SimObjectApi> api_;
+  std::vector<std::unique_ptr<SimOperator>> operators_;
+};
+
+TEST_F(PublisherTest, AcceptedChangeIsInTheDocument) {
+  Open(1);
+  const FleetConfig base = Head();
+  const SimOperator& it = Start(ChangeOf(base, "c", std::string(kLimit), "7"));
+  timeline_.RunFor(seconds(1));
+  ASSERT_TRUE(it.done());
+  EXPECT_EQ(it.result().status, PublishStatus::kAccepted);
+  EXPECT_EQ(it.result().version, Head().version);
+  EXPECT_EQ(FieldValue(Head(), kLimit), "7");
+  EXPECT_EQ(RecordsOf(ChangeId("c")), 1);
+}
+
+// Guards against a fleet whose first document nobody can create.
+TEST_F(PublisherTest, TheFirstChangeCreatesTheObject) {
+  api_ = std::make_unique<SimObjectApi>(&timeline_, 1);
+  const SimOperator& it = Start(
+      ChangeOf(FleetConfig{}, "c", "/models/m", R"({"data_centres":["a"]})"));
+  timeline_.RunFor(seconds(1));
+  ASSERT_TRUE(it.done());
+  EXPECT_EQ(it.result().status, PublishStatus::kAccepted);
+  EXPECT_EQ(Head().models.size(), 1u);
+}
+
+// Guards against a change that is applied twice or reported as failed because
+// the answer was lost after the effect.
+TEST_F(PublisherTest, LostAnswerIsResolvedByReadingBack) {
+  Open(2);
+  const FleetConfig base = Head();
+  const SimOperator& it = Start(ChangeOf(base, "c", std::string(kLimit), "7"));
+  api_->on_change = [&] { api_->faults.lose_answer = 0; };
+  timeline_.RunFor(milliseconds(8));
+  api_->faults.lose_answer = 1;
+  timeline_.RunFor(seconds(8));
+  ASSERT_TRUE(it.done());
+  EXPECT_EQ(it.result().status, PublishStatus::kAccepted);
+  EXPECT_EQ(it.result().version, Head().version);
+  EXPECT_EQ(it.tries(), 1u);
+  EXPECT_EQ(RecordsOf(ChangeId("c")), 1);
+}
+
+// Guards against "accepted" or "not applied" without proof.
+TEST_F(PublisherTest, OutageAfterTheWriteIsUnknown) {
+  Open(3);
+  const FleetConfig base = Head();
+  api_->on_change = [&] { api_->outage = true; };
+  api_->faults.lose_answer = 0;
+  const SimOperator& it = Start(ChangeOf(base, "c", std::string(kLimit), "7"),
+                                {.time_limit = seconds(10)});
+  timeline_.RunFor(milliseconds(8));
+  api_->faults.lose_answer = 1;
+  timeline_.RunFor(seconds(11));
+  ASSERT_TRUE(it.done());
+  EXPECT_EQ(it.result().status, PublishStatus::kUnknown);
+}
+
+TEST_F(PublisherTest, OutageFromTheStartIsUnavailable) {
+  Open(4);
+  const FleetConfig base = Head();
+  api_->outage = true;
+  const SimOperator& it = Start(ChangeOf(base, "c", std::string(kLimit), "7"),
+                                {.time_limit = seconds(10)});
+  timeline_.RunFor(seconds(11));
+  ASSERT_TRUE(it.done());
+  EXPECT_EQ(it.result().status, PublishStatus::kUnavailable);
+}
+
+// Guards against a log that is too short to prove that a change was not applied
+// and an operator who is told so all the same.
+TEST_F(PublisherTest, FateIsUnprovableOnceTheLogHasMovedPast) {
+  FleetConfig config = SmallFleetConfig(ConfigVersion(1));
+  EXPECT_EQ(FateOf(config, ChangeId("x"), ConfigVersion(1)), ChangeFate::kOpen);
+  const FleetConfig applied =
+      Next(config, ChangeOf(config, "x", std::string(kLimit), "3"));
+  EXPECT_EQ(FateOf(applied, ChangeId("x"), ConfigVersion(1)),
+            ChangeFate::kApplied);
+  for (int i = 0; i < 300; ++i) {
+    config = Next(config, ChangeOf(config, fmt::format("c{}", i),
+                                   std::string(kLimit), std::to_string(i + 5)));
+    const ChangeFate expected = i < static_cast<int>(kChangeLogLength)
+                                    ? ChangeFate::kNotApplied
+                                    : ChangeFate::kUnprovable;
+    ASSERT_EQ(FateOf(config, ChangeId("x"), ConfigVersion(1)), expected) << i;
+  }
+}
+
+// Guards against two operators who take out the last two data centres of a
+// model, each of whom sees the other one in service.
+TEST_F(PublisherTest, TheLastTwoDataCentresAreNotBothTakenOut) {
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    Open(seed);
+    api_->faults = {.lose_request = 0.1,
+                    .lose_answer = 0.1,
+                    .late_request = 0.1,
+                    .throttle = 0.1};
+    FleetConfig config = SmallFleetConfig(ConfigVersion());
+    config.withdrawn_data_centres.insert(DataCentreId("ga-north-c"));
+    api_->Overwrite(SerializeFleetConfig(config));
+    const FleetConfig base = Head();
+    const PublishOptions options{.time_limit = seconds(60), .seed = seed};
+    const SimOperator& first = Start(
+        ChangeOf(base, "first", "/withdrawn_data_centres/ga-north-a", "true"),
+        options);
+    const SimOperator& second = Start(
+        ChangeOf(base, "second", "/withdrawn_data_centres/ga-north-b", "true"),
+        options);
+    timeline_.RunFor(seconds(61));
+    ASSERT_TRUE(first.done() && second.done());
+    EXPECT_EQ(Head().withdrawn_data_centres.size(), 2u) << seed;
+    const bool first_won = first.result().status == PublishStatus::kAccepted;
+    const PublishResult& loser = first_won ? second.result() : first.result();
+    EXPECT_NE(first_won, second.result().status == PublishStatus::kAccepted)
+        << seed;
+    EXPECT_EQ(loser.status, PublishStatus::kInvalid) << seed;
+  }
+}
+
+// What racing operators see, added up over all seeds.
+struct RaceFigures {
+  int changes = 0;
+  int accepted = 0;
+  int conflicts = 0;  // Reported to the operator, who has to start again.
+  int unknown = 0;
+  int unavailable = 0;
+  int tries = 0;
+  int wrong = 0;  // Accepted and missing, refused and present, or twice.
+};
+
+// Eight operators change different fields of the same document, each a few
+// times, while the object API loses answers.
+class RaceTest : public PublisherTest {
+ protected:
+  static constexpr int kOperators = 8;
+  static constexpr int kChangesEach = 5;
+
+  void Race(uint64_t seed, ConflictMode mode, RaceFigures* figures) {
+    Open(seed);
+    FleetConfig config = SmallFleetConfig(ConfigVersion());
+    for (int i = 0; i < kOperators; ++i) {
+      config.accounts[ClientAccountId(fmt::format("account-{}", i))] = {};
+    }
+    api_->Overwrite(SerializeFleetConfig(config));
+    api_->faults = {.lose_request = 0.03,
+                    .lose_answer = 0.03,
+                    .late_request = 0.03,
+                    .throttle = 0.05};
+    for (int round = 0; round < kChangesEach; ++round) {
+      operators_.clear();
+      Random random(MixHash(seed, round));
+      const FleetConfig base = Head();
+      std::vector<Change> changes;
+      for (int i = 0; i < kOperators; ++i) {
+        changes.push_back(ChangeOf(base, fmt::format("r{}-o{}", round, i),
+                                   fmt::format("/accounts/account-{}/limit", i),
+                                   std::to_string(1'000 * (round + 1) + i)));
+        // All look at the same document, then think for up to a second.
+        const PublishOptions options{
+            .mode = mode, .time_limit = seconds(30), .seed = random.Next()};
+        operators_.push_back(
+            std::make_unique<SimOperator>(&timeline_, api_.get()));
+        timeline_.At(timeline_.now() + milliseconds(static_cast<int64_t>(
+                                           random.Below(1'000))),
+                     [it = operators_.back().get(), change = changes.back(),
+                      options] { it->Start(change, options); });
+      }
+      timeline_.RunFor(seconds(40));
+      Count(changes, figures);
+    }
+  }
+
+  void Count(const std::vector<Change>& changes, RaceFigures* figures) {
+    const FleetConfig head = Head();
+    for (size_t i = 0; i < changes.size(); ++i) {
+      const SimOperator& it = *operators_[i];
+      ASSERT_TRUE(it.done());
+      const FieldEdit& edit = changes[i].edits.front();
+      const bool present = FieldValue(head, edit.path) == edit.after;
+      const PublishStatus status = it.result().status;
+      ++figures->changes;
+      figures->tries += static_cast<int>(it.tries());
+      figures->accepted += status == PublishStatus::kAccepted ? 1 : 0;
+      figures->conflicts += status == PublishStatus::kConflict ? 1 : 0;
+      figures->unknown += status == PublishStatus::kUnknown ? 1 : 0;
+      figures->unavailable += status == PublishStatus::kUnavailable ? 1 : 0;
+      const bool says_applied = status == PublishStatus::kAccepted;
+      const bool wrong = status != PublishStatus::kUnknown &&
+                         (says_applied != present ||
+                          RecordsOf(changes[i].id) != (present ? 1 : 0));
+      figures->wrong += wrong ? 1 : 0;
+    }
+  }
+};
+
+// Measures rebase against its baseline. Guards against lost or doubled changes
+// of operators who change different fields.
+TEST_F(RaceTest, RebaseLosesNoChangeOfRacingOperators) {
+  RaceFigures rebase;
+  RaceFigures reject;
+  for (uint64_t seed = 1; seed <= 25; ++seed) {
+    Race(seed, ConflictMode::kRebase, &rebase);
+    Race(seed, ConflictMode::kReject, &reject);
+  }
+  for (const auto& [name, it] :
+       {std::pair("rebase", rebase), std::pair("reject", reject)}) {
+    fmt::print(
+        "{}: changes={} accepted={} conflicts={} unknown={} unavailable={} "
+        "updates={} wrong={}\n",
+        name, it.changes, it.accepted, it.conflicts, it.unknown, it.unavailable,
+        it.tries, it.wrong);
+  }
+  EXPECT_EQ(rebase.wrong, 0);
+  EXPECT_EQ(reject.wrong, 0);
+  EXPECT_EQ(rebase.conflicts, 0);
+  EXPECT_EQ(rebase.accepted + rebase.unknown + rebase.unavailable,
+            rebase.changes);
+  EXPECT_GT(rebase.accepted, reject.accepted);
+}
+
+}  // namespace
+}  // namespace burdockhatch
