Part the targets of a model by prompt length

Cause: at 0.8 of capacity the prefill of long prompts slowed the decode steps of short streams on the same engines.

--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -37,6 +37,9 @@
   kUnusable,  // Not ready, draining, leaving or withdrawn.
 };
 
+// Which work prefers a target, see length_pools.h.
+enum class Pool : uint8_t { kNone, kShort, kLong };
+
 // What placement reads of a target: plain numbers, kept apart from the rest so
 // that a scan over all targets of a model touches little memory.
 struct TargetHint {
@@ -55,6 +58,8 @@
   uint64_t candidate_mark = 0;
   uint32_t cached_blocks = 0;  // Valid when affinity_mark is current.
   Standing standing = Standing::kUnheard;
+  Pool pool = Pool::kNone;
+  bool warming = false;  // Its warm-up budget is below the full one.
 };
 
 // One agent and its target.
--- a/src/fleet_table.cc
+++ b/src/fleet_table.cc
@@ -75,6 +75,7 @@
 void UpdateHint(TargetHint& hint, const AgentState& state) {
   hint.reported_tokens = (state.in_flight + state.queued).value();
   hint.warm_budget = state.warm_budget.value();
+  hint.warming = state.warm_budget < state.full_budget;
   hint.load_per_token = 1 / BudgetOf(state);
   hint.memory_total = state.memory_total.value();
   hint.memory_free = state.memory_free.value();
--- a/src/gang.cc
+++ b/src/gang.cc
@@ -75,10 +75,20 @@
   std::sort(shares.begin(), shares.end(), [&](const auto& a, const auto& b) {
     return fleet.rows[a.first].info.target < fleet.rows[b.first].info.target;
   });
+  // The leader runs the whole prefill, so it is one of the long pool if
+  // possible.
+  const auto in_long_pool = [&](const auto& it) {
+    return fleet.hints[it.first].pool == Pool::kLong;
+  };
+  const auto chosen = std::find_if(shares.begin(), shares.end(), in_long_pool);
+  const auto leader = chosen == shares.end() ? shares.begin() : chosen;
   Gang gang;
-  gang.leader = shares.front().first;
-  gang.leader_tokens = shares.front().second;
-  for (size_t i = 1; i < shares.size(); ++i) {
+  gang.leader = leader->first;
+  gang.leader_tokens = leader->second;
+  for (size_t i = 0; i < shares.size(); ++i) {
+    if (shares[i].first == gang.leader) {
+      continue;
+    }
     const TargetRow& row = fleet.rows[shares[i].first];
     GangMemberRow member;
     member.slot = shares[i].first;
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -6,6 +6,7 @@
 
 #include "src/affinity.h"
 #include "src/fleet_table.h"
+#include "src/length_pools.h"
 #include "src/rendezvous.h"
 
 namespace burdockhatch {
@@ -296,6 +297,7 @@
   }
   DropUnlistedEntries(tables, listed_entries, now);
   ++tables.entries_version;
+  AssignPools(tables.fleet);
   if (tables.config) {
     ApplyWithdrawals(tables, now);
   }
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -4,6 +4,7 @@
 
 #include "src/affinity.h"
 #include "src/fleet_table.h"
+#include "src/length_pools.h"
 #include "src/rendezvous.h"
 
 namespace burdockhatch {
@@ -21,11 +22,14 @@
 constexpr double kAffinityLoadSlack = 0.1;
 
 // Extra delay of a stream on a target whose budget is used up.
-constexpr double kFullLoadUs = 50'000;
+constexpr double kFullLoadUs = 300'000;
 
-// A target without room is chosen only if every other is without room as well:
-// a cold target must not attract work because it is idle.
-constexpr double kNoRoomUs = 5'000'000;
+// A cold target without room is chosen only if every other is without room as
+// well: it must not attract work because it is idle.
+constexpr double kColdNoRoomUs = 5'000'000;
+// A warm target without room soon has some. A higher cost makes work crowd into
+// the targets with room and short requests pay for it.
+constexpr double kWarmNoRoomUs = 300'000;
 
 // Random factor on the cost. Entries see the same reports; without it they
 // would all choose the same target until the next report.
@@ -73,13 +77,15 @@
 // Without the cached prefix.
 double CostUs(const TargetHint& hint,
               const PlacementQuery& query,
+              LengthClass length_class,
               double excess,
               double load) {
   const double tokens = static_cast<double>(query.prompt.value()) + excess +
                         static_cast<double>(hint.unanswered_tokens);
-  const double no_room = excess > 0 ? kNoRoomUs : 0;
+  const double no_room =
+      excess <= 0 ? 0 : (hint.warming ? kColdNoRoomUs : kWarmNoRoomUs);
   return hint.wait_us + tokens * hint.us_per_token + load * kFullLoadUs +
-         hint.distance_us + no_room;
+         hint.distance_us + no_room + PoolCostUs(hint, length_class);
 }
 
 struct Scan {
@@ -115,7 +121,8 @@
     scan.load_sum += load;
     ++scan.candidates;
     scan.choice.all_full = scan.choice.all_full && excess > 0;
-    Consider(scan, slot, query, CostUs(hint, query, excess, load));
+    Consider(scan, slot, query,
+             CostUs(hint, query, length_class, excess, load));
   }
 }
 
@@ -123,6 +130,7 @@
 // cached prefix are looked at a second time.
 void ScanCached(const FleetTable& fleet,
                 const PlacementQuery& query,
+                LengthClass length_class,
                 Scan& scan) {
   const double tokens_per_block =
       static_cast<double>(query.prompt.value()) /
@@ -135,7 +143,8 @@
     if (hint.candidate_mark != fleet.mark || load > bound) {
       continue;
     }
-    const double cost = CostUs(hint, query, ExcessTokens(hint, query), load);
+    const double cost =
+        CostUs(hint, query, length_class, ExcessTokens(hint, query), load);
     const double saved = hint.cached_blocks * tokens_per_block;
     Consider(scan, slot, query, cost - saved * hint.us_per_token);
   }
@@ -160,7 +169,7 @@
   MarkCachedBlocks(fleet, *query.prefix_hashes);
   Scan scan;
   ScanCandidates(fleet, query, LengthClassOf(query.prompt), scan);
-  ScanCached(fleet, query, scan);
+  ScanCached(fleet, query, LengthClassOf(query.prompt), scan);
   return scan.choice;
 }
 
