--- a/tests/agent_admission_test.cc
+++ b/tests/agent_admission_test.cc
@@ -53,6 +53,48 @@
   EXPECT_TRUE(Dispatched(small));
 }
 
+void AddQueued(AgentTables& tables,
+               uint64_t number,
+               LengthClass length,
+               Time accepted_at) {
+  AcceptedAttempt attempt;
+  attempt.id = {{1, number}, AttemptNumber(1)};
+  attempt.length = length;
+  attempt.accepted_at = accepted_at;
+  tables.attempts[attempt.id] = attempt;
+}
+
+std::vector<uint64_t> OrderOf(const AgentTables& tables) {
+  std::vector<uint64_t> order;
+  for (const AttemptId& id : DispatchOrder(tables)) {
+    order.push_back(id.request.low);
+  }
+  return order;
+}
+
+// Guards against an order by arrival alone, which lets short requests wait
+// behind longer ones.
+TEST(AgentDispatchOrderTest, ShortFirstThenByArrival) {
+  AgentTables tables;
+  tables.now = Time(seconds(100));
+  AddQueued(tables, 1, LengthClass::kHuge, tables.now - milliseconds(300));
+  AddQueued(tables, 2, LengthClass::kMedium, tables.now - milliseconds(200));
+  AddQueued(tables, 3, LengthClass::kShort, tables.now);
+  AddQueued(tables, 4, LengthClass::kShort, tables.now - milliseconds(100));
+  EXPECT_EQ(OrderOf(tables), (std::vector<uint64_t>{4, 3, 2, 1}));
+}
+
+// Guards against longer work that is overtaken by every later short request.
+TEST(AgentDispatchOrderTest, WaitingWorkRises) {
+  AgentTables tables;
+  tables.now = Time(seconds(100));
+  AddQueued(tables, 1, LengthClass::kHuge, tables.now - 3 * kAgingStep);
+  AddQueued(tables, 2, LengthClass::kMedium, tables.now - kAgingStep);
+  AddQueued(tables, 3, LengthClass::kShort, tables.now);
+  AddQueued(tables, 4, LengthClass::kLong, tables.now - kAgingStep);
+  EXPECT_EQ(OrderOf(tables), (std::vector<uint64_t>{1, 2, 3, 4}));
+}
+
 // Guards against longer work that takes the room kept for short work.
 TEST_F(AgentAdmissionTest, LongerClassesLeaveRoomForShortWork) {
   for (int i = 0; i < 6; ++i) {
@@ -72,7 +114,7 @@
   AttemptId medium;
   for (int i = 0; i < 400; ++i) {
     world_.SendOffer(
-        node_, world_.Completion(Tokens(1'500), Tokens(500), seconds(30)));
+        node_, world_.Completion(Tokens(1'500), Tokens(1'500), seconds(30)));
     if (i == 50) {
       medium = world_.SendOffer(
           node_, world_.Completion(Tokens(6'000), Tokens(50), seconds(30)));
@@ -203,6 +245,7 @@
   world_.SetConfig(config);
   const AttemptId refused = Offer(1'000, seconds(30));
   EXPECT_EQ(EndOf(refused).code, ErrorCode::kTargetWithdrawn);
+  EXPECT_FALSE(world_.offers[refused].accepted);
   EXPECT_EQ(EndOf(queued).code, ErrorCode::kTargetWithdrawn);
   EXPECT_EQ(EndOf(queued).outcome, Outcome::kNotRun);
   world_.Run(seconds(5));
--- a/tests/agent_core_test.cc
+++ b/tests/agent_core_test.cc
@@ -11,7 +11,9 @@
 using std::chrono::seconds;
 
 constexpr Time kStart{seconds(100)};
-const PeerId kEntry{InstanceId("entry-1"), Incarnation(1)};
+PeerId Entry() {
+  return {InstanceId("entry-1"), Incarnation(1)};
+}
 
 AgentOptions EngineOptions() {
   AgentOptions options;
@@ -97,7 +99,7 @@
 TEST(AgentCoreTest, RunsACompletion) {
   AgentCore core(EngineOptions());
   MakeReady(core);
-  core.OnMessage(From(kEntry, Completion(1)), kStart);
+  core.OnMessage(From(Entry(), Completion(1)), kStart);
   auto actions = core.TakeActions();
   ASSERT_EQ(Sent<OfferReply>(actions).size(), 1u);
   EXPECT_EQ(Sent<OfferReply>(actions)[0].verdict, Verdict::kAccepted);
@@ -127,7 +129,7 @@
   offer.time_left = seconds(5);
   offer.method = "GET";
   offer.path = "/stock";
-  core.OnMessage(From(kEntry, offer), kStart);
+  core.OnMessage(From(Entry(), offer), kStart);
   const auto calls = Only<DispatchCall>(core.TakeActions());
   ASSERT_EQ(calls.size(), 1u);
   EXPECT_EQ(calls[0].not_after, kStart + seconds(5));
@@ -145,12 +147,12 @@
 TEST(AgentCoreTest, CancelledStreamIsFreedByTheList) {
   AgentCore core(EngineOptions());
   MakeReady(core);
-  core.OnMessage(From(kEntry, Completion(1)), kStart);
+  core.OnMessage(From(Entry(), Completion(1)), kStart);
   const StreamId stream = StreamIdOf(Attempt(1));
   core.OnStreamStarted(stream, StartStatus::kStarted, kStart);
   core.TakeActions();
   const Time later = kStart + milliseconds(50);
-  core.OnMessage(From(kEntry, Cancel{Attempt(1)}), later);
+  core.OnMessage(From(Entry(), Cancel{Attempt(1)}), later);
   const auto actions = core.TakeActions();
   EXPECT_EQ(Only<CancelStream>(actions).size(), 1u);
   EXPECT_EQ(Sent<Finish>(actions).size(), 1u);
@@ -164,12 +166,12 @@
 TEST(AgentCoreTest, DrainCompletesRunningWork) {
   AgentCore core(EngineOptions());
   MakeReady(core);
-  core.OnMessage(From(kEntry, Subscribe{seconds(60)}), kStart);
-  core.OnMessage(From(kEntry, Completion(1)), kStart);
+  core.OnMessage(From(Entry(), Subscribe{seconds(60)}), kStart);
+  core.OnMessage(From(Entry(), Completion(1)), kStart);
   core.OnStreamStarted(StreamIdOf(Attempt(1)), StartStatus::kStarted, kStart);
   core.TakeActions();
   core.BeginDrain(kStart);
-  core.OnMessage(From(kEntry, Completion(2)), kStart);
+  core.OnMessage(From(Entry(), Completion(2)), kStart);
   const auto replies = Sent<OfferReply>(core.TakeActions());
   ASSERT_EQ(replies.size(), 1u);
   EXPECT_EQ(replies[0].failure.code, ErrorCode::kTargetDraining);
--- a/tests/agent_world.cc
+++ b/tests/agent_world.cc
@@ -187,8 +187,8 @@
 }
 
 void AgentWorld::EndRelays(WorldNode& node, StreamEnd end) {
-  for (const auto& [stream, relay] : std::exchange(node.relays, {})) {
-    Deliver(node, [this, stream, end](AgentCore& core) {
+  for (const auto& row : std::exchange(node.relays, {})) {
+    Deliver(node, [this, stream = row.first, end](AgentCore& core) {
       core.OnStreamEnded(stream, end, 0, now());
     });
   }
