--- a/src/attempts.cc
+++ b/src/attempts.cc
@@ -74,7 +74,7 @@
                      const Offer& offer) {
   if (FindAttempt(tables, offer.attempt)) {
     ++tables.counters.duplicate_offers;
-    ReplyToOffer(tables, from, offer.attempt, Verdict::kAccepted, {});
+    ConfirmAccepted(tables, from, offer.attempt);
     return true;
   }
   auto it = tables.closed.find(offer.attempt);
@@ -89,6 +89,12 @@
   return true;
 }
 
+void ConfirmAccepted(AgentTables& tables,
+                     const PeerId& to,
+                     const AttemptId& id) {
+  ReplyToOffer(tables, to, id, Verdict::kAccepted, {});
+}
+
 void RefuseOffer(AgentTables& tables,
                  const PeerId& from,
                  const Offer& offer,
--- a/src/attempts.h
+++ b/src/attempts.h
@@ -54,6 +54,11 @@
                      const PeerId& from,
                      const Offer& offer);
 
+// Tells an entry that its attempt is accepted and not over.
+void ConfirmAccepted(AgentTables& tables,
+                     const PeerId& to,
+                     const AttemptId& id);
+
 // Refuses an offer for good; with outcome kNotRun, the record is its tombstone.
 void RefuseOffer(AgentTables& tables,
                  const PeerId& from,
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -421,6 +421,8 @@
     if (IsEngineAgent(tables) && IsDispatched(*attempt)) {
       attempt->next_chunk = resume.next_chunk;
       AttachAgain(tables, *attempt);
+    } else {
+      ConfirmAccepted(tables, from, resume.attempt);
     }
     return;
   }
--- a/src/reconcile.cc
+++ b/src/reconcile.cc
@@ -185,6 +185,7 @@
     return;
   }
   tables.prefixes = PrefixTable{};
+  NoteRestart(tables.warmup, engine);
   // Streams of the old run cannot go on. Reading them again tells whether the
   // new run knows them.
   for (auto& [id, attempt] : tables.attempts) {
--- a/src/warmup.cc
+++ b/src/warmup.cc
@@ -83,6 +83,16 @@
   }
 }
 
+void NoteRestart(WarmupState& warmup, EngineIncarnation engine) {
+  FallBack(warmup);
+  warmup.engine = engine;
+  warmup.uptime = Duration(0);
+  warmup.hit_rate = 0;
+  warmup.lookups = 0;
+  warmup.hits = 0;
+  warmup.evidence_taken = true;
+}
+
 void NoteOverload(WarmupState& warmup) {
   warmup.completed_since_raise = Tokens(0);
 }
@@ -93,12 +103,12 @@
   }
   const bool known = warmup.engine.value() > 0;
   const bool restarted = known && HasRestarted(warmup, load);
+  if (restarted) {
+    NoteRestart(warmup, load.engine);
+  }
   warmup.engine = load.engine;
   warmup.uptime = load.uptime;
   if (restarted) {
-    FallBack(warmup);
-    warmup.hit_rate = 0;
-    warmup.evidence_taken = true;
     StartHitWindow(warmup, load);
     return;
   }
--- a/src/warmup.h
+++ b/src/warmup.h
@@ -25,6 +25,9 @@
 // Counts completed work and raises the budget when it is enough.
 void NoteCompleted(WarmupState& warmup, Tokens completed);
 
+// Falls back because a new run of the engine was seen.
+void NoteRestart(WarmupState& warmup, EngineIncarnation engine);
+
 // Notes a sign of overload: the work so far does not count towards a raise.
 void NoteOverload(WarmupState& warmup);
 
--- a/tests/agent_streams_test.cc
+++ b/tests/agent_streams_test.cc
@@ -220,6 +220,40 @@
   EXPECT_EQ(Bookings(), 0u);
 }
 
+// Guards against full load on a new run of the engine until its load report.
+TEST_F(AgentStreamsTest, ListOfANewRunFallsBack) {
+  for (int i = 0; i < 20; ++i) {
+    Start(Tokens(100));
+    world_.Run(milliseconds(400));
+  }
+  Start(Tokens(100));
+  world_.Run(seconds(1));
+  const AgentTables& tables = node_.core->tables();
+  const uint64_t falls = tables.warmup.falls;
+  const EngineList list{EngineIncarnation(2), {}};
+  node_.core->OnEngineList(&list, world_.now(), world_.now());
+  EXPECT_EQ(tables.warmup.falls, falls + 1);
+  EXPECT_EQ(tables.warmup.budget, Tokens(50'000));
+}
+
+// Guards against an entry that takes an agent for dead because nothing answers
+// the Resume of a call.
+TEST(AgentResumeTest, ResumeOfACallIsConfirmed) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddServiceAgent("agent-1");
+  world.Run(milliseconds(100));
+  world.faults.call_slow = 1;
+  Offer call = world.KeyedCall("", seconds(10));
+  call.key.reset();
+  const AttemptId id = world.SendOffer(node, call);
+  world.Run(milliseconds(50));
+  world.offers[id].accepted.reset();
+  world.Send(node, Resume{id, 0, seconds(9)});
+  EXPECT_TRUE(world.offers[id].accepted);
+  world.Run(seconds(4));
+  EXPECT_EQ(world.offers[id].finishes.size(), 1u);
+}
+
 // Guards against an engine that is down and still gets work.
 TEST_F(AgentStreamsTest, SilentEngineIsNotReady) {
   EXPECT_TRUE(node_.core->State(world_.now()).ready);
