--- a/tests/agent_report_test.cc
+++ b/tests/agent_report_test.cc
@@ -76,9 +76,11 @@
   AgentWorld world(1);
   WorldNode& node = world.AddServiceAgent("agent-1");
   world.Run(milliseconds(100));
+  world.faults.outage = true;
   const AttemptId call =
       world.SendOffer(node, world.KeyedCall("k", seconds(5)));
-  world.Run(Duration(1));
+  world.Run(milliseconds(20));
+  world.faults.outage = false;
   node.core->BeginDrain(world.now());
   world.Run(seconds(1));
   EXPECT_EQ(world.executions[call], 1);
