--- a/tests/agent_admission_test.cc
+++ b/tests/agent_admission_test.cc
@@ -4,6 +4,7 @@
 
 #include "src/attempts.h"
 #include "src/booking.h"
+#include "src/warmup.h"
 #include "tests/agent_invariants.h"
 #include "tests/agent_world.h"
 
@@ -53,6 +54,73 @@
   EXPECT_TRUE(Dispatched(small));
 }
 
+void AddQueued(AgentTables& tables,
+               uint64_t number,
+               LengthClass length,
+               Time accepted_at) {
+  AcceptedAttempt attempt;
+  attempt.id = {{1, number}, AttemptNumber(1)};
+  attempt.length = length;
+  attempt.accepted_at = accepted_at;
+  tables.attempts[attempt.id] = attempt;
+}
+
+std::vector<uint64_t> OrderOf(const AgentTables& tables) {
+  std::vector<uint64_t> order;
+  for (const AttemptId& id : DispatchOrder(tables)) {
+    order.push_back(id.request.low);
+  }
+  return order;
+}
+
+// Guards against an order by arrival alone, which lets short requests wait
+// behind longer ones.
+TEST(AgentDispatchOrderTest, ShortFirstThenByArrival) {
+  AgentTables tables;
+  tables.now = Time(seconds(100));
+  AddQueued(tables, 1, LengthClass::kHuge, tables.now - milliseconds(300));
+  AddQueued(tables, 2, LengthClass::kMedium, tables.now - milliseconds(200));
+  AddQueued(tables, 3, LengthClass::kShort, tables.now);
+  AddQueued(tables, 4, LengthClass::kShort, tables.now - milliseconds(100));
+  EXPECT_EQ(OrderOf(tables), (std::vector<uint64_t>{4, 3, 2, 1}));
+}
+
+// Guards against longer work that is overtaken by every later short request.
+TEST(AgentDispatchOrderTest, WaitingWorkRises) {
+  AgentTables tables;
+  tables.now = Time(seconds(100));
+  AddQueued(tables, 1, LengthClass::kHuge, tables.now - 3 * kAgingStep);
+  AddQueued(tables, 2, LengthClass::kMedium, tables.now - kAgingStep);
+  AddQueued(tables, 3, LengthClass::kShort, tables.now);
+  AddQueued(tables, 4, LengthClass::kLong, tables.now - kAgingStep);
+  EXPECT_EQ(OrderOf(tables), (std::vector<uint64_t>{1, 2, 3, 4}));
+}
+
+// Guards against aged work whose room is taken by each request that is smaller,
+// and against aged work that takes the share of short requests.
+TEST(AgentDispatchOrderTest, BlockedAgedWorkKeepsItsRoom) {
+  AgentTables tables;
+  tables.memory_total = Tokens(100'000);
+  StartCold(tables.warmup, Tokens(80'000));
+  tables.warmup.budget = Tokens(40'000);
+  AcceptedAttempt running;
+  running.id = {{1, 1}, AttemptNumber(1)};
+  running.length = LengthClass::kMedium;
+  running.load = Tokens(20'000);
+  BookStream(tables, running);
+  AcceptedAttempt medium = running;
+  medium.load = Tokens(6'000);
+  EXPECT_TRUE(Fits(tables, medium, {}));
+  const Reserve reserve{Tokens(19'000), Tokens(19'000)};
+  EXPECT_FALSE(Fits(tables, medium, reserve));
+  AcceptedAttempt small = running;
+  small.length = LengthClass::kShort;
+  small.load = Tokens(3'000);
+  EXPECT_TRUE(Fits(tables, small, reserve));
+  small.load = Tokens(11'000);
+  EXPECT_FALSE(Fits(tables, small, reserve));
+}
+
 // Guards against longer work that takes the room kept for short work.
 TEST_F(AgentAdmissionTest, LongerClassesLeaveRoomForShortWork) {
   for (int i = 0; i < 6; ++i) {
@@ -72,7 +140,7 @@
   AttemptId medium;
   for (int i = 0; i < 400; ++i) {
     world_.SendOffer(
-        node_, world_.Completion(Tokens(1'500), Tokens(500), seconds(30)));
+        node_, world_.Completion(Tokens(1'500), Tokens(1'500), seconds(30)));
     if (i == 50) {
       medium = world_.SendOffer(
           node_, world_.Completion(Tokens(6'000), Tokens(50), seconds(30)));
@@ -173,7 +241,7 @@
 TEST_F(AgentAdmissionTest, NothingIsAcceptedBeforeTheFirstList) {
   world_.faults.list_lost = 1;
   world_.RestartAgent(node_);
-  world_.Run(seconds(2));
+  world_.Run(AgentWorld::kRestartTime + milliseconds(50));
   const AttemptId early = Offer(1'000, seconds(30));
   EXPECT_EQ(EndOf(early).code, ErrorCode::kTargetNotReady);
   world_.faults.list_lost = 0;
@@ -203,6 +271,7 @@
   world_.SetConfig(config);
   const AttemptId refused = Offer(1'000, seconds(30));
   EXPECT_EQ(EndOf(refused).code, ErrorCode::kTargetWithdrawn);
+  EXPECT_FALSE(world_.offers[refused].accepted);
   EXPECT_EQ(EndOf(queued).code, ErrorCode::kTargetWithdrawn);
   EXPECT_EQ(EndOf(queued).outcome, Outcome::kNotRun);
   world_.Run(seconds(5));
