--- /dev/null
+++ b/tests/process_standins_test.cc
@@ -0,0 +1,57 @@
+// Tests of the stand-ins as programs.
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "tests/process_harness.h"
+
+namespace burdockhatch::process {
+namespace {
+
+// Returns the address that the program says it listens on, or an empty string.
+std::string AddressIn(const std::string& log_path) {
+  const std::string mark = "listening on ";
+  std::ifstream log(log_path);
+  const std::string text(std::istreambuf_iterator<char>(log), {});
+  const size_t start = text.find(mark);
+  const size_t end = text.find('\n', start);
+  if (start == std::string::npos || end == std::string::npos) {
+    return "";
+  }
+  return text.substr(start + mark.size(), end - start - mark.size());
+}
+
+// Guards against stand-ins that outlive a test or hide a failure in their exit
+// status.
+TEST(StandinProgramsTest, ExitWithZeroOnSigterm) {
+  for (const std::string name :
+       {"fake_object_api", "fake_engine", "fake_service"}) {
+    const std::string log = ::testing::TempDir() + "standins-" + name + "-" +
+                            std::to_string(::getpid()) + ".log";
+    Program program(name, {"--listen=127.0.0.1:0"}, log);
+    ASSERT_TRUE(WaitUntil([&] { return !AddressIn(log).empty(); })) << name;
+    EXPECT_EQ(CallHttp(AddressIn(log), "GET", "/stats").status, 200) << name;
+    program.Signal(SIGTERM);
+    EXPECT_EQ(program.Wait(), 0) << name;
+  }
+}
+
+// Guards against an engine that ends orderly when a test makes it crash.
+TEST(StandinProgramsTest, CrashEndsTheEngineWithoutAnAnswer) {
+  const std::string log = ::testing::TempDir() + "standins-crash-" +
+                          std::to_string(::getpid()) + ".log";
+  Program engine("fake_engine", {"--listen=127.0.0.1:0"}, log);
+  ASSERT_TRUE(WaitUntil([&] { return !AddressIn(log).empty(); }));
+  EXPECT_EQ(
+      CallHttp(AddressIn(log), "POST", "/faults", R"({"crash":true})").status,
+      0);
+  EXPECT_EQ(engine.Wait(), 3);
+}
+
+}  // namespace
+}  // namespace burdockhatch::process
