--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -140,6 +140,21 @@
   CheckAll(driver_);
 }
 
+// Guards against an answer that is lost with an agent although the work goes
+// on: the next run of the agent finds it, and waits for Resume.
+TEST_F(EntryRequestsTest, ResumeReachesTheNextRunOfTheAgent) {
+  driver_.agent("desk-1").chunk_interval = milliseconds(200);
+  driver_.agent("desk-2").chunk_interval = milliseconds(200);
+  const RequestId request =
+      driver_.Submit(driver_.ServiceCall(false, seconds(10)));
+  driver_.Run(milliseconds(500));
+  driver_.Restart(AgentOf(request), true);
+  driver_.Run(seconds(9));
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  CheckAll(driver_);
+}
+
 // Guards against a call that is lost although nobody has run it.
 TEST_F(EntryRequestsTest, ProvenNotRunLetsANonRepeatableCallGoElsewhere) {
   driver_.agent("desk-1").refuse_all = ErrorCode::kTargetNotReady;
@@ -171,6 +186,7 @@
   }
   const RequestId request = driver_.Submit(driver_.Completion());
   driver_.Run(milliseconds(100));
+  ASSERT_NE(driver_.End(request), nullptr);
   ExpectFailure(request, ErrorCode::kOverloaded, Outcome::kNotRun);
   EXPECT_EQ(driver_.End(request)->failure.retry_after, milliseconds(700));
   EXPECT_EQ(driver_.record(request).offers.size(), 2u);
@@ -307,10 +323,11 @@
 // are kept for it.
 TEST_F(EntryRequestsTest, CallerGoneCancelsTheAttempt) {
   const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(milliseconds(30));
   driver_.record(request).caller_gone = true;
   driver_.core().OnCallerGone(request, driver_.Now());
-  driver_.Run(milliseconds(100));
-  EXPECT_GE(CountSent<Cancel>(AgentOf(request).info.instance), 1);
+  driver_.Run(milliseconds(10));
+  EXPECT_EQ(CountSent<Cancel>(AgentOf(request).info.instance), 1);
   EXPECT_TRUE(driver_.record(request).ends.empty());
   CheckAll(driver_);
 }
@@ -362,6 +379,25 @@
   CheckAll(driver_);
 }
 
+// Guards against work for a target that cannot take it: one that does not
+// answer its agent, and one that has not spoken yet.
+TEST_F(EntryRequestsTest, UnreadyTargetsGetNoWorkUntilTheyAreReady) {
+  driver_.agent("engine-1").ready = false;
+  driver_.agent("engine-2").ready = false;
+  driver_.AddAgent("engine-3", "dc-a", "model", "").alive = false;
+  driver_.agent("engine-3").alive_again = driver_.Now() + seconds(60);
+  driver_.PushInstances();
+  driver_.Run(milliseconds(1500));
+  const RequestId request = driver_.Submit(driver_.Completion());
+  driver_.Run(seconds(1));
+  EXPECT_TRUE(driver_.record(request).offers.empty());
+  driver_.agent("engine-2").ready = true;
+  driver_.Run(seconds(2));
+  ASSERT_NE(driver_.End(request), nullptr);
+  EXPECT_TRUE(driver_.End(request)->completed);
+  CheckAll(driver_);
+}
+
 // Guards against a service that stays away after a data centre has returned.
 TEST_F(EntryRequestsTest, AReturnedDataCentreServesAgain) {
   driver_.config().withdrawn_data_centres.insert(DataCentreId("dc-a"));
@@ -461,6 +497,49 @@
   EXPECT_EQ(CountSent<Cancel>(agent.info.instance), before + 1);
 }
 
+// Guards against an older configuration that brings a withdrawn data centre
+// back.
+TEST_F(EntryRequestsTest, AnOlderConfigurationIsIgnored) {
+  FleetConfig older = driver_.config();
+  older.version = ConfigVersion(1);
+  driver_.config().withdrawn_targets.insert(TargetId("target-engine-1"));
+  driver_.PushConfig();
+  driver_.core().OnConfig(std::make_shared<FleetConfig>(older), driver_.Now());
+  for (int i = 0; i < 20; ++i) {
+    const RequestId request = driver_.Submit(driver_.Completion());
+    EXPECT_EQ(AgentOf(request).info.instance, InstanceId("engine-2"));
+  }
+  driver_.Run(seconds(2));
+  CheckAll(driver_);
+}
+
+// Guards against an answer to an earlier run of this entry.
+TEST_F(EntryRequestsTest, MessagesForAnotherRunOfTheEntryAreDropped) {
+  FakeAgent& agent = driver_.agent("engine-1");
+  Message message;
+  message.sender = {agent.info.instance, agent.incarnation};
+  message.receiver = Incarnation(6);
+  agent.draining = true;
+  message.body = LoadReport{driver_.StateOf(agent)};
+  agent.draining = false;
+  driver_.core().OnMessage(message, driver_.Now());
+  const FleetTable& fleet = driver_.core().tables().fleet;
+  const TargetSlot slot = fleet.by_instance.at(agent.info.instance);
+  EXPECT_EQ(fleet.hints[slot].standing, Standing::kUsable);
+}
+
+// Guards against a member that keeps a hold that its gang gave up before the
+// answer came.
+TEST_F(EntryRequestsTest, LateHoldOfAnUnknownGangIsReleased) {
+  FakeAgent& agent = driver_.agent("engine-1");
+  HoldReply reply;
+  reply.attempt = {{9, 9}, AttemptNumber(1)};
+  reply.verdict = Verdict::kAccepted;
+  reply.state = driver_.StateOf(agent);
+  driver_.Deliver(agent, reply);
+  EXPECT_EQ(CountSent<HoldRelease>(agent.info.instance), 1);
+}
+
 // Guards against a dump that cannot be read while requests are open.
 TEST_F(EntryRequestsTest, DumpListsOpenRequests) {
   const RequestId request = driver_.Submit(driver_.Completion());
