--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -148,7 +148,12 @@
   const RequestId request =
       driver_.Submit(driver_.ServiceCall(false, seconds(10)));
   driver_.Run(milliseconds(500));
-  driver_.Restart(AgentOf(request), true);
+  FakeAgent& agent = AgentOf(request);
+  driver_.Restart(agent, true);
+  driver_.Deliver(agent, LoadReport{driver_.StateOf(agent)});
+  const SendToAgent& last = driver_.sent().back();
+  EXPECT_EQ(last.to, (PeerId{agent.info.instance, Incarnation(2)}));
+  EXPECT_TRUE(std::holds_alternative<Resume>(last.body));
   driver_.Run(seconds(9));
   ASSERT_NE(driver_.End(request), nullptr);
   EXPECT_TRUE(driver_.End(request)->completed);
