--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -168,7 +168,7 @@
 };
 
 // The attempt of a request that is under way.
-struct Attempt {
+struct EntryAttempt {
   AttemptId id;
   TargetSlot slot = 0;
   Incarnation offered_to;  // Only this run of the agent can prove not_run.
@@ -204,7 +204,7 @@
   RequestSpec spec;
   RequestPhase phase = RequestPhase::kWaiting;
   AttemptNumber last_number;
-  std::optional<Attempt> attempt;
+  std::optional<EntryAttempt> attempt;
   std::optional<Gang> gang;
   uint32_t next_chunk = 0;  // What the session has.
   uint32_t unproven = 0;    // Earlier attempts without proof of not_run.
--- a/src/request_end.cc
+++ b/src/request_end.cc
@@ -49,7 +49,7 @@
 
 void EndAttempt(EntryTables& tables, RequestRow& row) {
   if (row.attempt) {
-    const Attempt& attempt = *row.attempt;
+    const EntryAttempt& attempt = *row.attempt;
     EndCount(tables.fleet, attempt.slot, attempt.tokens, attempt.unanswered);
     row.attempt.reset();
   }
@@ -60,7 +60,7 @@
 }
 
 void AbandonAttempt(EntryTables& tables, RequestRow& row, Time now) {
-  const Attempt& attempt = *row.attempt;
+  const EntryAttempt& attempt = *row.attempt;
   const InstanceId& instance = tables.fleet.rows[attempt.slot].info.instance;
   SendCancel(tables, instance, attempt.id);
   if (row.spec.deadline > now) {
--- a/src/request_placing.cc
+++ b/src/request_placing.cc
@@ -111,7 +111,7 @@
              int64_t tokens,
              Time now) {
   const TargetRow& target = tables.fleet.rows[slot];
-  Attempt attempt;
+  EntryAttempt attempt;
   attempt.id = id;
   attempt.slot = slot;
   attempt.offered_to = target.incarnation;
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -51,12 +51,12 @@
 }
 
 bool IsFrom(const EntryTables& tables,
-            const Attempt& attempt,
+            const EntryAttempt& attempt,
             const PeerId& sender) {
   return tables.fleet.rows[attempt.slot].info.instance == sender.instance;
 }
 
-void NoteAnswered(EntryTables& tables, Attempt& attempt) {
+void NoteAnswered(EntryTables& tables, EntryAttempt& attempt) {
   if (attempt.unanswered) {
     attempt.unanswered = false;
     CountAnswer(tables.fleet, attempt.slot, attempt.tokens);
@@ -69,7 +69,7 @@
                 Incarnation serving,
                 RequestPhase phase,
                 Time now) {
-  Attempt& attempt = *row.attempt;
+  EntryAttempt& attempt = *row.attempt;
   NoteAnswered(tables, attempt);
   attempt.serving = std::max(attempt.serving, serving);
   attempt.resume_gap = kFirstStall;
@@ -79,7 +79,7 @@
 }
 
 void SendResume(EntryTables& tables, const RequestRow& row, Time now) {
-  const Attempt& attempt = *row.attempt;
+  const EntryAttempt& attempt = *row.attempt;
   const TargetRow& target = tables.fleet.rows[attempt.slot];
   tables.actions.push_back(
       SendToAgent{{target.info.instance, target.incarnation},
@@ -103,11 +103,11 @@
   }
 }
 
-bool AgentIsSilent(const EntryTables& tables, const Attempt& attempt) {
+bool AgentIsSilent(const EntryTables& tables, const EntryAttempt& attempt) {
   return tables.fleet.hints[attempt.slot].standing == Standing::kSuspect;
 }
 
-bool AgentRestarted(const EntryTables& tables, const Attempt& attempt) {
+bool AgentRestarted(const EntryTables& tables, const EntryAttempt& attempt) {
   const Incarnation known = std::max(attempt.offered_to, attempt.serving);
   return tables.fleet.rows[attempt.slot].incarnation > known;
 }
@@ -118,7 +118,7 @@
 }
 
 void UpdateOffered(EntryTables& tables, RequestRow& row, Time now) {
-  const Attempt& attempt = *row.attempt;
+  const EntryAttempt& attempt = *row.attempt;
   if (now - attempt.offered_at >= kOfferPatience ||
       AgentIsSilent(tables, attempt) || AgentRestarted(tables, attempt)) {
     StartResuming(tables, row, now);
@@ -126,7 +126,7 @@
 }
 
 void UpdateRunning(EntryTables& tables, RequestRow& row, Time now) {
-  Attempt& attempt = *row.attempt;
+  EntryAttempt& attempt = *row.attempt;
   if (AgentIsSilent(tables, attempt) || AgentRestarted(tables, attempt)) {
     StartResuming(tables, row, now);
     return;
@@ -139,7 +139,7 @@
 
 // The run of the agent that had accepted the attempt speaks again: it was slow,
 // and still has the attempt.
-bool AgentIsBack(const EntryTables& tables, const Attempt& attempt) {
+bool AgentIsBack(const EntryTables& tables, const EntryAttempt& attempt) {
   return attempt.serving != Incarnation() &&
          tables.fleet.rows[attempt.slot].incarnation == attempt.serving &&
          !AgentIsSilent(tables, attempt);
@@ -204,7 +204,7 @@
 
 // The answer is whole once the session has every chunk that the agent counted.
 void CompleteIfWhole(EntryTables& tables, RequestRow& row) {
-  const Attempt& attempt = *row.attempt;
+  const EntryAttempt& attempt = *row.attempt;
   if (attempt.finish && row.next_chunk >= attempt.finish->chunk_count) {
     CompleteRow(tables, row);
   }
@@ -214,7 +214,7 @@
                   RequestRow& row,
                   const Finish& finish,
                   Time now) {
-  Attempt& attempt = *row.attempt;
+  EntryAttempt& attempt = *row.attempt;
   NoteAnswered(tables, attempt);
   if (!attempt.finish) {
     attempt.resuming_since = now;
