--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -84,6 +84,7 @@
   ObjectVersion instance_version;
   bool instances_known = false;
   std::atomic<uint64_t> waiting_messages = 0;
+  std::atomic<bool> started = false;  // The bus and the HTTP server are there.
   ServingPhase phase = ServingPhase::kStarting;
   Time accept_until{};  // While leaving.
   Time drained_at{};    // When the work was found done; zero before.
@@ -160,12 +161,12 @@
   http_options.serves_callers = settings_.role == Role::kEntry;
   return leaf::try_handle_all(
       [&]() -> leaf::result<bool> {
-        // HTTP first: a chunk from the bus needs the sessions.
+        BOOST_LEAF_AUTO(bus, StartBus(bus_options, handlers));
+        bus_ = std::move(bus);
         BOOST_LEAF_AUTO(http,
                         StartHttpEntry(http_options, this, &clock_, &metrics_));
         http_ = std::move(http);
-        BOOST_LEAF_AUTO(bus, StartBus(bus_options, handlers));
-        bus_ = std::move(bus);
+        parts_->started = true;
         return true;
       },
       [](const BusError& error) {
@@ -349,10 +350,11 @@
 // --- Messages ---------------------------------------------------------------
 
 void DaemonLoop::ReceiveOnBusThread(Message message) {
-  if (OnBusThread(message)) {
+  Parts& parts = *parts_;
+  // A chunk needs the sessions, which start after the bus.
+  if (!parts.started || OnBusThread(message)) {
     return;
   }
-  Parts& parts = *parts_;
   if (parts.waiting_messages >= kMaxWaitingMessages &&
       IsReplacedByTheNext(message.body)) {
     metrics_.Count("burdockhatch_messages_dropped_total", "");
--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -73,6 +73,8 @@
   FleetConfigPtr config;
   std::map<RequestId, std::shared_ptr<Session>> requests;
   std::map<Session*, std::weak_ptr<Session>> sessions;
+  // Sessions that wait for the text of the state.
+  std::map<Session*, std::shared_ptr<Session>> dumps;
 
   FleetConfigPtr Config() {
     const std::lock_guard lock(mutex);
@@ -318,18 +320,32 @@
       WriteWhole(200, "text/plain; version=0.0.4",
                  shared_->control->MetricsText());
     } else if (path == "/debug/state") {
-      shared_->control->DumpState(
-          [self = shared_from_this()](std::string text) {
-            self->Post([self, text = std::move(text)] {
-              self->WriteWhole(200, "application/json", text);
-            });
-          });
+      WriteState();
     } else {
       return false;
     }
     return true;
   }
 
+  // The control thread may outlive the sessions, so it must not own this one;
+  // it is kept in the shared table until the text comes.
+  void WriteState() {
+    {
+      const std::lock_guard lock(shared_->mutex);
+      shared_->dumps[this] = shared_from_this();
+    }
+    shared_->control->DumpState(
+        [weak = weak_from_this()](const std::string& text) {
+          if (const std::shared_ptr<Session> self = weak.lock()) {
+            self->Post([session = self.get(), text] {
+              session->WriteWhole(200, "application/json", text);
+              const std::lock_guard lock(session->shared_->mutex);
+              session->shared_->dumps.erase(session);
+            });
+          }
+        });
+  }
+
   // --- One request of a caller ---
 
   void StartRequest(CallerInput input) {
@@ -759,9 +775,11 @@
     std::vector<std::shared_ptr<Session>> sessions;
     // A session that ends takes the lock, so none may end under it.
     std::map<RequestId, std::shared_ptr<Session>> requests;
+    std::map<Session*, std::shared_ptr<Session>> dumps;
     {
       const std::lock_guard lock(shared_->mutex);
       requests.swap(shared_->requests);
+      dumps.swap(shared_->dumps);
       for (const auto& [key, weak] : shared_->sessions) {
         if (auto session = weak.lock()) {
           sessions.push_back(std::move(session));
