--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -1,5 +1,6 @@
 #include "src/metrics.h"
 
+#include <array>
 #include <iterator>
 #include <map>
 #include <mutex>
@@ -17,14 +18,14 @@
 
 // Upper bounds in seconds. Dense around the stated latencies: 63 ms between
 // tokens and 0.43 s to the first token.
-const std::vector<double> kBounds = {
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.063, 0.1, 0.2, 0.3,
-    0.43,  0.6,    1,     2.5,  5,     10,   30,    60,  300};
+constexpr std::array kBounds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.063,
+                                0.1,   0.2,    0.3,   0.43, 0.6,   1.0,  2.5,
+                                5.0,   10.0,   30.0,  60.0, 300.0};
 
 // The first bin holds everything up to the first bound.
 std::vector<double> Edges() {
-  std::vector<double> edges = kBounds;
-  edges.insert(edges.begin(), 0);
+  std::vector<double> edges = {0};
+  edges.insert(edges.end(), kBounds.begin(), kBounds.end());
   return edges;
 }
 
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -704,8 +704,8 @@
 
 void Load::Run(int caller) {
   LoadCounts& counts = counts_[static_cast<size_t>(caller)];
-  for (int i = 0; !stop_; ++i) {
-    const auto n = static_cast<size_t>(caller + i);
+  for (size_t i = 0; !stop_; ++i) {
+    const size_t n = static_cast<size_t>(caller) + i;
     const std::string prompt = fmt::format("caller {} request {} {}", caller, i,
                                            std::string(n % 7 * 900, 'x'));
     const CallerResult result =
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -13,7 +13,7 @@
 
 namespace leaf = boost::leaf;
 
-const AttemptId kAttempt{{11, 22}, AttemptNumber(3)};
+constexpr AttemptId kAttempt{{11, 22}, AttemptNumber(3)};
 
 AgentState SampleState() {
   AgentState state;
