Refuse unclaimed calls before their deadline and let a restarted entry keep its share

An agent that got no claim told its entry at the deadline, when the caller had already been told that the outcome is unknown. A restarted entry got no share of an account until the lease of its former run ended.

--- a/src/account_limits.cc
+++ b/src/account_limits.cc
@@ -109,6 +109,16 @@
   });
 }
 
+// An entry that has been restarted takes over from its former run, which cannot
+// use its lease any more. Otherwise the new run would get no share until that
+// lease ends.
+void ForgetEarlierRuns(HomeAccount& home, const PeerId& requester) {
+  std::erase_if(home.leases, [&](const auto& it) {
+    return it.first.instance == requester.instance &&
+           it.first.incarnation < requester.incarnation;
+  });
+}
+
 // The largest level such that granting each entry the smaller of its demand and
 // the level stays within `total`.
 int64_t FairLevel(const HomeAccount& home, int64_t total) {
@@ -152,6 +162,7 @@
                  int64_t entries,
                  Time now) {
   ForgetOldLeases(home, now);
+  ForgetEarlierRuns(home, requester);
   HomeLease& lease = home.leases[requester];
   lease.demand = std::max<int64_t>(demand, 0);
   lease.asked_at = now;
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -15,6 +15,11 @@
 
 namespace {
 
+// A call that got no claim is refused this long before its deadline. At the
+// deadline itself its entry has already told the caller that the outcome is
+// unknown, although the call provably never ran.
+constexpr Duration kRefusalMargin = std::chrono::milliseconds(150);
+
 // Attempts to end are collected first: ending one changes the table.
 template <class Filter>
 std::vector<AttemptId> Select(const AgentTables& tables, Filter filter) {
@@ -266,6 +271,14 @@
   for (const AttemptId& id : late) {
     CancelAttempt(tables, id);
   }
+  const auto unclaimed = Select(tables, [&](const AcceptedAttempt& attempt) {
+    return attempt.phase == AttemptPhase::kAwaitingClaim &&
+           !IsJoined(tables, attempt) &&
+           attempt.deadline - kRefusalMargin <= tables.now;
+  });
+  for (const AttemptId& id : unclaimed) {
+    EndNotRun(tables, id, ErrorCode::kClaimUnavailable);
+  }
   const auto overdue = Select(tables, [&](const AcceptedAttempt& attempt) {
     return attempt.phase == AttemptPhase::kQueued &&
            attempt.queue_until <= tables.now;
