--- a/tests/agent_admission_test.cc
+++ b/tests/agent_admission_test.cc
@@ -4,6 +4,7 @@
 
 #include "src/attempts.h"
 #include "src/booking.h"
+#include "src/warmup.h"
 #include "tests/agent_invariants.h"
 #include "tests/agent_world.h"
 
@@ -95,6 +96,31 @@
   EXPECT_EQ(OrderOf(tables), (std::vector<uint64_t>{1, 2, 3, 4}));
 }
 
+// Guards against aged work whose room is taken by each request that is smaller,
+// and against aged work that takes the share of short requests.
+TEST(AgentDispatchOrderTest, BlockedAgedWorkKeepsItsRoom) {
+  AgentTables tables;
+  tables.memory_total = Tokens(100'000);
+  StartCold(tables.warmup, Tokens(80'000));
+  tables.warmup.budget = Tokens(40'000);
+  AcceptedAttempt running;
+  running.id = {{1, 1}, AttemptNumber(1)};
+  running.length = LengthClass::kMedium;
+  running.load = Tokens(20'000);
+  BookStream(tables, running);
+  AcceptedAttempt medium = running;
+  medium.load = Tokens(6'000);
+  EXPECT_TRUE(Fits(tables, medium, {}));
+  const Reserve reserve{Tokens(19'000), Tokens(19'000)};
+  EXPECT_FALSE(Fits(tables, medium, reserve));
+  AcceptedAttempt small = running;
+  small.length = LengthClass::kShort;
+  small.load = Tokens(3'000);
+  EXPECT_TRUE(Fits(tables, small, reserve));
+  small.load = Tokens(11'000);
+  EXPECT_FALSE(Fits(tables, small, reserve));
+}
+
 // Guards against longer work that takes the room kept for short work.
 TEST_F(AgentAdmissionTest, LongerClassesLeaveRoomForShortWork) {
   for (int i = 0; i < 6; ++i) {
