Let send end before the tool's time-out, and status say what is unknown

A run against an entry without agents ended with an unknown outcome, because the entry's default deadline is longer than the tool's time-out.

--- a/src/ctl_main.cc
+++ b/src/ctl_main.cc
@@ -302,6 +302,7 @@
 }
 
 struct StatusReport {
+  bool answered = false;  // By the object API.
   uint64_t stored_version = 0;
   std::vector<InstanceInfo> instances;
   std::vector<std::pair<std::string, std::optional<uint64_t>>> versions;
@@ -322,6 +323,9 @@
                                      : std::string("no answer")});
   }
   text += FormatTable(rows);
+  if (!report.answered) {
+    return text + "\nthe object API does not answer; its version is unknown\n";
+  }
   text += fmt::format(
       "\nconfiguration version {}, confirmed by {} of {} processes asked\n",
       report.stored_version, report.confirmed, report.versions.size());
@@ -346,7 +350,8 @@
         version ? boost::json::value(*version) : boost::json::value(nullptr);
   }
   boost::json::object out;
-  out["version"] = report.stored_version;
+  out["version"] = report.answered ? boost::json::value(report.stored_version)
+                                   : boost::json::value(nullptr);
   out["confirmed"] = report.confirmed;
   out["versions"] = std::move(versions);
   out["instances"] = std::move(instances);
@@ -361,23 +366,22 @@
                         [&](InstanceListReply it) { list = std::move(it); });
   RunUntil(api.io, [&] { return list.has_value(); });
   const ObjectReply stored = api.Read();
-  const bool answered = list->status == ObjectStatus::kOk &&
-                        (stored.status == ObjectStatus::kOk ||
-                         stored.status == ObjectStatus::kNotFound);
+  report.answered = list->status == ObjectStatus::kOk &&
+                    (stored.status == ObjectStatus::kOk ||
+                     stored.status == ObjectStatus::kNotFound);
   report.stored_version = stored.version.value();
   report.instances = std::move(list->instances);
   for (const std::string& it : SplitAddresses(absl::GetFlag(FLAGS_entry))) {
     const std::optional<uint64_t> version = VersionAt(it);
-    const bool confirms = answered && version >= report.stored_version;
+    const bool confirms = report.answered && version >= report.stored_version;
     report.confirmed += version && confirms ? 1 : 0;
     report.versions.emplace_back(it, version);
   }
   CtlOutput output;
   output.text =
       absl::GetFlag(FLAGS_json) ? StatusJson(report) : StatusText(report);
-  if (!answered) {
+  if (!report.answered) {
     output.exit = CtlExit::kUnreachable;
-    output.text += "the object API does not answer\n";
   }
   return output;
 }
@@ -387,7 +391,11 @@
   call.method = words.size() > 2 ? "POST" : "GET";
   call.target = words[1];
   call.body = words.size() > 2 ? words[2] : "";
-  call.headers = {{"Content-Type", "application/json"}};
+  // The entry answers before this tool stops waiting, so that the outcome is
+  // known.
+  const auto deadline_ms = Timeout() * 9 / 10 / std::chrono::milliseconds(1);
+  call.headers = {{"Content-Type", "application/json"},
+                  {"X-Deadline-Ms", std::to_string(deadline_ms)}};
   if (const std::string account = absl::GetFlag(FLAGS_account);
       !account.empty()) {
     call.headers.emplace_back("X-Client-Account", account);
