Let huge prompts wait for room in proportion to their deadline

A gang gave up after 10 s although its deadline was minutes away. The agent tells the engine how much of a prompt the gang holds and tells the service adapter which calls may be repeated.

--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -48,6 +48,9 @@
   spec.priority = static_cast<int>(attempt.length);
   spec.prefix_hashes = offer.prefix_hashes;
   spec.imported_caches = CachesOf(offer);
+  for (const GangMember& it : offer.members) {
+    spec.imported_tokens += it.tokens;
+  }
   spec.first_chunk = offer.first_chunk;
   spec.generated_prefix = std::move(offer.generated_prefix);
   spec.prompt = std::move(offer.body);
@@ -67,6 +70,7 @@
 void DispatchServiceCall(AgentTables& tables, AcceptedAttempt& attempt) {
   Offer& offer = attempt.offer;
   ServiceRequest request;
+  request.repeatable = offer.repeatable;
   request.method = offer.method;
   request.path = offer.path;
   request.body = std::move(offer.body);
--- a/src/fleet_table.cc
+++ b/src/fleet_table.cc
@@ -13,7 +13,7 @@
 // Round trips: none to speak of within a data centre, 2 to 3 ms within a
 // region. Between regions the path may be cut, so these are a last resort.
 constexpr double kSameRegionUs = 3'000;
-constexpr double kOtherRegionUs = 200'000;
+constexpr double kOtherRegionUs = 1'200'000;
 
 double DistanceUs(const EntryOptions& options, const InstanceInfo& info) {
   if (info.data_centre == options.data_centre) {
--- a/src/request_placing.cc
+++ b/src/request_placing.cc
@@ -19,8 +19,9 @@
 constexpr Duration kPlacementPatience = std::chrono::seconds(5);
 constexpr Duration kMinWait = std::chrono::milliseconds(20);
 constexpr Duration kMaxWait = std::chrono::milliseconds(200);
-// A gang that cannot be acquired for this long ends the request early.
-constexpr Duration kGangPatience = std::chrono::seconds(10);
+// A huge prompt waits for room for this part of the time to its deadline. Room
+// for it comes only as other long work ends, which takes tens of seconds.
+constexpr int kRoomPatienceDivisor = 2;
 constexpr Duration kMinGangBackoff = std::chrono::milliseconds(50);
 constexpr Duration kMaxGangBackoff = std::chrono::seconds(2);
 constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
@@ -257,7 +258,7 @@
   if (!gang) {
     const auto* slots = CandidatesOf(tables.fleet, row.spec);
     ProbeIfDue(tables, GangCandidates(tables, *slots), now);
-    BackOffGang(tables, row, now);
+    WaitForRoom(tables, row, now);
     return;
   }
   gang->attempt = NextAttempt(row);
@@ -312,7 +313,7 @@
     case GangProgress::kHolding:
       return;
     case GangProgress::kLost:
-      BackOffGang(tables, row, now);
+      WaitForRoom(tables, row, now);
       return;
     case GangProgress::kHeld:
       OfferTo(tables, row, row.gang->attempt, row.gang->leader,
@@ -321,13 +322,14 @@
   }
 }
 
-void BackOffGang(EntryTables& tables, RequestRow& row, Time now) {
+void WaitForRoom(EntryTables& tables, RequestRow& row, Time now) {
   EndAttempt(tables, row);
   if (!row.waiting_since) {
     row.waiting_since = now;
     row.backoff = Duration(0);
   }
-  if (now - *row.waiting_since >= kGangPatience ||
+  const Duration at_first = row.spec.deadline - *row.waiting_since;
+  if (now - *row.waiting_since >= at_first / kRoomPatienceDivisor ||
       row.spec.deadline - now < LeastServiceTime(tables.fleet, row.spec)) {
     FailRow(tables, row, ErrorCode::kOverloaded, RetryHint(row), now);
     return;
@@ -351,8 +353,10 @@
     FailRow(tables, row, failure.code, failure.retry_after, now);
     return;
   }
-  if (was_gang) {
-    BackOffGang(tables, row, now);
+  const bool is_huge =
+      LengthClassOf(row.spec.prompt_tokens) == LengthClass::kHuge;
+  if (was_gang || (is_huge && rule == RetryRule::kOverloaded)) {
+    WaitForRoom(tables, row, now);
     return;
   }
   if (rule == RetryRule::kOverloaded) {
--- a/src/request_placing.h
+++ b/src/request_placing.h
@@ -19,7 +19,7 @@
 
 // The gang cannot be acquired now: gives back its holds and tries again after a
 // random time.
-void BackOffGang(EntryTables& tables, RequestRow& row, Time now);
+void WaitForRoom(EntryTables& tables, RequestRow& row, Time now);
 
 // The current attempt certainly did not run.
 void RetryAfterRefusal(EntryTables& tables,
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -344,7 +344,7 @@
   if (!kept && row->attempt) {
     LoseGang(tables, *row, now);
   } else if (!kept) {
-    BackOffGang(tables, *row, now);
+    WaitForRoom(tables, *row, now);
   } else if (row->phase == RequestPhase::kHolding) {
     ContinueGang(tables, *row, now);
   }
