Take no rate below one turnover in 15 s for a busy agent

One long prompt that completed nothing for some windows brought the measured rate to 35 tokens/s, and the agent then refused all work.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -14,6 +14,11 @@
 
 constexpr Duration kMeterWindow = std::chrono::seconds(1);
 
+// A target is taken to complete its budget at least once in this time. One long
+// prompt that completes nothing for some windows would otherwise bring the
+// measured rate near zero, and the target would refuse all work.
+constexpr std::chrono::seconds kLongestTurnover{15};
+
 // Without a measurement, a call of a plain service is taken to last this long.
 constexpr int64_t kCallsPerSecondEach = 10;
 
@@ -36,10 +41,11 @@
 }
 
 TokensPerSecond DrainRate(const AgentTables& tables) {
+  const int64_t budget = tables.warmup.budget.value();
   if (tables.meter.rate.value() > 0) {
-    return tables.meter.rate;
+    const TokensPerSecond least(budget / kLongestTurnover.count());
+    return std::max(tables.meter.rate, least);
   }
-  const int64_t budget = tables.warmup.budget.value();
   if (!IsEngineAgent(tables)) {
     return TokensPerSecond(budget * kCallsPerSecondEach);
   }
