--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -83,6 +83,25 @@
   EXPECT_EQ(PlacesOf(text), std::vector<std::string>{"/target"});
 }
 
+// Guards against an entry that cannot ask its peers when it starts during an
+// outage of the object API.
+TEST(SettingsTest, AnEntryNamesSeedPeers) {
+  const std::string text = R"({
+    "role": "entry", "instance": "entry-1", "data_centre": "ga-north-a",
+    "region": "ga-north", "bus_address": "127.0.0.1:5001",
+    "http_address": "127.0.0.1:5002", "object_api_address": "127.0.0.1:5003",
+    "seed_peers": [{"instance": "entry-2", "address": "127.0.0.1:5011"}]
+  })";
+  Findings findings;
+  const std::optional<Settings> settings = ParseSettings(text, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  ASSERT_EQ(settings->seed_peers.size(), 1u);
+  EXPECT_EQ(settings->seed_peers[0].instance.value(), "entry-2");
+  EXPECT_EQ(settings->seed_peers[0].address, "127.0.0.1:5011");
+  EXPECT_EQ(PlacesOf(Replaced(text, "127.0.0.1:5011", "entry-2:5011")),
+            std::vector<std::string>{"/seed_peers/0/address"});
+}
+
 TEST(SettingsTest, AServiceHasNoMemory) {
   const std::string text = Replaced(kAgent, "\"engine\"", "\"service\"");
   const std::vector<std::string> places = PlacesOf(text);
