--- a/src/admission.cc
+++ b/src/admission.cc
@@ -14,6 +14,11 @@
 
 constexpr Duration kMeterWindow = std::chrono::seconds(1);
 
+// A target is taken to complete its budget at least once in this time. One long
+// prompt that completes nothing for some windows would otherwise bring the
+// measured rate near zero, and the target would refuse all work.
+constexpr std::chrono::seconds kLongestTurnover{15};
+
 // Without a measurement, a call of a plain service is taken to last this long.
 constexpr int64_t kCallsPerSecondEach = 10;
 
@@ -25,7 +30,7 @@
   return static_cast<int>(length);
 }
 
-int AgedRank(const AgentTables& tables, const Attempt& attempt) {
+int AgedRank(const AgentTables& tables, const AcceptedAttempt& attempt) {
   const auto steps = (tables.now - attempt.accepted_at) / kAgingStep;
   return std::max(0, Rank(attempt.length) - static_cast<int>(steps));
 }
@@ -36,10 +41,11 @@
 }
 
 TokensPerSecond DrainRate(const AgentTables& tables) {
+  const int64_t budget = tables.warmup.budget.value();
   if (tables.meter.rate.value() > 0) {
-    return tables.meter.rate;
+    const TokensPerSecond least(budget / kLongestTurnover.count());
+    return std::max(tables.meter.rate, least);
   }
-  const int64_t budget = tables.warmup.budget.value();
   if (!IsEngineAgent(tables)) {
     return TokensPerSecond(budget * kCallsPerSecondEach);
   }
@@ -126,7 +132,7 @@
   return std::nullopt;
 }
 
-bool FitsClass(const AgentTables& tables, const Attempt& attempt) {
+bool FitsClass(const AgentTables& tables, const AcceptedAttempt& attempt) {
   const Tokens used = InFlightFrom(tables, attempt.length);
   const Tokens most =
       Share(tables.warmup.budget, kClassShare[Rank(attempt.length)]);
@@ -135,7 +141,7 @@
 }
 
 bool FitsMemory(const AgentTables& tables,
-                const Attempt& attempt,
+                const AcceptedAttempt& attempt,
                 Tokens reserved) {
   if (attempt.load + reserved > FreeMemory(tables)) {
     return false;
@@ -146,7 +152,7 @@
 
 // Short work keeps the part of the budget that no longer class may use, even
 // while aged work waits for room.
-bool FitsShortShare(const AgentTables& tables, const Attempt& attempt) {
+bool FitsShortShare(const AgentTables& tables, const AcceptedAttempt& attempt) {
   if (attempt.length != LengthClass::kShort) {
     return false;
   }
@@ -227,13 +233,13 @@
   return order;
 }
 
-bool HasAged(const AgentTables& tables, const Attempt& attempt) {
+bool HasAged(const AgentTables& tables, const AcceptedAttempt& attempt) {
   return attempt.length != LengthClass::kShort &&
          AgedRank(tables, attempt) == 0;
 }
 
 bool Fits(const AgentTables& tables,
-          const Attempt& attempt,
+          const AcceptedAttempt& attempt,
           const Reserve& reserve) {
   const Tokens after = InFlight(tables) + attempt.load;
   if (after > tables.warmup.budget) {
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -37,6 +37,9 @@
   kUnusable,  // Not ready, draining, leaving or withdrawn.
 };
 
+// Which work prefers a target, see length_pools.h.
+enum class Pool : uint8_t { kNone, kShort, kLong };
+
 // What placement reads of a target: plain numbers, kept apart from the rest so
 // that a scan over all targets of a model touches little memory.
 struct TargetHint {
@@ -46,13 +49,17 @@
   int64_t warm_budget = 0;        // Tokens; 0 when not reported.
   int64_t memory_total = 0;       // Tokens; 0 when not reported.
   int64_t memory_free = 0;
-  double wait_us = 0;       // Until a short request is dispatched.
-  double us_per_token = 0;  // Prefill; 0 for plain services.
-  double distance_us = 0;   // Cost of reaching its data centre.
+  double load_per_token = 0;  // Inverse of the budget.
+  double wait_us = 0;         // Until a short request is dispatched.
+  double us_per_token = 0;    // Prefill; 0 for plain services.
+  double distance_us = 0;     // Cost of reaching its data centre.
   uint64_t affinity_mark = 0;
   uint64_t excluded_mark = 0;
+  uint64_t candidate_mark = 0;
   uint32_t cached_blocks = 0;  // Valid when affinity_mark is current.
   Standing standing = Standing::kUnheard;
+  Pool pool = Pool::kNone;
+  bool warming = false;  // Its warm-up budget is below the full one.
 };
 
 // One agent and its target.
@@ -88,6 +95,8 @@
   std::map<ServiceId, std::vector<TargetSlot>> by_service;
   AffinityIndex affinity;
   uint64_t mark = 0;  // Tells marks of this decision from older ones.
+  // Targets that hold a prefix of the request; room for all is reserved.
+  std::vector<TargetSlot> cached;
 };
 
 // Another entry.
@@ -165,7 +174,7 @@
 };
 
 // The attempt of a request that is under way.
-struct Attempt {
+struct EntryAttempt {
   AttemptId id;
   TargetSlot slot = 0;
   Incarnation offered_to;  // Only this run of the agent can prove not_run.
@@ -201,12 +210,13 @@
   RequestSpec spec;
   RequestPhase phase = RequestPhase::kWaiting;
   AttemptNumber last_number;
-  std::optional<Attempt> attempt;
+  std::optional<EntryAttempt> attempt;
   std::optional<Gang> gang;
   uint32_t next_chunk = 0;  // What the session has.
   uint32_t unproven = 0;    // Earlier attempts without proof of not_run.
   std::vector<InstanceId> refused_by;
   bool overloaded = false;  // Some candidate refused for lack of capacity.
+  uint32_t overload_refusals = 0;
   Failure last_failure;
   Duration retry_hint{0};
   std::optional<Time> waiting_since;
@@ -234,6 +244,7 @@
   RetryBudgets retries;
   std::map<RequestId, RequestRow> requests;
   std::map<AttemptId, AbandonedAttempt> abandoned;
+  Time next_membership;
   Time next_probe;  // For agents outside the subset.
   std::vector<EntryAction> actions;
 };
--- a/src/reconcile.cc
+++ b/src/reconcile.cc
@@ -42,7 +42,7 @@
 // An attempt that a Resume adopted before the list came gets its booking.
 void JoinAdopted(AgentTables& tables, const EngineHolding& holding) {
   const std::optional<AttemptId> id = ParseAttemptId(holding.stream.value());
-  Attempt* attempt = id ? FindAttempt(tables, *id) : nullptr;
+  AcceptedAttempt* attempt = id ? FindAttempt(tables, *id) : nullptr;
   if (holding.is_cache || !attempt || !attempt->adopted) {
     return;
   }
@@ -104,7 +104,7 @@
   Booking* booking = FindBooking(tables, id);
   const std::optional<AttemptId> attempt_id = booking->attempt;
   EndBooking(tables, id);
-  Attempt* attempt =
+  AcceptedAttempt* attempt =
       attempt_id && !id.is_cache ? FindAttempt(tables, *attempt_id) : nullptr;
   if (attempt) {
     attempt->reattach_at = tables.now;
@@ -185,6 +185,7 @@
     return;
   }
   tables.prefixes = PrefixTable{};
+  NoteRestart(tables.warmup, engine);
   // Streams of the old run cannot go on. Reading them again tells whether the
   // new run knows them.
   for (auto& [id, attempt] : tables.attempts) {
