--- a/src/settings.cc
+++ b/src/settings.cc
@@ -39,6 +39,10 @@
   if (colon == std::string::npos) {
     return false;
   }
+  // make_address reads up to the first null byte and ignores what follows.
+  if (text.find('\0') != std::string::npos) {
+    return false;
+  }
   boost::system::error_code ec;
   boost::asio::ip::make_address(text.substr(0, colon), ec);
   const std::string port = text.substr(colon + 1);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -78,6 +78,16 @@
   EXPECT_FALSE(PlacesOf("").empty());
 }
 
+// Guards against an address of which only the part before a null byte is
+// checked.
+TEST(SettingsTest, AnAddressHasNoNullByte) {
+  for (const char* address :
+       {"127.0.0.1\\u0000:5001", "127.0.0.1\\u0000x:5001"}) {
+    const std::string text = Replaced(kAgent, "127.0.0.1:5001", address);
+    EXPECT_EQ(PlacesOf(text), std::vector<std::string>{"/bus_address"});
+  }
+}
+
 TEST(SettingsTest, AnEntryHasNoTarget) {
   const std::string text = Replaced(kAgent, "\"agent\"", "\"entry\"");
   EXPECT_EQ(PlacesOf(text), std::vector<std::string>{"/target"});
