--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -25,6 +25,8 @@
 constexpr std::string_view kBearer = "Bearer ";
 constexpr size_t kMaxKeyLength = 255;
 constexpr size_t kMaxServicePath = 8 * 1024;
+// Below kMaxWireIdLength: an agent drops an offer with a longer method.
+constexpr size_t kMaxMethodLength = 64;
 constexpr int64_t kMaxOutputTokens = 1'000'000;
 constexpr Tokens kDefaultOutput{256};
 
@@ -141,9 +143,11 @@
 }
 
 // Applies the template that the request names. An explicit deadline or model of
-// the request goes before that of the template.
+// the request goes before that of the template. The deadline of the template is
+// subject to the limit of this entry.
 std::optional<CallerError> ReadTemplate(const json::object& body,
                                         const FleetConfig* config,
+                                        const LimitSettings& limits,
                                         bool has_deadline,
                                         CallerRequest* request) {
   const json::value* name = body.if_contains("template");
@@ -168,7 +172,8 @@
   request->spec.max_output_tokens = found->max_output;
   request->payload = found->prompt_prefix;
   if (!has_deadline) {
-    request->time_limit = found->deadline;
+    request->time_limit =
+        std::min<Duration>(found->deadline, limits.max_deadline);
   }
   return std::nullopt;
 }
@@ -209,6 +214,7 @@
 std::variant<CallerRequest, CallerError> ParseCompletion(
     const CallerInput& input,
     const FleetConfig* config,
+    const LimitSettings& limits,
     CallerRequest request) {
   if (input.method != "POST") {
     return Invalid("use POST");
@@ -220,7 +226,7 @@
   }
   const json::object& body = value->get_object();
   const bool has_deadline = !input.deadline_ms.empty();
-  if (auto error = ReadTemplate(body, config, has_deadline, &request)) {
+  if (auto error = ReadTemplate(body, config, limits, has_deadline, &request)) {
     return *error;
   }
   if (auto error = ReadModel(body, &request)) {
@@ -254,6 +260,10 @@
 std::variant<CallerRequest, CallerError> ParseService(CallerInput input,
                                                       const FleetConfig* config,
                                                       CallerRequest request) {
+  if (input.method.empty() || input.method.size() > kMaxMethodLength) {
+    return Invalid(fmt::format("the method must have 1 to {} characters",
+                               kMaxMethodLength));
+  }
   std::string_view rest = input.target;
   rest.remove_prefix(kServicesPrefix.size());
   const size_t end = std::min(rest.find_first_of("/?"), rest.size());
@@ -346,7 +356,7 @@
     return ParseService(std::move(input), config, std::move(request));
   }
   request.format = chat ? AnswerFormat::kChat : AnswerFormat::kCompletion;
-  return ParseCompletion(input, config, std::move(request));
+  return ParseCompletion(input, config, limits, std::move(request));
 }
 
 std::vector<uint64_t> PrefixHashes(std::string_view prompt) {
--- a/tests/caller_api_test.cc
+++ b/tests/caller_api_test.cc
@@ -73,6 +73,31 @@
   EXPECT_EQ(request.time_limit, std::chrono::milliseconds(9'000));
 }
 
+// Guards against a template that exceeds the longest deadline of the entry.
+TEST(CallerApiTest, TheDeadlineOfATemplateIsLimited) {
+  const FleetConfig config = SampleConfig();
+  LimitSettings limits;
+  limits.max_deadline = std::chrono::milliseconds(1'000);
+  const auto parsed = ParseCallerRequest(
+      Post("/v1/completions", R"({"template":"review","prompt":"x"})"), &config,
+      limits);
+  const auto* request = std::get_if<CallerRequest>(&parsed);
+  ASSERT_NE(request, nullptr);
+  EXPECT_EQ(request->time_limit, limits.max_deadline);
+}
+
+// Guards against a method that is accepted here and makes every agent drop the
+// offer.
+TEST(CallerApiTest, RefusesALongMethod) {
+  CallerInput input = Post("/services/orders/x", "");
+  input.method = std::string(64, 'M');
+  EXPECT_EQ(CodeOf(input), ErrorCode::kNone);
+  input.method = std::string(65, 'M');
+  EXPECT_EQ(CodeOf(input), ErrorCode::kInvalidRequest);
+  input.method.clear();
+  EXPECT_EQ(CodeOf(input), ErrorCode::kInvalidRequest);
+}
+
 // Guards against the use of another account's template.
 TEST(CallerApiTest, ATemplateOfAnotherAccountIsUnknown) {
   CallerInput input =
