--- a/src/claim_shard.cc
+++ b/src/claim_shard.cc
@@ -17,6 +17,10 @@
 // Fields of a record: index of the holder, seconds since 1970, 1 when done.
 constexpr size_t kRecordFields = 3;
 
+// The end of the year 9999. A later time is damage, and the difference of
+// two times could overflow.
+constexpr uint64_t kMaxUnixSeconds = 253'402'300'799;
+
 std::optional<uint64_t> ReadNumber(const json::value& value) {
   std::error_code ec;
   const auto number = value.to_number<uint64_t>(ec);
@@ -60,8 +64,8 @@
   const std::optional<uint64_t> holder = ReadNumber((*fields)[0]);
   const std::optional<uint64_t> claimed_at = ReadNumber((*fields)[1]);
   const std::optional<uint64_t> done = ReadNumber((*fields)[2]);
-  if (!holder || *holder >= holders.size() || !claimed_at || !done ||
-      *done > 1) {
+  if (!holder || *holder >= holders.size() || !claimed_at ||
+      *claimed_at > kMaxUnixSeconds || !done || *done > 1) {
     return std::nullopt;
   }
   return ClaimRecord{holders[*holder].first, holders[*holder].second,
--- a/tests/agent_claims_test.cc
+++ b/tests/agent_claims_test.cc
@@ -329,6 +329,11 @@
            R"({"holders":[],"records":{")" + key + R"(":[0,1,0]}})",
            R"({"holders":[["a",1]],"records":{")" + key + R"(":[0,1]}})",
            R"({"holders":[["a",1]],"records":{")" + key + R"(":[0,1,2]}})",
+           // A time that does not fit into 64 bits with a sign.
+           R"({"holders":[["a",1]],"records":{")" + key +
+               R"(":[0,9223372036854775808,0]}})",
+           R"({"holders":[["a",1]],"records":{")" + key +
+               R"(":[0,253402300800,0]}})",
            std::string(R"({"holders":[["a",1]],"records":{"x":[0,1,0]}})"),
        }) {
     EXPECT_FALSE(ParseClaims(text)) << text;
