--- a/src/config_edit.cc
+++ b/src/config_edit.cc
@@ -421,7 +421,10 @@
   reader.Text("hash", kMaxIdLength, &hash);
   const json::value* changes = reader.Find("changes");
   reader.Finish();
-  if (!findings->empty() || !changes->is_array()) {
+  if (changes != nullptr && !changes->is_array()) {
+    findings->Add("/changes", "expected an array of changes");
+  }
+  if (!findings->empty()) {
     return std::nullopt;
   }
   FleetConfig result = config;
--- a/tests/config_edit_test.cc
+++ b/tests/config_edit_test.cc
@@ -209,8 +209,13 @@
   older.version = ConfigVersion(4);
   Findings findings;
   EXPECT_TRUE(ApplyChanges(base, good, next.version, &findings));
-  EXPECT_FALSE(ApplyChanges(other, good, next.version, &findings));
-  EXPECT_FALSE(ApplyChanges(older, good, next.version, &findings));
+  // Each call has findings of its own: those of an earlier call would be enough
+  // for a rejection.
+  for (const FleetConfig& it : {other, older}) {
+    Findings foreign;
+    EXPECT_FALSE(ApplyChanges(it, good, next.version, &foreign));
+    EXPECT_FALSE(foreign.empty());
+  }
   for (const std::string_view text :
        {"", "[]", "{}", R"({"changes":{},"hash":""})",
         R"({"changes":[],"hash":""})", R"({"changes":[1],"hash":""})",
@@ -219,6 +224,8 @@
         R"({"changes":[{"id":"c","base":-5,"edits":[]}],"hash":""})"}) {
     Findings ignored;
     EXPECT_FALSE(ApplyChanges(base, text, next.version, &ignored)) << text;
+    // A rejection without a finding leaves nothing to log.
+    EXPECT_FALSE(ignored.empty()) << text;
   }
 }
 
