--- a/fuzz/instance_list_fuzz.cc
+++ b/fuzz/instance_list_fuzz.cc
@@ -20,7 +20,6 @@
 using burdockhatch::InstanceInfo;
 using burdockhatch::InstanceListReply;
 using burdockhatch::InstanceState;
-using burdockhatch::ObjectStatus;
 using burdockhatch::Role;
 
 void Require(bool holds) {
