Expect the whole prompt of the leader of a gang

Cause: the agent expected the leader to compute only the part of the prompt that it holds.

AgentWarmupTest.LeaderOfAGangIsNotSlow failed before the change (budget 50,000 instead of 100,000) and passes now; 150 agent and entry tests pass.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -180,7 +180,7 @@
   if (!IsEngineAgent(tables) || rate.value() <= 0) {
     return Duration(0);
   }
-  const Tokens prompt = LoadOf(tables, offer) - offer.max_output_tokens;
+  const Tokens prompt = offer.prompt_tokens;
   const auto blocks = static_cast<int64_t>(offer.prefix_hashes.size());
   if (blocks == 0) {
     return TimeFor(prompt, rate);
--- a/src/booking.cc
+++ b/src/booking.cc
@@ -143,7 +143,8 @@
   Booking& booking = tables.bookings[StreamBooking(attempt.id)];
   booking.memory = attempt.load;
   booking.load = attempt.load;
-  booking.prompt = attempt.load - attempt.offer.max_output_tokens;
+  // The leader of a gang computes the whole prompt, whatever part it holds.
+  booking.prompt = attempt.offer.prompt_tokens;
   booking.length = attempt.length;
   booking.gang = attempt.length == LengthClass::kHuge;
   booking.entry = attempt.entry;
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -60,7 +60,7 @@
 void DispatchStream(AgentTables& tables, AcceptedAttempt& attempt) {
   attempt.prompt_in_flight = PromptInFlight(tables);
   attempt.prompt_dispatched = tables.prompt_dispatched;
-  tables.prompt_dispatched += attempt.load - attempt.offer.max_output_tokens;
+  tables.prompt_dispatched += attempt.offer.prompt_tokens;
   BookStream(tables, attempt);
   attempt.phase = AttemptPhase::kStarting;
   NotePrefixUse(tables.prefixes, attempt.offer.prefix_hashes);
--- a/tests/agent_warmup_test.cc
+++ b/tests/agent_warmup_test.cc
@@ -115,18 +115,23 @@
   EXPECT_EQ(warmup.budget, kFull);
 }
 
-// Runs one stream of 4,000 + 100 tokens that takes `time`; returns the budget
-// after it.
+// Runs one stream that takes `time`, with 4,000 + 100 tokens at this engine and
+// `remote` prompt tokens at another one of its gang; returns the budget after
+// it.
 Tokens BudgetAfterStream(AgentCore& core,
                          uint64_t number,
                          Time at,
-                         Duration time) {
+                         Duration time,
+                         Tokens remote = Tokens(0)) {
   Offer offer;
   offer.attempt = {{6, number}, AttemptNumber(1)};
   offer.model = ModelId("findings");
-  offer.prompt_tokens = Tokens(4'000);
+  offer.prompt_tokens = Tokens(4'000) + remote;
   offer.max_output_tokens = Tokens(100);
   offer.time_left = seconds(60);
+  if (remote > Tokens(0)) {
+    offer.members = {{{InstanceId("agent-2"), Incarnation(1)}, remote}};
+  }
   const PeerId entry{InstanceId("entry"), Incarnation(1)};
   core.OnMessage({entry, Incarnation(1), {}, offer}, at);
   const StreamId stream = StreamIdOf(offer.attempt);
@@ -157,6 +162,25 @@
             Tokens(50'000));
 }
 
+// Guards against a leader of a gang that is taken for cold because it computes
+// the whole prompt, while only its own part was expected of it.
+TEST(AgentWarmupTest, LeaderOfAGangIsNotSlow) {
+  AgentWorld world(1);
+  WorldNode& node = world.AddEngineAgent("agent-1");
+  node.options.time_per_token = milliseconds(10);
+  world.Reconfigure(node);
+  world.Run(milliseconds(100));
+  Time now = world.now();
+  for (uint64_t i = 0; i < 30; ++i) {
+    BudgetAfterStream(*node.core, i, now, milliseconds(1'500));
+    now += milliseconds(1'500);
+  }
+  // Expected are 4.08 s for the prompt and 1 s for the output.
+  EXPECT_EQ(
+      BudgetAfterStream(*node.core, 100, now, seconds(6), Tokens(200'000)),
+      Tokens(100'000));
+}
+
 // Guards against calls above what a cold service can carry.
 TEST(AgentWarmupTest, ColdServiceGetsFewCalls) {
   AgentWorld world(1);
