Queue short work for up to 10 s at a busy target

Cause: an agent refused whatever would wait more than 2 s (short) or 5 s (medium), although callers wait for tens of seconds. Above capacity that threw away work that would have been answered in time.

--- a/src/admission.h
+++ b/src/admission.h
@@ -19,8 +19,8 @@
 
 // Longest time in the queue, by class.
 inline constexpr std::array<Duration, kLengthClassCount> kMaxQueueWait = {
-    std::chrono::seconds(2), std::chrono::seconds(5), std::chrono::seconds(15),
-    std::chrono::seconds(30)};
+    std::chrono::seconds(10), std::chrono::seconds(15),
+    std::chrono::seconds(30), std::chrono::seconds(60)};
 
 // Queued work rises by one class each time it has waited this long.
 inline constexpr Duration kAgingStep = std::chrono::seconds(2);
