Keep short work in its pool up to a cost of 300 ms

Cause: with 100 ms, short work moved beside long prefill as soon as its own pool was a little busier.

--- a/src/length_pools.cc
+++ b/src/length_pools.cc
@@ -22,7 +22,7 @@
 // Short work keeps away from long prefill. Medium work moves to the short pool
 // when it would wait in its own; longer work stays unless there is no room.
 constexpr std::array<PoolCost, kLengthClassCount> kPoolCosts = {{
-    {100'000, 0},
+    {300'000, 0},
     {0, 100'000},
     {0, 2'000'000},
     {0, 2'000'000},
