Simplify the cache capacity of the engine model and name what is counted

The capacity had a branch that both ways gave the same number, the count of answers in time had a figurative name, and the comment of WaitForRoom still spoke of gangs only.

--- a/bench/engine_model.cc
+++ b/bench/engine_model.cc
@@ -72,10 +72,7 @@
 }
 
 void EngineModel::InsertPrefix(const EngineStream& stream) {
-  const int64_t capacity =
-      options_.prefix_cache / kBlockTokens.value() == Tokens(0)
-          ? 0
-          : options_.prefix_cache.value() / kBlockTokens.value();
+  const int64_t capacity = options_.prefix_cache.value() / kBlockTokens.value();
   for (const uint64_t hash : stream.prefix_hashes) {
     if (cache_index_.contains(hash)) {
       continue;
--- a/bench/statistics.cc
+++ b/bench/statistics.cc
@@ -104,13 +104,13 @@
 }
 
 double Goodput(const std::vector<WorkItem>& items, const RunResult& result) {
-  int landed = 0;
+  int in_time = 0;
   for (size_t n = 0; n < items.size(); ++n) {
     const bool answered = result.items[n].end == End::kAnswered;
-    landed += answered && InTime(items[n], result.items[n]) ? 1 : 0;
+    in_time += answered && InTime(items[n], result.items[n]) ? 1 : 0;
   }
   const Duration span = items.back().arrival - items.front().arrival;
-  return landed / Seconds(span);
+  return in_time / Seconds(span);
 }
 
 int CountOverdue(const std::vector<WorkItem>& items, const RunResult& result) {
--- a/src/request_placing.h
+++ b/src/request_placing.h
@@ -17,8 +17,9 @@
 // Asks for the next hold of a gang, or offers the attempt to its leader.
 void ContinueGang(EntryTables& tables, RequestRow& row, Time now);
 
-// The gang cannot be acquired now: gives back its holds and tries again after a
-// random time.
+// There is no room for a gang or a huge prompt now: gives back any holds and
+// tries again after a random time, or ends the request when it has waited for
+// its share of the time to the deadline.
 void WaitForRoom(EntryTables& tables, RequestRow& row, Time now);
 
 // The current attempt certainly did not run.
