--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 # Modules that need sockets, protobuf or HTTP. Everything else in src/ is the embeddable core.
 DAEMON_SOURCES := $(filter-out src/%_main.cc, \
                   $(wildcard src/*_http.cc src/http_*.cc src/*_daemon.cc src/bus.cc src/wire.cc \
-                             src/metrics.cc src/log.cc src/daemon_*.cc src/*.pb.cc))
+                             src/daemon_*.cc src/*.pb.cc)) \
+                  $(wildcard platform/*.cc)
 MAIN_SOURCES := $(wildcard src/*_main.cc)
 CORE_SOURCES := $(filter-out $(DAEMON_SOURCES) $(MAIN_SOURCES),$(wildcard src/*.cc))
 TEST_SOURCES := $(filter-out tests/process_%,$(wildcard tests/*.cc))
@@ -136,7 +137,7 @@
 fuzz: fuzz-programs
 	@BUILD=$(BUILD) ./tools/run-fuzzers $(or $(FUZZ_SECONDS),30)
 
-SOURCES := $(filter-out %.pb.cc %.pb.h,$(wildcard $(foreach d,src standins tests bench fuzz,$(d)/*.cc $(d)/*.h)))
+SOURCES := $(filter-out %.pb.cc %.pb.h,$(wildcard $(foreach d,src platform standins tests bench fuzz,$(d)/*.cc $(d)/*.h)))
 format:
 	clang-format -i $(SOURCES)
 format-check:
--- /dev/null
+++ b/src/caller_server.h
@@ -0,0 +1,48 @@
+// The HTTP server for requests that are forwarded as they are.
+#ifndef SRC_CALLER_SERVER_H_
+#define SRC_CALLER_SERVER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/result.hpp>
+
+#include "src/caller_exchange.h"
+#include "src/routes.h"
+
+namespace burdockhatch {
+
+struct CallerServerError {
+  std::string message;
+};
+
+class CallerServer {
+ public:
+  virtual ~CallerServer() = default;
+
+  virtual void SetLimits(const CallerLimits& limits) = 0;
+
+  // Each further answer asks its caller to leave the connection.
+  virtual void BeginDrain() = 0;
+
+  virtual uint64_t open_exchanges() const = 0;
+  virtual uint64_t connections() const = 0;
+
+  // Closes the listening socket and the connections without a request.
+  virtual void Stop() = 0;
+};
+
+// Listens on `address` ("ip:port"). All handlers run on the one thread that
+// runs `io`. Fails with CallerServerError.
+boost::leaf::result<std::unique_ptr<CallerServer>> StartCallerServer(
+    boost::asio::io_context& io,
+    const std::string& address,
+    const CallerLimits& limits,
+    uint32_t max_connections,
+    ExchangeHandler handler);
+
+}  // namespace burdockhatch
+
+#endif  // SRC_CALLER_SERVER_H_
--- /dev/null
+++ b/src/caller_server_http.cc
@@ -0,0 +1,472 @@
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/leaf/error.hpp>
+
+#include "src/caller_server.h"
+#include "src/log.h"
+
+namespace burdockhatch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace leaf = boost::leaf;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// A caller that takes nothing for this long is treated as gone.
+constexpr auto kWriteTimeout = std::chrono::seconds(30);
+// How long a connection that we close waits for the caller to close it too.
+constexpr auto kCloseTimeout = std::chrono::seconds(1);
+constexpr size_t kReadBufferBytes = 64 * 1024;
+
+struct Shared {
+  CallerLimits limits;
+  uint32_t max_connections = 0;
+  ExchangeHandler handler;
+  bool draining = false;
+  uint64_t open_exchanges = 0;
+  std::map<void*, std::weak_ptr<class Connection>> connections;
+};
+
+// One connection of a caller. Everything runs on one thread.
+class Connection : public CallerExchange,
+                   public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(tcp::socket socket, std::shared_ptr<Shared> shared)
+      : stream_(std::move(socket)), shared_(std::move(shared)) {}
+
+  ~Connection() override {
+    EndExchange();
+    shared_->connections.erase(this);
+  }
+
+  void Start() {
+    shared_->connections[this] = weak_from_this();
+    error_code ec;
+    stream_.socket().set_option(tcp::no_delay(true), ec);
+    stream_.socket().set_option(asio::socket_base::keep_alive(true), ec);
+    stream_.socket().non_blocking(true, ec);
+    WaitForRequest();
+  }
+
+  void CloseIfIdle() {
+    if (!in_exchange_ && buffer_.size() == 0) {
+      Close();
+    }
+  }
+
+  // --- CallerExchange ---
+
+  void Answer(uint32_t status,
+              const HeaderList& headers,
+              const std::string& body) override {
+    std::string text = Head(status, headers);
+    fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n\r\n",
+                   body.size());
+    if (!is_head_request_) {
+      text += body;
+    }
+    ends_ = true;
+    Send(std::move(text));
+  }
+
+  void StartStream(uint32_t status, const HeaderList& headers) override {
+    chunked_ = version_ >= 11;
+    keep_alive_ = keep_alive_ && chunked_;
+    std::string text = Head(status, headers);
+    text += chunked_ ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+    Send(std::move(text));
+  }
+
+  void Write(std::string data) override {
+    if (!data.empty()) {
+      Send(chunked_ ? fmt::format("{:x}\r\n{}\r\n", data.size(), data)
+                    : std::move(data));
+    }
+  }
+
+  void EndStream() override {
+    ends_ = true;
+    Send(chunked_ ? "0\r\n\r\n" : "");
+  }
+
+  void Abort() override {
+    on_gone_ = nullptr;
+    // A reset shows the caller that the answer is cut off, also where its end
+    // would otherwise be the end of the connection.
+    error_code ec;
+    stream_.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    Close();
+  }
+
+  void OnGone(std::function<void()> handler) override {
+    on_gone_ = std::move(handler);
+  }
+
+ private:
+  // --- Reading ---
+
+  void WaitForRequest() {
+    parser_.emplace();
+    parser_->header_limit(
+        static_cast<uint32_t>(shared_->limits.max_header.value()) + 1024);
+    parser_->body_limit(
+        static_cast<uint64_t>(shared_->limits.max_body.value()));
+    if (buffer_.size() > 0) {
+      ReadHeader();
+      return;
+    }
+    // Callers reuse connections up to the idle timeout; half of it more keeps
+    // a request from crossing our close.
+    stream_.expires_after(shared_->limits.idle_timeout * 3 / 2);
+    stream_.async_read_some(
+        buffer_.prepare(kReadBufferBytes),
+        [self = shared_from_this()](error_code ec, size_t n) {
+          if (ec) {
+            self->Close();
+            return;
+          }
+          self->buffer_.commit(n);
+          self->ReadHeader();
+        });
+  }
+
+  void ReadHeader() {
+    stream_.expires_after(shared_->limits.header_timeout * 2);
+    http::async_read_header(stream_, buffer_, *parser_,
+                            [self = shared_from_this()](error_code ec, size_t) {
+                              if (ec) {
+                                self->RefuseMalformed(ec);
+                                return;
+                              }
+                              self->ReadBody();
+                            });
+  }
+
+  void ReadBody() {
+    version_ = parser_->get().version();
+    keep_alive_ = parser_->keep_alive();
+    stream_.expires_after(shared_->limits.idle_timeout * 2);
+    const auto expect = parser_->get()[http::field::expect];
+    if (beast::iequals(expect, "100-continue")) {
+      Send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code ec, size_t) {
+                       if (ec) {
+                         self->RefuseMalformed(ec);
+                         return;
+                       }
+                       self->OnRequest();
+                     });
+  }
+
+  void RefuseMalformed(error_code ec) {
+    uint32_t status = 400;
+    if (ec == http::error::header_limit) {
+      status = 431;
+    } else if (ec == http::error::body_limit) {
+      status = 413;
+    } else if (ec.category() !=
+               http::make_error_code(http::error::bad_method).category()) {
+      Close();
+      return;
+    } else if (ec == http::error::end_of_stream ||
+               ec == http::error::partial_message) {
+      Close();
+      return;
+    }
+    Log(LogLevel::kWarning, "request_malformed", {{"reason", ec.message()}});
+    keep_alive_ = false;
+    StartExchange();
+    Answer(status, {}, "");
+  }
+
+  void OnRequest() {
+    stream_.expires_never();
+    http::request<http::string_body> message = parser_->release();
+    ReceivedRequest request;
+    request.method = std::string(message.method_string());
+    request.path = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    for (const auto& it : message) {
+      request.headers.push_back(
+          {std::string(it.name_string()), std::string(it.value())});
+    }
+    request.body =
+        std::make_shared<const std::string>(std::move(message.body()));
+    is_head_request_ = request.method == "HEAD";
+    StartExchange();
+    WatchCaller();
+    shared_->handler(shared_from_this(), std::move(request));
+  }
+
+  // Bytes of a next request end the watch, since only reading them would show
+  // that the caller is gone.
+  void WatchCaller() {
+    if (buffer_.size() > 0 || watching_) {
+      return;
+    }
+    watching_ = true;
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](error_code ec) { self->OnReadable(ec); });
+  }
+
+  void OnReadable(error_code ec) {
+    watching_ = false;
+    if (ec || !in_exchange_ || closed_) {
+      return;
+    }
+    char byte = 0;
+    error_code read_ec;
+    const size_t n = stream_.socket().receive(
+        asio::buffer(&byte, 1), asio::socket_base::message_peek, read_ec);
+    if (read_ec == asio::error::would_block) {
+      WatchCaller();
+      return;
+    }
+    if (read_ec || n == 0) {
+      Close();
+    }
+  }
+
+  // --- Writing ---
+
+  std::string Head(uint32_t status, const HeaderList& headers) {
+    keep_alive_ = keep_alive_ && !shared_->draining;
+    const auto reason = http::obsolete_reason(http::int_to_status(status));
+    std::string text =
+        fmt::format("HTTP/1.1 {} {}\r\n", status,
+                    std::string_view(reason.data(), reason.size()));
+    AppendHeaders(headers, &text);
+    if (!keep_alive_) {
+      text += "Connection: close\r\n";
+    }
+    return text;
+  }
+
+  void Send(std::string text) {
+    if (closed_) {
+      return;
+    }
+    waiting_ += text;
+    if (!writing_) {
+      WriteWaiting();
+    }
+  }
+
+  void WriteWaiting() {
+    writing_ = true;
+    out_ = std::exchange(waiting_, std::string());
+    if (in_exchange_) {
+      stream_.expires_after(kWriteTimeout);
+    }
+    asio::async_write(stream_, asio::buffer(out_),
+                      [self = shared_from_this()](error_code ec, size_t) {
+                        self->OnWritten(ec);
+                      });
+  }
+
+  void OnWritten(error_code ec) {
+    writing_ = false;
+    if (closed_) {
+      return;
+    }
+    if (ec) {
+      Close();
+      return;
+    }
+    if (!waiting_.empty()) {
+      WriteWaiting();
+      return;
+    }
+    if (!in_exchange_) {
+      return;
+    }
+    stream_.expires_never();
+    if (!ends_) {
+      return;
+    }
+    EndExchange();
+    if (keep_alive_) {
+      WaitForRequest();
+      return;
+    }
+    // Closing with unread bytes would reset the connection and lose the answer.
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.expires_after(kCloseTimeout);
+    DrainInput();
+  }
+
+  void DrainInput() {
+    buffer_.clear();
+    stream_.async_read_some(buffer_.prepare(kReadBufferBytes),
+                            [self = shared_from_this()](error_code ec, size_t) {
+                              if (ec) {
+                                self->Close();
+                              } else {
+                                self->DrainInput();
+                              }
+                            });
+  }
+
+  // --- State ---
+
+  void StartExchange() {
+    in_exchange_ = true;
+    ends_ = false;
+    chunked_ = false;
+    ++shared_->open_exchanges;
+  }
+
+  void EndExchange() {
+    if (in_exchange_) {
+      in_exchange_ = false;
+      on_gone_ = nullptr;
+      --shared_->open_exchanges;
+    }
+  }
+
+  void Close() {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    const auto self = shared_from_this();
+    const auto on_gone = std::move(on_gone_);
+    EndExchange();
+    error_code ignored;
+    stream_.socket().close(ignored);
+    if (on_gone) {
+      on_gone();
+    }
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<Shared> shared_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::function<void()> on_gone_;
+  unsigned version_ = 11;
+  bool keep_alive_ = false;
+  bool is_head_request_ = false;
+  bool in_exchange_ = false;
+  bool chunked_ = false;
+  bool ends_ = false;  // The exchange ends once everything is written.
+  bool watching_ = false;
+  bool writing_ = false;
+  bool closed_ = false;
+  std::string out_;      // Being written.
+  std::string waiting_;  // Written next.
+};
+
+class HttpCallerServer : public CallerServer {
+ public:
+  HttpCallerServer(asio::io_context& io, std::shared_ptr<Shared> shared)
+      : io_(io), acceptor_(io), shared_(std::move(shared)) {}
+
+  ~HttpCallerServer() override { Stop(); }
+
+  // Returns an error text, empty on success.
+  std::string Start(const std::string& address) {
+    const size_t colon = address.rfind(':');
+    error_code ec;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+    if (ec || colon == std::string::npos) {
+      return fmt::format("'{}' is not <IP number>:<port>", address);
+    }
+    const tcp::endpoint endpoint(
+        ip, static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
+    acceptor_.open(endpoint.protocol(), ec);
+    if (!ec) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+      acceptor_.bind(endpoint, ec);
+    }
+    if (!ec) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+      return fmt::format("cannot listen on {}: {}", address, ec.message());
+    }
+    Accept();
+    return "";
+  }
+
+  void SetLimits(const CallerLimits& limits) override {
+    shared_->limits = limits;
+  }
+
+  void BeginDrain() override { shared_->draining = true; }
+  uint64_t open_exchanges() const override { return shared_->open_exchanges; }
+  uint64_t connections() const override { return shared_->connections.size(); }
+
+  void Stop() override {
+    error_code ignored;
+    acceptor_.close(ignored);
+    std::vector<std::shared_ptr<Connection>> open;
+    for (const auto& [key, weak] : shared_->connections) {
+      if (auto connection = weak.lock()) {
+        open.push_back(std::move(connection));
+      }
+    }
+    for (const auto& it : open) {
+      it->CloseIfIdle();
+    }
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept(io_, [this](error_code ec, tcp::socket socket) {
+      if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
+        return;
+      }
+      if (!ec && shared_->connections.size() < shared_->max_connections) {
+        std::make_shared<Connection>(std::move(socket), shared_)->Start();
+      }
+      Accept();
+    });
+  }
+
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+  std::shared_ptr<Shared> shared_;
+};
+
+}  // namespace
+
+leaf::result<std::unique_ptr<CallerServer>> StartCallerServer(
+    asio::io_context& io,
+    const std::string& address,
+    const CallerLimits& limits,
+    uint32_t max_connections,
+    ExchangeHandler handler) {
+  auto shared = std::make_shared<Shared>();
+  shared->limits = limits;
+  shared->max_connections = max_connections;
+  shared->handler = std::move(handler);
+  auto server = std::make_unique<HttpCallerServer>(io, std::move(shared));
+  std::string error = server->Start(address);
+  if (!error.empty()) {
+    return leaf::new_error(CallerServerError{std::move(error)});
+  }
+  return std::unique_ptr<CallerServer>(std::move(server));
+}
+
+}  // namespace burdockhatch
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -10,8 +11,11 @@
 #include <fmt/format.h>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "platform/fleet_feed.h"
+#include "platform/forward_headers.h"
 #include "src/agent_daemon.h"
 #include "src/entry_daemon.h"
+#include "src/forward_daemon.h"
 #include "src/settings.h"
 
 ABSL_FLAG(std::string, settings, "", "JSON file with the settings");
@@ -50,6 +54,16 @@
       });
 }
 
+int RunForwarding(const burdockhatch::Settings& settings) {
+  if (settings.role == burdockhatch::Role::kAgent) {
+    return burdockhatch::RunPlacementAgent(settings);
+  }
+  burdockhatch::ForwardPlatform parts;
+  parts.make_feed = burdockhatch::platform::MakeFleetFeed;
+  parts.protocol = burdockhatch::platform::MakeForwardProtocol();
+  return burdockhatch::RunForwardEntry(settings, std::move(parts));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -74,6 +88,9 @@
     fmt::print("{}: no findings\n", path);
     return 0;
   }
+  if (settings->forwarding) {
+    return RunForwarding(*settings);
+  }
   return settings->role == burdockhatch::Role::kEntry
              ? burdockhatch::RunEntry(*settings)
              : burdockhatch::RunAgent(*settings);
--- /dev/null
+++ b/src/feed_follower.cc
@@ -0,0 +1,149 @@
+#include "src/feed_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/log.h"
+
+namespace burdockhatch {
+
+namespace {
+
+// Each call costs the same, however long it waits. The wait bounds how long a
+// connection that has gone silent hides a change, which is to be in force
+// within two seconds.
+constexpr Duration kWatchWait = std::chrono::milliseconds(3'000);
+constexpr int64_t kFirstRetryMs = 60;
+constexpr int64_t kLongestRetryMs = 600;
+// Items that lapsed while the store was away return within two seconds.
+constexpr Duration kAwayMemory = std::chrono::milliseconds(3'000);
+
+}  // namespace
+
+std::string_view ToString(FeedKind kind) {
+  switch (kind) {
+    case FeedKind::kRoutes:
+      return "routes";
+    case FeedKind::kTargets:
+      return "targets";
+    case FeedKind::kWithdrawals:
+      return "withdrawals";
+  }
+  return "unknown";
+}
+
+FeedFollower::FeedFollower(FeedKind kind,
+                           FleetFeed* feed,
+                           Timers* timers,
+                           uint64_t seed,
+                           Observer observer)
+    : kind_(kind),
+      feed_(feed),
+      timers_(timers),
+      random_(seed),
+      observer_(std::move(observer)) {}
+
+void FeedFollower::Start() {
+  List("");
+}
+
+void FeedFollower::List(std::string after) {
+  listing_ = true;
+  if (after.empty()) {
+    listed_.clear();
+  }
+  const std::weak_ptr<bool> alive = alive_;
+  feed_->List(kind_, after, [this, alive](FeedReply reply) {
+    if (!alive.expired()) {
+      OnList(std::move(reply));
+    }
+  });
+}
+
+void FeedFollower::OnList(FeedReply reply) {
+  if (reply.status != FeedStatus::kOk) {
+    OnFailure(reply);
+    return;
+  }
+  OnSuccess();
+  listed_.insert(listed_.end(), std::make_move_iterator(reply.items.begin()),
+                 std::make_move_iterator(reply.items.end()));
+  if (!reply.next.empty()) {
+    List(reply.next);
+    return;
+  }
+  revision_ = reply.revision;
+  listing_ = false;
+  observer_({true, std::exchange(listed_, {}), revision_, WasAway()});
+  Watch();
+}
+
+void FeedFollower::Watch() {
+  const std::weak_ptr<bool> alive = alive_;
+  feed_->Watch(kind_, revision_, kWatchWait, [this, alive](FeedReply reply) {
+    if (!alive.expired()) {
+      OnWatch(std::move(reply));
+    }
+  });
+}
+
+void FeedFollower::OnWatch(FeedReply reply) {
+  if (reply.status == FeedStatus::kHistoryGone) {
+    Log(LogLevel::kWarning, "feed_history_gone",
+        {{"feed", std::string(ToString(kind_))},
+         {"revision", std::to_string(revision_)}});
+    List("");
+    return;
+  }
+  if (reply.status != FeedStatus::kOk) {
+    OnFailure(reply);
+    return;
+  }
+  OnSuccess();
+  revision_ = std::max(revision_, reply.revision);
+  if (!reply.items.empty()) {
+    observer_({false, std::move(reply.items), revision_, WasAway()});
+  }
+  Watch();
+}
+
+void FeedFollower::OnFailure(const FeedReply& reply) {
+  const Time now = timers_->Now();
+  if (away_since_ == Time()) {
+    away_since_ = now;
+    Log(LogLevel::kWarning, "feed_lost",
+        {{"feed", std::string(ToString(kind_))}, {"reason", reply.reason}});
+  }
+  const int64_t base = std::min<int64_t>(
+      kFirstRetryMs << std::min(failures_, 6U), kLongestRetryMs);
+  ++failures_;
+  const int64_t wait_ms =
+      base / 2 +
+      static_cast<int64_t>(random_.Below(static_cast<uint64_t>(base) / 2 + 1));
+  retry_ = timers_->After(std::chrono::milliseconds(wait_ms), [this] {
+    if (listing_) {
+      List("");
+    } else {
+      Watch();
+    }
+  });
+}
+
+void FeedFollower::OnSuccess() {
+  failures_ = 0;
+  if (away_since_ == Time()) {
+    return;
+  }
+  const Time now = timers_->Now();
+  Log(LogLevel::kInfo, "feed_regained",
+      {{"feed", std::string(ToString(kind_))},
+       {"away_ms", std::to_string((now - away_since_).count() / 1'000)}});
+  away_since_ = Time();
+  back_at_ = now;
+}
+
+bool FeedFollower::WasAway() const {
+  return back_at_ != Time() && timers_->Now() - back_at_ < kAwayMemory;
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/forward_call_http.cc
@@ -0,0 +1,237 @@
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "src/forward_call.h"
+
+namespace burdockhatch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  error_code ec;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+  uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto [rest, parsed] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  if (ec || parsed != std::errc() || rest != end || port == 0) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, port);
+}
+
+std::string HeadText(const ForwardCallSpec& spec) {
+  std::string text = fmt::format("{} {} HTTP/1.1\r\n", spec.method, spec.path);
+  AppendHeaders(spec.headers, &text);
+  const bool has_body =
+      !spec.body->empty() || (spec.method != "GET" && spec.method != "HEAD" &&
+                              spec.method != "DELETE");
+  if (has_body) {
+    fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n",
+                   spec.body->size());
+  }
+  return text + "\r\n";
+}
+
+class HttpForwardCall : public ForwardCall,
+                        public std::enable_shared_from_this<HttpForwardCall> {
+ public:
+  HttpForwardCall(asio::io_context& io,
+                  ForwardCallSpec spec,
+                  ForwardCallHandlers handlers)
+      : spec_(std::move(spec)), handlers_(std::move(handlers)), stream_(io) {}
+
+  void Start() {
+    const std::optional<tcp::endpoint> endpoint = ParseEndpoint(spec_.address);
+    if (!endpoint) {
+      asio::post(stream_.get_executor(), [self = shared_from_this()] {
+        self->Finish(CallEnd::kNotSent);
+      });
+      return;
+    }
+    stream_.expires_after(spec_.connect_timeout);
+    stream_.async_connect(*endpoint,
+                          [self = shared_from_this()](error_code ec) {
+                            if (ec) {
+                              self->Finish(CallEnd::kNotSent);
+                              return;
+                            }
+                            self->Write();
+                          });
+  }
+
+  void Stop() override {
+    stopped_ = true;
+    handlers_ = {};
+    CloseNow();
+  }
+
+ private:
+  void Write() {
+    if (stopped_) {
+      return;
+    }
+    // The request has a deadline of its own.
+    stream_.expires_never();
+    error_code ec;
+    stream_.socket().set_option(tcp::no_delay(true), ec);
+    head_ = HeadText(spec_);
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_),
+                                                     asio::buffer(*spec_.body)};
+    asio::async_write(stream_, parts,
+                      [self = shared_from_this()](error_code ec, size_t n) {
+                        self->OnWritten(ec, n);
+                      });
+    // A target may answer before it has read the whole body.
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->skip(spec_.method == "HEAD");
+    http::async_read_header(stream_, buffer_, *parser_,
+                            [self = shared_from_this()](error_code ec, size_t) {
+                              self->OnHead(ec);
+                            });
+  }
+
+  // Reading tells how the call ends, unless nothing has left.
+  void OnWritten(error_code ec, size_t written) {
+    if (ec && written == 0 && !head_read_) {
+      Finish(CallEnd::kNotSent);
+    }
+  }
+
+  void OnHead(error_code ec) {
+    if (ec) {
+      Finish(CallEnd::kBroken);
+      return;
+    }
+    if (parser_->get().result_int() == 100) {
+      parser_.emplace();
+      parser_->body_limit(boost::none);
+      http::async_read_header(stream_, buffer_, *parser_,
+                              [self = shared_from_this()](
+                                  error_code ec, size_t) { self->OnHead(ec); });
+      return;
+    }
+    head_read_ = true;
+    HeaderList headers;
+    for (const auto& it : parser_->get()) {
+      headers.push_back(
+          {std::string(it.name_string()), std::string(it.value())});
+    }
+    const auto self = shared_from_this();
+    if (handlers_.on_head) {
+      handlers_.on_head(parser_->get().result_int(), std::move(headers));
+    }
+    ReadSome();
+  }
+
+  void ReadSome() {
+    if (stopped_) {
+      return;
+    }
+    if (parser_->is_done()) {
+      Finish(CallEnd::kComplete);
+      return;
+    }
+    http::async_read_some(stream_, buffer_, *parser_,
+                          [self = shared_from_this()](error_code ec, size_t) {
+                            self->OnSome(ec);
+                          });
+  }
+
+  void OnSome(error_code ec) {
+    if (stopped_) {
+      return;
+    }
+    const std::string data =
+        std::exchange(parser_->get().body(), std::string());
+    if (!data.empty() && handlers_.on_body) {
+      handlers_.on_body(data);
+    }
+    if (stopped_) {
+      return;
+    }
+    // Without a length, the end of the connection ends the answer; Beast has
+    // then marked the message as done.
+    if (ec && !(ec == http::error::end_of_stream && parser_->is_done())) {
+      Finish(CallEnd::kBroken);
+      return;
+    }
+    ReadSome();
+  }
+
+  void Finish(CallEnd end) {
+    if (stopped_) {
+      return;
+    }
+    stopped_ = true;
+    CloseNow();
+    const auto on_end = std::move(handlers_.on_end);
+    handlers_ = {};
+    if (on_end) {
+      on_end(end);
+    }
+  }
+
+  void CloseNow() {
+    error_code ignored;
+    stream_.socket().close(ignored);
+  }
+
+  ForwardCallSpec spec_;
+  ForwardCallHandlers handlers_;
+  beast::tcp_stream stream_;
+  std::string head_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  bool head_read_ = false;
+  bool stopped_ = false;
+};
+
+class HttpForwardConnector : public ForwardConnector {
+ public:
+  explicit HttpForwardConnector(asio::io_context& io) : io_(io) {}
+
+  std::shared_ptr<ForwardCall> Start(ForwardCallSpec spec,
+                                     ForwardCallHandlers handlers) override {
+    auto call = std::make_shared<HttpForwardCall>(io_, std::move(spec),
+                                                  std::move(handlers));
+    call->Start();
+    return call;
+  }
+
+ private:
+  asio::io_context& io_;
+};
+
+}  // namespace
+
+std::unique_ptr<ForwardConnector> MakeForwardConnector(asio::io_context& io) {
+  return std::make_unique<HttpForwardConnector>(io);
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/forward_daemon.h
@@ -0,0 +1,32 @@
+// The daemons that forward requests as they are: the entry, which callers
+// reach, and the agent, which places requests of all entries.
+#ifndef SRC_FORWARD_DAEMON_H_
+#define SRC_FORWARD_DAEMON_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "src/fleet_feed.h"
+#include "src/forward_protocol.h"
+#include "src/settings.h"
+
+namespace burdockhatch {
+
+// What a platform brings to an entry.
+struct ForwardPlatform {
+  std::function<std::unique_ptr<FleetFeed>(boost::asio::io_context& io,
+                                           std::string address)>
+      make_feed;
+  std::unique_ptr<ForwardProtocol> protocol;
+};
+
+// Each runs until a planned stop is complete and returns the exit status.
+int RunForwardEntry(const Settings& settings, ForwardPlatform platform);
+int RunPlacementAgent(const Settings& settings);
+
+}  // namespace burdockhatch
+
+#endif  // SRC_FORWARD_DAEMON_H_
--- /dev/null
+++ b/src/forward_entry_daemon.cc
@@ -0,0 +1,330 @@
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include <fmt/format.h>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "src/caller_server.h"
+#include "src/feed_follower.h"
+#include "src/forward_daemon.h"
+#include "src/forward_loop_daemon.h"
+#include "src/forward_request.h"
+#include "src/log.h"
+#include "src/placement_client.h"
+#include "src/rendezvous.h"
+
+namespace burdockhatch {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr Duration kIdleTick = std::chrono::milliseconds(50);
+// The balancer asks every second and stops after two refusals; a connection
+// that it opened just before then still brings a request.
+constexpr Duration kBalancerLag = std::chrono::milliseconds(2'500);
+// Left of the grace when requests in progress are given up.
+constexpr Duration kStopMargin = std::chrono::milliseconds(300);
+
+RepeatLimits RepeatLimitsOf(const ForwardingSettings& settings) {
+  return {settings.repeat_ratio, settings.repeat_window,
+          settings.repeat_allowance};
+}
+
+class ForwardEntry : public ForwardLoop, public PlacementBus {
+ public:
+  ForwardEntry(const Settings& settings, ForwardPlatform platform)
+      : ForwardLoop(settings),
+        forwarding_(*settings_.forwarding),
+        protocol_(std::move(platform.protocol)),
+        feed_(platform.make_feed(io_, settings_.object_api_address)),
+        connector_(MakeForwardConnector(io_)),
+        placement_(
+            self_,
+            {Role::kEntry, settings_.data_centre, settings_.bus_address, false},
+            this) {
+    context_.timers = this;
+    context_.protocol = protocol_.get();
+    context_.connector = connector_.get();
+    context_.placement = &placement_;
+    context_.metrics = &metrics_;
+    context_.data_centre = settings_.data_centre;
+    context_.regions = forwarding_.regions;
+    context_.balancer = ServiceBalancer(self_.incarnation.value());
+    context_.budget = RepeatBudget(RepeatLimitsOf(forwarding_));
+    context_.random =
+        Random(StableHash(self_.instance.value()) ^ self_.incarnation.value());
+    context_.on_directory_changed = [this] { SpreadTargets(Now()); };
+    for (int i = 0; i < kFeedKindCount; ++i) {
+      const auto kind = static_cast<FeedKind>(i);
+      followers_[static_cast<size_t>(i)] = std::make_unique<FeedFollower>(
+          kind, feed_.get(), this,
+          self_.incarnation.value() + static_cast<uint64_t>(i),
+          [this, kind](FeedUpdate update) { OnUpdate(kind, update); });
+    }
+  }
+
+ protected:
+  std::string OnStart() override {
+    std::string error = leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+          BOOST_LEAF_AUTO(
+              server,
+              StartCallerServer(io_, forwarding_.caller_address, CallerLimits(),
+                                settings_.limits.max_connections,
+                                [this](std::shared_ptr<CallerExchange> exchange,
+                                       ReceivedRequest request) {
+                                  std::make_shared<ForwardRequest>(
+                                      &context_, std::move(exchange),
+                                      std::move(request))
+                                      ->Start();
+                                }));
+          server_ = std::move(server);
+          return std::string();
+        },
+        [](const CallerServerError& error) { return error.message; },
+        [] { return std::string("unknown error"); });
+    if (error.empty()) {
+      for (const auto& it : followers_) {
+        it->Start();
+      }
+    }
+    return error;
+  }
+
+  void OnMessage(const Message& message, Time now) override {
+    placement_.OnMessage(message, now);
+  }
+
+  void OnUnreachable(const InstanceId& peer, Time now) override {
+    placement_.OnUnreachable(peer, now);
+  }
+
+  Duration OnTick(Time now) override {
+    context_.directory.Tick(now);
+    if (context_.directory.generation() != spread_generation_) {
+      SpreadTargets(now);
+    }
+    placement_.Tick(now);
+    if (now >= next_prune_) {
+      next_prune_ = now + std::chrono::seconds(5);
+      context_.balancer.Prune(context_.directory);
+    }
+    return server_->open_exchanges() > 0 ? kPlacementTick : kIdleTick;
+  }
+
+  bool IsReady() const override {
+    return context_.config != nullptr && !context_.directory.entries().empty();
+  }
+
+  void OnStop() override { server_->BeginDrain(); }
+
+  bool IsStopped(Duration since) override {
+    const bool idle = server_->open_exchanges() == 0;
+    if ((idle && since >= kBalancerLag) ||
+        since >= forwarding_.stop_grace - kStopMargin) {
+      server_->Stop();
+      return true;
+    }
+    return false;
+  }
+
+  std::string Dump(Time now) const override {
+    std::string targets;
+    for (const auto& [id, entry] : context_.directory.entries()) {
+      targets += fmt::format(
+          "{}{{\"target\":\"{}\",\"service\":\"{}\",\"address\":\"{}\","
+          "\"data_centre\":\"{}\",\"usable\":{},\"cold_ms\":{}}}",
+          targets.empty() ? "" : ",", id.value(), entry.record.service.value(),
+          entry.record.address, entry.record.data_centre.value(),
+          context_.directory.IsUsable(entry, now),
+          std::max<int64_t>((entry.cold_until - now).count() / 1'000, 0));
+    }
+    std::string feeds;
+    for (int i = 0; i < kFeedKindCount; ++i) {
+      const FeedFollower& it = *followers_[static_cast<size_t>(i)];
+      const int64_t away = it.away_since() == Time()
+                               ? 0
+                               : (now - it.away_since()).count() / 1'000;
+      feeds += fmt::format(
+          "{}\"{}\":{{\"revision\":{},\"away_ms\":{}}}", i == 0 ? "" : ",",
+          ToString(static_cast<FeedKind>(i)), it.revision(), away);
+    }
+    std::string withdrawn;
+    for (const DataCentreId& it : context_.directory.withdrawn()) {
+      withdrawn +=
+          fmt::format("{}\"{}\"", withdrawn.empty() ? "" : ",", it.value());
+    }
+    return fmt::format(
+        "{{\"config_version\":{},\"routes\":{},\"requests\":{},"
+        "\"connections\":{},\"feeds\":{{{}}},\"withdrawn\":[{}],"
+        "\"targets\":[{}],\"placement\":{}}}",
+        context_.config ? context_.config->version : 0,
+        context_.config ? context_.config->routes.size() : 0,
+        server_->open_exchanges(), server_->connections(), feeds, withdrawn,
+        targets, placement_.Dump(now));
+  }
+
+ private:
+  // --- PlacementBus ---
+
+  void Send(const InstanceId& to, MessageBody body) override {
+    bus_->Send({to, Incarnation()}, std::move(body));
+  }
+  void Connect(const InstanceId& peer, const std::string& address) override {
+    bus_->Connect(peer, address);
+  }
+  void Disconnect(const InstanceId& peer) override { bus_->Disconnect(peer); }
+
+  // --- Feeds ---
+
+  void OnUpdate(FeedKind kind, const FeedUpdate& update) {
+    const Time now = Now();
+    switch (kind) {
+      case FeedKind::kRoutes:
+        for (const FeedItem& it : update.items) {
+          if (const auto* config = std::get_if<RouteConfigPtr>(&it)) {
+            ApplyConfig(*config);
+          }
+        }
+        break;
+      case FeedKind::kTargets:
+        ApplyTargets(update, now);
+        break;
+      case FeedKind::kWithdrawals:
+        ApplyWithdrawals(update);
+        break;
+    }
+    SpreadTargets(now);
+  }
+
+  void ApplyConfig(const RouteConfigPtr& config) {
+    if (context_.config && config->version <= context_.config->version) {
+      return;
+    }
+    Log(LogLevel::kInfo, "config_applied",
+        {{"version", std::to_string(config->version)},
+         {"routes", std::to_string(config->routes.size())},
+         {"keys", std::to_string(config->keys.size())}});
+    context_.config = config;
+    server_->SetLimits(config->limits);
+  }
+
+  void ApplyTargets(const FeedUpdate& update, Time now) {
+    if (update.is_whole_list) {
+      std::vector<TargetRecord> records;
+      for (const FeedItem& it : update.items) {
+        if (const auto* record = std::get_if<TargetRecord>(&it)) {
+          records.push_back(*record);
+        }
+      }
+      context_.directory.Replace(records, update.revision, update.was_away,
+                                 now);
+      Log(LogLevel::kInfo, "targets_listed",
+          {{"count", std::to_string(records.size())},
+           {"revision", std::to_string(update.revision)}});
+      return;
+    }
+    for (const FeedItem& it : update.items) {
+      if (const auto* record = std::get_if<TargetRecord>(&it)) {
+        context_.directory.Put(*record, update.revision, now);
+        Log(LogLevel::kInfo, "target_changed",
+            {{"target", record->target.value()},
+             {"service", record->service.value()},
+             {"address", record->address},
+             {"draining", record->draining ? "true" : "false"},
+             {"cold_ms", std::to_string(record->cold_left.count() / 1'000)}});
+      } else if (const auto* removal = std::get_if<FeedRemoval>(&it)) {
+        context_.directory.Remove(TargetId(removal->name), update.revision,
+                                  update.was_away, now);
+        Log(LogLevel::kInfo, "target_removed",
+            {{"target", removal->name},
+             {"store_was_away", update.was_away ? "true" : "false"}});
+      }
+    }
+  }
+
+  void ApplyWithdrawals(const FeedUpdate& update) {
+    std::set<DataCentreId> withdrawn = context_.directory.withdrawn();
+    if (update.is_whole_list) {
+      withdrawn.clear();
+    }
+    for (const FeedItem& it : update.items) {
+      if (const auto* data_centre = std::get_if<DataCentreId>(&it)) {
+        withdrawn.insert(*data_centre);
+      } else if (const auto* removal = std::get_if<FeedRemoval>(&it)) {
+        withdrawn.erase(DataCentreId(removal->name));
+      }
+    }
+    Log(LogLevel::kInfo, "withdrawals_changed",
+        {{"count", std::to_string(withdrawn.size())}});
+    context_.directory.SetWithdrawn(std::move(withdrawn));
+  }
+
+  // --- Placement ---
+
+  // Tells the placement which targets are usable, and which agents there are.
+  // An agent runs on the machine of each engine.
+  void SpreadTargets(Time now) {
+    spread_generation_ = context_.directory.generation();
+    if (!context_.config) {
+      return;
+    }
+    std::vector<AgentAddress> agents;
+    for (const auto& [service, pool] : context_.config->services) {
+      if (!pool.engine) {
+        continue;
+      }
+      TargetList list;
+      list.service = service;
+      list.revision = context_.directory.revision();
+      list.cost = *pool.engine;
+      list.cold_requests_per_s = pool.cold_requests_per_s;
+      for (const FleetDirectory::Entry* it :
+           context_.directory.Usable(service, now)) {
+        list.targets.push_back({it->record.target, it->record.address,
+                                it->record.data_centre,
+                                std::max(it->cold_until - now, Duration(0))});
+        agents.push_back(AgentBeside(it->record));
+      }
+      placement_.SetTargets(std::move(list), now);
+    }
+    std::sort(agents.begin(), agents.end(),
+              [](const AgentAddress& a, const AgentAddress& b) {
+                return StableHash(a.instance.value()) <
+                       StableHash(b.instance.value());
+              });
+    placement_.SetAgents(std::move(agents), now);
+  }
+
+  AgentAddress AgentBeside(const TargetRecord& record) const {
+    const std::string host =
+        record.address.substr(0, record.address.rfind(':'));
+    return {InstanceId(record.address),
+            fmt::format("{}:{}", host, forwarding_.agent_bus_port),
+            record.data_centre};
+  }
+
+  const ForwardingSettings forwarding_;
+  std::unique_ptr<ForwardProtocol> protocol_;
+  std::unique_ptr<FleetFeed> feed_;
+  std::unique_ptr<ForwardConnector> connector_;
+  PlacementClient placement_;
+  ForwardContext context_;
+  std::unique_ptr<CallerServer> server_;
+  std::array<std::unique_ptr<FeedFollower>, kFeedKindCount> followers_;
+  uint64_t spread_generation_ = 0;
+  Time next_prune_{};
+};
+
+}  // namespace
+
+int RunForwardEntry(const Settings& settings, ForwardPlatform platform) {
+  return ForwardEntry(settings, std::move(platform)).Run();
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/forward_loop_daemon.cc
@@ -0,0 +1,181 @@
+#include "src/forward_loop_daemon.h"
+
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+#include <fmt/format.h>
+#include <boost/asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "src/log.h"
+
+namespace burdockhatch {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+namespace {
+
+class AsioTimer : public Timer {
+ public:
+  AsioTimer(asio::io_context& io, Duration delay, std::function<void()> event)
+      : timer_(io, delay) {
+    timer_.async_wait([event = std::move(event)](boost::system::error_code ec) {
+      if (!ec) {
+        event();
+      }
+    });
+  }
+
+ private:
+  asio::steady_timer timer_;
+};
+
+Incarnation IncarnationNow() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now);
+  return Incarnation(static_cast<uint64_t>(ms.count()));
+}
+
+}  // namespace
+
+ForwardLoop::ForwardLoop(Settings settings)
+    : settings_(std::move(settings)),
+      self_{settings_.instance, IncarnationNow()},
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      tick_(io_) {}
+
+ForwardLoop::~ForwardLoop() = default;
+
+std::unique_ptr<Timer> ForwardLoop::After(Duration delay,
+                                          std::function<void()> event) {
+  return std::make_unique<AsioTimer>(io_, delay, std::move(event));
+}
+
+int ForwardLoop::Run() {
+  SetLogIdentity(settings_.instance, settings_.data_centre);
+  // A peer that closes its connection early must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string error = StartParts();
+  if (error.empty()) {
+    error = OnStart();
+  }
+  if (!error.empty()) {
+    Log(LogLevel::kError, "start_failed", {{"reason", error}});
+    return 1;
+  }
+  Log(LogLevel::kInfo, "started",
+      {{"incarnation", std::to_string(self_.incarnation.value())},
+       {"bus", settings_.bus_address},
+       {"http", settings_.http_address}});
+  WaitForSignal();
+  Tick();
+  io_.run();
+  admin_->Stop();
+  bus_->Stop();
+  Log(LogLevel::kInfo, "stopped");
+  return 0;
+}
+
+std::string ForwardLoop::StartParts() {
+  BusOptions bus_options;
+  bus_options.self = self_;
+  bus_options.bind_address = settings_.bus_address;
+  Bus::Handlers handlers;
+  handlers.on_message = [this](Message message) {
+    asio::post(io_, [this, message = std::move(message)] {
+      OnMessage(message, Now());
+    });
+  };
+  handlers.on_unreachable = [this](const InstanceId& peer) {
+    asio::post(io_, [this, peer] { OnUnreachable(peer, Now()); });
+  };
+  HttpEntryOptions http_options;
+  http_options.address = settings_.http_address;
+  http_options.limits = settings_.limits;
+  http_options.limits.traffic_threads = 1;
+  http_options.serves_callers = false;
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_AUTO(bus, StartBus(bus_options, handlers));
+        bus_ = std::move(bus);
+        BOOST_LEAF_AUTO(http,
+                        StartHttpEntry(http_options, this, &clock_, &metrics_));
+        admin_ = std::move(http);
+        return std::string();
+      },
+      [](const BusError& error) { return error.message; },
+      [](const HttpEntryError& error) { return error.message; },
+      [] { return std::string("unknown error"); });
+}
+
+void ForwardLoop::WaitForSignal() {
+  signals_.async_wait([this](boost::system::error_code ec, int signal) {
+    if (!ec) {
+      OnSignal(signal);
+      WaitForSignal();
+    }
+  });
+}
+
+void ForwardLoop::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    // Addresses and bounds are those of the start: the platform restarts a
+    // process whose addresses change.
+    Log(LogLevel::kInfo, "reload_requested");
+    return;
+  }
+  if (!stopping_) {
+    stopping_ = true;
+    stop_asked_at_ = Now();
+    Log(LogLevel::kInfo, "stopping", {{"signal", std::to_string(signal)}});
+    admin_->SetPhase(ServingPhase::kLeaving);
+    OnStop();
+  }
+}
+
+void ForwardLoop::Tick() {
+  const Time now = Now();
+  const Duration next = OnTick(now);
+  const bool ready = IsReady();
+  if (ready != ready_ && !stopping_) {
+    ready_ = ready;
+    Log(LogLevel::kInfo, ready ? "ready" : "not_ready");
+    admin_->SetPhase(ready ? ServingPhase::kServing : ServingPhase::kStarting);
+  }
+  if (stopping_ && IsStopped(now - stop_asked_at_)) {
+    io_.stop();
+    return;
+  }
+  tick_.expires_after(next);
+  tick_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      Tick();
+    }
+  });
+}
+
+void ForwardLoop::DumpState(std::function<void(std::string)> done) {
+  asio::post(io_, [this, done = std::move(done)] {
+    done(fmt::format(
+        "{{\"instance\":\"{}\",\"incarnation\":{},"
+        "\"data_centre\":\"{}\",\"ready\":{},\"stopping\":{},"
+        "\"core\":{}}}\n",
+        settings_.instance.value(), self_.incarnation.value(),
+        settings_.data_centre.value(), ready_, stopping_, Dump(Now())));
+  });
+}
+
+std::string ForwardLoop::MetricsText() {
+  const BusStats bus = bus_->Stats();
+  metrics_.SetCounter("burdockhatch_bus_messages_sent_total", "", bus.sent);
+  metrics_.SetCounter("burdockhatch_bus_bytes_sent_total", "", bus.sent_bytes);
+  metrics_.SetCounter("burdockhatch_bus_messages_received_total", "",
+                      bus.received);
+  metrics_.SetCounter("burdockhatch_bus_bytes_received_total", "",
+                      bus.received_bytes);
+  return metrics_.Text();
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/forward_loop_daemon.h
@@ -0,0 +1,82 @@
+// What the two forwarding daemons share: one thread for requests and decisions,
+// the bus, the address for health, metrics and state, and the planned stop.
+#ifndef SRC_FORWARD_LOOP_DAEMON_H_
+#define SRC_FORWARD_LOOP_DAEMON_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/bus.h"
+#include "src/clock.h"
+#include "src/http_entry.h"
+#include "src/metrics.h"
+#include "src/settings.h"
+#include "src/timers.h"
+
+namespace burdockhatch {
+
+// A forwarded answer is passed on by the thread that decides: an instance has
+// one core, where a hand-over to another thread costs more than the decision.
+class ForwardLoop : public SessionControl, public Timers {
+ public:
+  explicit ForwardLoop(Settings settings);
+  ~ForwardLoop() override;
+
+  int Run();
+
+  // SessionControl. The address for operators serves no callers.
+  void Submit(RequestSpec) override {}
+  void CallerGone(const RequestId&) override {}
+  void Progress(const AttemptId&, uint32_t) override {}
+  void SendFilledOffer(const PeerId&, Offer) override {}
+  void DumpState(std::function<void(std::string)> done) override;
+  std::string MetricsText() override;
+
+  // Timers.
+  Time Now() const override { return clock_.Now(); }
+  std::unique_ptr<Timer> After(Duration delay,
+                               std::function<void()> event) override;
+
+ protected:
+  // Returns an error text, empty on success.
+  virtual std::string OnStart() = 0;
+  virtual void OnMessage(const Message& message, Time now) = 0;
+  virtual void OnUnreachable(const InstanceId& peer, Time now) = 0;
+  // Returns when the next tick is due.
+  virtual Duration OnTick(Time now) = 0;
+  virtual bool IsReady() const = 0;
+  virtual void OnStop() = 0;
+  // Whether the process may end, `since` the stop was asked for.
+  virtual bool IsStopped(Duration since) = 0;
+  // JSON text.
+  virtual std::string Dump(Time now) const = 0;
+
+  const Settings settings_;
+  const PeerId self_;
+  SteadyClock clock_;
+  Metrics metrics_;
+  boost::asio::io_context io_;
+  std::unique_ptr<Bus> bus_;
+  std::unique_ptr<HttpEntry> admin_;
+
+ private:
+  std::string StartParts();
+  void WaitForSignal();
+  void OnSignal(int signal);
+  void Tick();
+
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer tick_;
+  bool stopping_ = false;
+  bool ready_ = false;
+  Time stop_asked_at_{};
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_FORWARD_LOOP_DAEMON_H_
--- /dev/null
+++ b/src/forward_protocol.h
@@ -0,0 +1,62 @@
+// What an entry reads from, and adds to, the headers of requests that it
+// forwards. A platform implements it with the names that it uses.
+#ifndef SRC_FORWARD_PROTOCOL_H_
+#define SRC_FORWARD_PROTOCOL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/http_headers.h"
+#include "src/ids.h"
+#include "src/units.h"
+
+namespace burdockhatch {
+
+struct CallerFields {
+  std::string attempt;  // Names this try of the caller; answers repeat it.
+  std::string key;      // Empty when the caller showed none.
+  std::optional<Duration> time_left;
+  Tokens prompt;
+  Tokens max_output;
+  std::optional<Tokens> expected_output;  // The caller's estimate.
+  std::optional<uint64_t> last_event;     // The caller resumes a stream.
+};
+
+struct ForwardFields {
+  TargetId target;
+  Duration time_left{0};
+  ClientAccountId account;           // Empty: the route needs no key.
+  std::vector<std::string> helpers;  // "ip:port" of targets that read along.
+  std::optional<uint64_t> last_event;
+};
+
+struct TargetFields {
+  std::string attempt;
+  bool is_signed = false;     // A target wrote the answer.
+  bool not_run = false;       // The request did not run there.
+  bool is_other = false;      // Another target has the address.
+  std::string faulty_helper;  // "ip:port" of the helper that failed.
+};
+
+class ForwardProtocol {
+ public:
+  virtual ~ForwardProtocol() = default;
+
+  virtual CallerFields ReadCaller(const HeaderList& headers) const = 0;
+
+  // The headers to send, from the caller's end-to-end headers.
+  virtual HeaderList ForwardHeaders(const HeaderList& caller,
+                                    const ForwardFields& fields) const = 0;
+
+  virtual TargetFields ReadTarget(uint32_t status,
+                                  const HeaderList& headers) const = 0;
+
+  // The headers of an answer that no target wrote.
+  virtual HeaderList OwnAnswerHeaders(const CallerFields& caller) const = 0;
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_FORWARD_PROTOCOL_H_
--- /dev/null
+++ b/src/http_headers.cc
@@ -0,0 +1,87 @@
+#include "src/http_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace burdockhatch {
+
+namespace {
+
+constexpr std::array<std::string_view, 11> kConnectionHeaders = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+    "proxy-authenticate",
+    "proxy-authorization"};
+
+std::string_view Trim(std::string_view text) {
+  const size_t begin = text.find_first_not_of(" \t");
+  if (begin == std::string_view::npos) {
+    return "";
+  }
+  return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+}
+
+std::vector<std::string_view> NamedByConnection(const HeaderList& headers) {
+  std::vector<std::string_view> names;
+  for (const Header& it : headers) {
+    if (!IsSameHeader(it.name, "connection")) {
+      continue;
+    }
+    std::string_view rest = it.value;
+    while (!rest.empty()) {
+      const size_t comma = rest.find(',');
+      names.push_back(Trim(rest.substr(0, comma)));
+      rest = comma == std::string_view::npos ? "" : rest.substr(comma + 1);
+    }
+  }
+  return names;
+}
+
+}  // namespace
+
+bool IsSameHeader(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](unsigned char x, unsigned char y) {
+                      return std::tolower(x) == std::tolower(y);
+                    });
+}
+
+const std::string* FindHeader(const HeaderList& headers,
+                              std::string_view name) {
+  const auto it = std::find_if(
+      headers.begin(), headers.end(),
+      [name](const Header& header) { return IsSameHeader(header.name, name); });
+  return it == headers.end() ? nullptr : &it->value;
+}
+
+HeaderList EndToEndHeaders(const HeaderList& headers) {
+  const std::vector<std::string_view> named = NamedByConnection(headers);
+  HeaderList kept;
+  for (const Header& it : headers) {
+    const auto is_it = [&](std::string_view name) {
+      return IsSameHeader(it.name, name);
+    };
+    if (std::none_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                     is_it) &&
+        std::none_of(named.begin(), named.end(), is_it)) {
+      kept.push_back(it);
+    }
+  }
+  return kept;
+}
+
+void AppendHeaders(const HeaderList& headers, std::string* text) {
+  for (const Header& it : headers) {
+    text->append(it.name).append(": ").append(it.value).append("\r\n");
+  }
+}
+
+}  // namespace burdockhatch
--- a/src/messages.h
+++ b/src/messages.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "src/engine_cost.h"
 #include "src/errors.h"
 #include "src/ids.h"
 #include "src/units.h"
@@ -220,6 +221,91 @@
   std::vector<AccountShare> shares;
 };
 
+// --- Placement of forwarded requests ---------------------------------------
+
+// A target as an entry describes it to the agent that places work.
+struct TargetDescription {
+  TargetId target;
+  std::string address;  // "ip:port" of its HTTP interface.
+  DataCentreId data_centre;
+  Duration cold_left{0};
+};
+inline constexpr int kMaxDescribedTargets = 4096;
+
+// Entry to agent: the usable targets of one service, replacing any list of a
+// lower revision.
+struct TargetList {
+  ServiceId service;
+  uint64_t revision = 0;
+  EngineCost cost;
+  double cold_requests_per_s = 0;  // 0: no limit.
+  std::vector<TargetDescription> targets;
+};
+
+// Entry to agent: asks for a target for one request.
+struct PlacementAsk {
+  uint64_t number = 0;  // Unique at the entry.
+  ServiceId service;
+  Tokens prompt;
+  Tokens output;                 // Expected, not the maximum.
+  Duration first_event_left{0};  // Until the first event is late; may be over.
+  Duration gap_target{0};        // Longest pause between events.
+  Duration time_left{0};
+  std::vector<TargetId> excluded;  // Have failed this request.
+};
+inline constexpr int kMaxExcludedTargets = 64;
+
+enum class PlacementVerdict : uint8_t {
+  kPlaced,
+  kQueued,       // Another reply follows.
+  kRefused,      // No target can answer in time.
+  kUnknownList,  // The agent has no list of the service's targets.
+};
+
+// Other targets that read a part of one prompt.
+inline constexpr int kMaxHelpers = 16;
+
+struct PlacementReply {
+  uint64_t number = 0;
+  PlacementVerdict verdict = PlacementVerdict::kRefused;
+  TargetId target;
+  std::vector<TargetId> helpers;
+  Duration expected_first_event{0};
+  Duration retry_after{0};
+  uint32_t entries = 1;  // That the agent places work for.
+};
+
+enum class PlacementEvent : uint8_t {
+  kFirstEvent,    // The prompt has been read.
+  kEnded,         // The request uses its targets no more.
+  kTargetFailed,  // Ended, as a target broke off or did not answer.
+};
+
+// Entry to agent: what became of a placed request.
+struct PlacementChange {
+  uint64_t number = 0;
+  PlacementEvent event = PlacementEvent::kEnded;
+  TargetId failed;  // kTargetFailed only; may be a helper.
+};
+
+struct PlacedWork {
+  uint64_t number = 0;
+  ServiceId service;
+  TargetId target;
+  std::vector<TargetId> helpers;
+  Tokens prompt;
+  Tokens output;
+  Duration gap_target{0};
+  bool reading = true;
+};
+
+// Entry to agent: all work that the entry has placed and that has not ended.
+// An agent that takes over the placement knows nothing else of it.
+struct PlacementSnapshot {
+  std::vector<PlacedWork> works;
+};
+inline constexpr int kMaxPlacedWorks = 16 * 1024;
+
 using MessageBody = std::variant<Offer,
                                  Cancel,
                                  Resume,
@@ -236,7 +322,12 @@
                                  ConfigPush,
                                  Goodbye,
                                  ShareRequest,
-                                 ShareGrant>;
+                                 ShareGrant,
+                                 TargetList,
+                                 PlacementAsk,
+                                 PlacementReply,
+                                 PlacementChange,
+                                 PlacementSnapshot>;
 
 // What goes over the bus.
 struct Message {
--- /dev/null
+++ b/src/placement_agent_daemon.cc
@@ -0,0 +1,139 @@
+#include <map>
+#include <variant>
+
+#include <fmt/format.h>
+
+#include "src/forward_daemon.h"
+#include "src/forward_loop_daemon.h"
+#include "src/log.h"
+#include "src/placement_scheduler.h"
+
+namespace burdockhatch {
+
+namespace {
+
+constexpr Duration kIdleTick = std::chrono::milliseconds(200);
+// An entry says something every half second; after this silence it is gone, or
+// has chosen another agent.
+constexpr Duration kEntryTimeout = std::chrono::seconds(3);
+
+class PlacementAgent : public ForwardLoop {
+ public:
+  using ForwardLoop::ForwardLoop;
+
+ protected:
+  std::string OnStart() override { return ""; }
+
+  void OnMessage(const Message& message, Time now) override {
+    const PeerId& entry = message.sender;
+    if (!last_heard_.contains(entry)) {
+      ForgetFormer(entry, now);
+      Log(LogLevel::kInfo, "entry_met",
+          {{"entry", entry.instance.value()},
+           {"incarnation", std::to_string(entry.incarnation.value())}});
+    }
+    last_heard_[entry] = now;
+    if (const auto* ask = std::get_if<PlacementAsk>(&message.body)) {
+      scheduler_.Ask(entry, *ask, now);
+      metrics_.Count("burdockhatch_placement_asks_total", "");
+    } else if (const auto* it = std::get_if<PlacementChange>(&message.body)) {
+      scheduler_.Change(entry, *it, now);
+    } else if (const auto* it = std::get_if<PlacementSnapshot>(&message.body)) {
+      scheduler_.Restore(entry, *it, now);
+    } else if (const auto* it = std::get_if<TargetList>(&message.body)) {
+      scheduler_.SetTargets(*it, now);
+    } else if (std::holds_alternative<Heartbeat>(message.body)) {
+      bus_->Send(entry, Heartbeat{Role::kAgent, settings_.data_centre,
+                                  settings_.bus_address, stopping()});
+    } else if (std::holds_alternative<Goodbye>(message.body)) {
+      Forget(entry, now);
+    }
+    SendDecisions();
+    if (scheduler_.HasWaiting() && !wait_timer_) {
+      StartWaitTimer();
+    }
+  }
+
+  void OnUnreachable(const InstanceId&, Time) override {}
+
+  Duration OnTick(Time now) override {
+    std::vector<PeerId> silent;
+    for (const auto& [entry, heard] : last_heard_) {
+      if (now - heard > kEntryTimeout) {
+        silent.push_back(entry);
+      }
+    }
+    for (const PeerId& it : silent) {
+      Log(LogLevel::kInfo, "entry_silent", {{"entry", it.instance.value()}});
+      Forget(it, now);
+    }
+    SendDecisions();
+    return kIdleTick;
+  }
+
+  bool IsReady() const override { return true; }
+
+  void OnStop() override {
+    for (const auto& [entry, heard] : last_heard_) {
+      bus_->Send(entry, Goodbye{});
+    }
+  }
+
+  // The entries turn to another agent as soon as they have the goodbye.
+  bool IsStopped(Duration) override { return true; }
+
+  std::string Dump(Time now) const override {
+    return fmt::format("{{\"entries\":{},\"placement\":{}}}",
+                       last_heard_.size(), scheduler_.Dump(now));
+  }
+
+ private:
+  bool stopping() const { return false; }
+
+  void StartWaitTimer() {
+    wait_timer_ = After(kPlacementTick, [this] {
+      wait_timer_.reset();
+      scheduler_.Tick(Now());
+      SendDecisions();
+      if (scheduler_.HasWaiting()) {
+        StartWaitTimer();
+      }
+    });
+  }
+
+  // A new incarnation of an entry proves that the former one is gone.
+  void ForgetFormer(const PeerId& entry, Time now) {
+    std::vector<PeerId> former;
+    for (const auto& [peer, heard] : last_heard_) {
+      if (peer.instance == entry.instance) {
+        former.push_back(peer);
+      }
+    }
+    for (const PeerId& it : former) {
+      Forget(it, now);
+    }
+  }
+
+  void Forget(const PeerId& entry, Time now) {
+    last_heard_.erase(entry);
+    scheduler_.ForgetEntry(entry, now);
+  }
+
+  void SendDecisions() {
+    for (PlacementScheduler::Decision& it : scheduler_.TakeDecisions()) {
+      bus_->Send(it.entry, std::move(it.reply));
+    }
+  }
+
+  PlacementScheduler scheduler_;
+  std::map<PeerId, Time> last_heard_;
+  std::unique_ptr<Timer> wait_timer_;
+};
+
+}  // namespace
+
+int RunPlacementAgent(const Settings& settings) {
+  return PlacementAgent(settings).Run();
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/placement_scheduler.cc
@@ -0,0 +1,589 @@
+#include "src/placement_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+#include <fmt/format.h>
+
+#include "src/engine_cost.h"
+#include "src/rendezvous.h"
+
+namespace burdockhatch {
+
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Prompts that take longer to read pause the answers of an engine for longer
+// than the shortest gap target of the platforms (200 ms) allows beside a pass.
+constexpr double kLongReadMs = 130;
+// Short answers on one engine: enough to leave most engines to long prompts,
+// few enough that two prompts seldom share a pass.
+constexpr uint32_t kShortAnswersPerTarget = 9;
+// The same while long prompts wait for room.
+constexpr uint32_t kShortAnswersWhenCrowded = 13;
+// Reading of a long prompt that one engine does, at the least.
+constexpr double kMinPartMs = 70;
+// Kept free between a pause by estimate and the gap target.
+constexpr double kGapMarginMs = 40;
+// Reading that an engine without answers may have before it.
+constexpr double kIdleReadRoomMs = 1'500;
+// A long prompt waits this long for engines whose answers it would not delay.
+constexpr Duration kCourtesyWait = std::chrono::milliseconds(400);
+// Reading still going on is not estimated below this.
+constexpr double kMinReadingMs = 10;
+constexpr double kAnswerScoreMs = 3;
+constexpr double kColdScoreMs = 200;
+// Cold engines get this share of the requests that they can carry, as requests
+// of other entries may be under way.
+constexpr double kColdShare = 0.5;
+constexpr Duration kShareShrinkInterval = std::chrono::milliseconds(200);
+constexpr Duration kFirstSuspicion = std::chrono::seconds(1);
+constexpr Duration kLongestSuspicion = std::chrono::seconds(8);
+constexpr Duration kSnapshotDelay = std::chrono::milliseconds(500);
+
+Duration FromMs(double ms) {
+  return Duration(static_cast<int64_t>(ms * 1e3));
+}
+
+double ToMs(Duration duration) {
+  return Milliseconds(duration).count();
+}
+
+}  // namespace
+
+bool PlacementScheduler::IsLong(const Pool& pool, Tokens prompt) {
+  return ReadMs(pool.cost, prompt) > kLongReadMs;
+}
+
+double PlacementScheduler::BacklogMs(const Target& target, Time now) {
+  const double estimate =
+      ToMs(std::max(target.read_until - now, Duration(0))) * target.pace;
+  return std::max(estimate, target.reading * kMinReadingMs);
+}
+
+double PlacementScheduler::PassMsOf(const Pool& pool, const Target& target) {
+  return PassMs(pool.cost, std::max(target.answers(), 1U), target.memory_used) *
+         target.pace;
+}
+
+double PlacementScheduler::ReadRoomMs(const Pool& pool,
+                                      const Target& target,
+                                      Time now) {
+  const double backlog = BacklogMs(target, now);
+  if (target.gap_targets.empty()) {
+    return kIdleReadRoomMs - backlog;
+  }
+  const double gap = ToMs(target.gap_targets.begin()->first);
+  return (gap - PassMsOf(pool, target) - kGapMarginMs) / target.pace - backlog;
+}
+
+bool PlacementScheduler::IsAvailable(const Target& target,
+                                     const PlacementAsk& ask,
+                                     Time now) const {
+  return target.listed && now >= target.suspect_until &&
+         now >= target.next_cold_request &&
+         std::find(ask.excluded.begin(), ask.excluded.end(),
+                   target.description.target) == ask.excluded.end();
+}
+
+// --- Events -----------------------------------------------------------------
+
+void PlacementScheduler::SetTargets(const TargetList& list, Time now) {
+  Pool& pool = pools_[list.service];
+  if (list.revision < pool.revision) {
+    return;
+  }
+  pool.revision = list.revision;
+  pool.cost = list.cost;
+  pool.cold_requests_per_s = list.cold_requests_per_s;
+  for (auto& [id, target] : pool.targets) {
+    target.listed = false;
+  }
+  pool.order.clear();
+  for (const TargetDescription& it : list.targets) {
+    Target& target = pool.targets[it.target];
+    target.description = it;
+    target.listed = true;
+    target.cold_until = now + it.cold_left;
+    pool.order.push_back(it.target);
+  }
+  std::sort(pool.order.begin(), pool.order.end(),
+            [](const TargetId& a, const TargetId& b) {
+              return std::pair(StableHash(a.value()), a) <
+                     std::pair(StableHash(b.value()), b);
+            });
+  std::erase_if(pool.targets, [](const auto& it) {
+    const Target& target = it.second;
+    return !target.listed && target.answers() == 0 && target.reading == 0;
+  });
+  PlaceWaiting(pool, now);
+}
+
+void PlacementScheduler::Ask(const PeerId& entry,
+                             const PlacementAsk& ask,
+                             Time now) {
+  const auto it = pools_.find(ask.service);
+  PlacementReply reply;
+  reply.number = ask.number;
+  reply.entries = static_cast<uint32_t>(std::max<size_t>(entries_.size(), 1));
+  if (it == pools_.end()) {
+    reply.verdict = PlacementVerdict::kUnknownList;
+    decisions_.push_back({entry, reply});
+    return;
+  }
+  Pool& pool = it->second;
+  Waiting waiting{entry, ask, now, now + ask.first_event_left,
+                  now + ask.time_left};
+  entries_.try_emplace(entry, 0);
+  if (std::optional<Choice> choice = Choose(pool, waiting, now)) {
+    Place(pool, waiting, std::move(*choice), now);
+    return;
+  }
+  reply.verdict = PlacementVerdict::kQueued;
+  decisions_.push_back({entry, reply});
+  pool.waiting.push_back(std::move(waiting));
+}
+
+void PlacementScheduler::Change(const PeerId& entry,
+                                const PlacementChange& change,
+                                Time now) {
+  for (auto& [service, pool] : pools_) {
+    const bool ended = change.event != PlacementEvent::kFirstEvent;
+    if (ended) {
+      std::erase_if(pool.waiting, [&](const Waiting& it) {
+        return it.entry == entry && it.ask.number == change.number;
+      });
+    }
+    if (change.event == PlacementEvent::kTargetFailed) {
+      const auto target = pool.targets.find(change.failed);
+      if (target != pool.targets.end()) {
+        Target& failed = target->second;
+        failed.suspect_for = std::clamp(failed.suspect_for * 2, kFirstSuspicion,
+                                        kLongestSuspicion);
+        failed.suspect_until = now + failed.suspect_for;
+      }
+    }
+    const auto work = pool.works.find({entry, change.number});
+    if (work == pool.works.end()) {
+      continue;
+    }
+    if (ended) {
+      EndWork(pool, work, now);
+    } else {
+      EndReading(pool, work->second, now);
+      pool.targets[work->second.placed.target].suspect_for = Duration(0);
+    }
+    PlaceWaiting(pool, now);
+  }
+}
+
+void PlacementScheduler::Adopt(const PeerId& entry,
+                               const PlacedWork& work,
+                               Time now) {
+  const auto it = pools_.find(work.service);
+  if (it == pools_.end()) {
+    return;
+  }
+  Pool& pool = it->second;
+  const WorkKey key{entry, work.number};
+  if (pool.works.contains(key)) {
+    return;
+  }
+  Work adopted;
+  adopted.placed = work;
+  adopted.placed_at = now;
+  adopted.is_long = IsLong(pool, work.prompt);
+  adopted.part_ms = ReadMs(pool.cost, work.prompt) /
+                    static_cast<double>(work.helpers.size() + 1);
+  AddWork(pool, key, std::move(adopted), now);
+}
+
+void PlacementScheduler::Restore(const PeerId& entry,
+                                 const PlacementSnapshot& snapshot,
+                                 Time now) {
+  entries_.try_emplace(entry, 0);
+  std::map<uint64_t, const PlacedWork*> stated;
+  for (const PlacedWork& it : snapshot.works) {
+    stated[it.number] = &it;
+    Adopt(entry, it, now);
+  }
+  for (auto& [service, pool] : pools_) {
+    for (auto it = pool.works.begin(); it != pool.works.end();) {
+      const auto work = it++;
+      const bool settled = now - work->second.placed_at > kSnapshotDelay;
+      if (work->first.first == entry && settled &&
+          !stated.contains(work->first.second)) {
+        EndWork(pool, work, now);
+      }
+    }
+    PlaceWaiting(pool, now);
+  }
+}
+
+void PlacementScheduler::ForgetEntry(const PeerId& entry, Time now) {
+  entries_.erase(entry);
+  for (auto& [service, pool] : pools_) {
+    std::erase_if(pool.waiting,
+                  [&](const Waiting& it) { return it.entry == entry; });
+    for (auto it = pool.works.begin(); it != pool.works.end();) {
+      const auto work = it++;
+      if (work->first.first == entry) {
+        EndWork(pool, work, now);
+      }
+    }
+    PlaceWaiting(pool, now);
+  }
+}
+
+void PlacementScheduler::SetPace(const TargetId& id, double pace, Time) {
+  for (auto& [service, pool] : pools_) {
+    const auto it = pool.targets.find(id);
+    if (it != pool.targets.end()) {
+      it->second.pace = std::max(pace, 1.0);
+    }
+  }
+}
+
+void PlacementScheduler::Tick(Time now) {
+  for (auto& [service, pool] : pools_) {
+    PlaceWaiting(pool, now);
+  }
+}
+
+bool PlacementScheduler::HasWaiting() const {
+  return std::any_of(pools_.begin(), pools_.end(),
+                     [](const auto& it) { return !it.second.waiting.empty(); });
+}
+
+std::vector<PlacementScheduler::Decision> PlacementScheduler::TakeDecisions() {
+  return std::exchange(decisions_, {});
+}
+
+PlacementSnapshot PlacementScheduler::SnapshotOf(const PeerId& entry) const {
+  PlacementSnapshot snapshot;
+  for (const auto& [service, pool] : pools_) {
+    for (const auto& [key, work] : pool.works) {
+      if (key.first == entry) {
+        snapshot.works.push_back(work.placed);
+      }
+    }
+  }
+  return snapshot;
+}
+
+// --- Decisions --------------------------------------------------------------
+
+void PlacementScheduler::UpdateShortShare(Pool& pool,
+                                          bool long_waits,
+                                          Time now) const {
+  const uint32_t per_target =
+      std::min(long_waits ? kShortAnswersWhenCrowded : kShortAnswersPerTarget,
+               std::max(pool.cost.slots, 1U));
+  const bool long_work = long_waits || pool.long_works > 0;
+  const size_t reserved = long_work && pool.order.size() > 1 ? 1 : 0;
+  const size_t most = std::max<size_t>(pool.order.size() - reserved, 1);
+  const size_t needed =
+      std::min<size_t>((pool.short_works + per_target) / per_target, most);
+  if (needed >= pool.short_share) {
+    pool.short_share = needed;
+    pool.shrink_at = now + kShareShrinkInterval;
+  } else if (now >= pool.shrink_at) {
+    --pool.short_share;
+    pool.shrink_at = now + kShareShrinkInterval;
+  }
+}
+
+std::optional<PlacementScheduler::Choice>
+PlacementScheduler::Choose(Pool& pool, const Waiting& waiting, Time now) {
+  const bool is_long = IsLong(pool, waiting.ask.prompt);
+  const bool long_waits =
+      is_long || std::any_of(pool.waiting.begin(), pool.waiting.end(),
+                             [&](const Waiting& it) {
+                               return IsLong(pool, it.ask.prompt) &&
+                                      now - it.asked_at > kCourtesyWait;
+                             });
+  UpdateShortShare(pool, long_waits, now);
+  return is_long ? ChooseLong(pool, waiting, now)
+                 : ChooseShort(pool, waiting, now);
+}
+
+std::optional<PlacementScheduler::Choice>
+PlacementScheduler::ChooseShort(Pool& pool, const Waiting& waiting, Time now) {
+  const PlacementAsk& ask = waiting.ask;
+  const double read_ms = ReadMs(pool.cost, ask.prompt);
+  const Tokens memory = ask.prompt + ask.output;
+  Target* best = nullptr;
+  double best_score = 0;
+  size_t seen = 0;
+  for (const TargetId& it : pool.order) {
+    Target& target = pool.targets[it];
+    if (!IsAvailable(target, ask, now)) {
+      continue;
+    }
+    // Engines of long prompts serve a short one only when the others are full.
+    if (seen++ >= pool.short_share && best != nullptr) {
+      break;
+    }
+    if (target.answers() >= pool.cost.slots ||
+        target.memory_used + memory > pool.cost.memory) {
+      continue;
+    }
+    const double score = BacklogMs(target, now) + read_ms * target.pace +
+                         PassMsOf(pool, target) +
+                         target.answers() * kAnswerScoreMs +
+                         (now < target.cold_until ? kColdScoreMs : 0);
+    if (best == nullptr || score < best_score) {
+      best = &target;
+      best_score = score;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  Choice choice;
+  choice.target = best->description.target;
+  choice.part_ms = read_ms;
+  choice.expected_first_event = FromMs(
+      BacklogMs(*best, now) + read_ms * best->pace + 2 * PassMsOf(pool, *best));
+  return choice;
+}
+
+std::optional<PlacementScheduler::Choice>
+PlacementScheduler::ChooseLong(Pool& pool, const Waiting& waiting, Time now) {
+  struct Candidate {
+    Target* target;
+    double room_ms;
+  };
+  const PlacementAsk& ask = waiting.ask;
+  std::vector<Target*> available;
+  for (const TargetId& it : pool.order) {
+    Target& target = pool.targets[it];
+    if (IsAvailable(target, ask, now) && target.reading < pool.cost.slots) {
+      available.push_back(&target);
+    }
+  }
+  const size_t skipped =
+      available.size() > pool.short_share
+          ? pool.short_share
+          : available.size() - std::min<size_t>(available.size(), 1);
+  std::vector<Candidate> candidates;
+  for (size_t i = skipped; i < available.size(); ++i) {
+    candidates.push_back({available[i], ReadRoomMs(pool, *available[i], now)});
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.room_ms > b.room_ms;
+            });
+  const double read_ms = ReadMs(pool.cost, ask.prompt);
+  const size_t most = std::min<size_t>(candidates.size(), kMaxHelpers + 1);
+  size_t parts = std::clamp<size_t>(
+      static_cast<size_t>(std::ceil(read_ms / kMinPartMs)), 1, most);
+  const auto fits = [&](size_t n) {
+    return candidates[n - 1].room_ms >= read_ms / static_cast<double>(n);
+  };
+  while (parts < most && !fits(parts)) {
+    ++parts;
+  }
+  if (!fits(parts)) {
+    // No number of parts spares the answers in progress. Engines without
+    // reading take it once the prompt has waited.
+    const bool idle = std::all_of(
+        candidates.begin(),
+        candidates.begin() + static_cast<std::ptrdiff_t>(parts),
+        [&](const Candidate& it) { return it.target->reading == 0; });
+    if (!idle || now - waiting.asked_at < kCourtesyWait) {
+      return std::nullopt;
+    }
+  }
+  // The first target keeps the whole prompt and writes the answer.
+  const Tokens memory = ask.prompt + ask.output;
+  Target* first = nullptr;
+  for (size_t i = 0; i < parts; ++i) {
+    Target& target = *candidates[i].target;
+    if (target.answers() >= pool.cost.slots ||
+        target.memory_used + memory > pool.cost.memory) {
+      continue;
+    }
+    const auto rank = [](const Target& it) {
+      return std::tuple(it.short_answers, it.long_answers,
+                        it.memory_used.value());
+    };
+    if (first == nullptr || rank(target) < rank(*first)) {
+      first = &target;
+    }
+  }
+  if (first == nullptr) {
+    return std::nullopt;
+  }
+  Choice choice;
+  choice.target = first->description.target;
+  choice.part_ms = read_ms / static_cast<double>(parts);
+  double slowest_ms = 0;
+  for (size_t i = 0; i < parts; ++i) {
+    Target& target = *candidates[i].target;
+    if (&target != first) {
+      choice.helpers.push_back(target.description.target);
+    }
+    slowest_ms = std::max(slowest_ms, BacklogMs(target, now) +
+                                          choice.part_ms * target.pace +
+                                          2 * PassMsOf(pool, target));
+  }
+  choice.expected_first_event = FromMs(slowest_ms);
+  return choice;
+}
+
+void PlacementScheduler::Place(Pool& pool,
+                               const Waiting& waiting,
+                               Choice choice,
+                               Time now) {
+  const PlacementAsk& ask = waiting.ask;
+  Work work;
+  work.placed = {ask.number, ask.service, choice.target,  choice.helpers,
+                 ask.prompt, ask.output,  ask.gap_target, true};
+  work.placed_at = now;
+  work.part_ms = choice.part_ms;
+  work.is_long = IsLong(pool, ask.prompt);
+  AddWork(pool, {waiting.entry, ask.number}, std::move(work), now);
+
+  PlacementReply reply;
+  reply.number = ask.number;
+  reply.verdict = PlacementVerdict::kPlaced;
+  reply.target = std::move(choice.target);
+  reply.helpers = std::move(choice.helpers);
+  reply.expected_first_event = choice.expected_first_event;
+  reply.entries = static_cast<uint32_t>(std::max<size_t>(entries_.size(), 1));
+  decisions_.push_back({waiting.entry, std::move(reply)});
+}
+
+void PlacementScheduler::AddWork(Pool& pool,
+                                 const WorkKey& key,
+                                 Work work,
+                                 Time now) {
+  Target& target = pool.targets[work.placed.target];
+  ++(work.is_long ? target.long_answers : target.short_answers);
+  ++(work.is_long ? pool.long_works : pool.short_works);
+  target.memory_used += work.placed.prompt + work.placed.output;
+  ++target.gap_targets[work.placed.gap_target];
+  if (now < target.cold_until && pool.cold_requests_per_s > 0) {
+    target.next_cold_request =
+        now + FromMs(1e3 / (pool.cold_requests_per_s * kColdShare));
+  }
+  if (work.placed.reading) {
+    const auto read = [&](const TargetId& id) {
+      Target& reader = pool.targets[id];
+      ++reader.reading;
+      reader.read_until =
+          std::max(reader.read_until, now) + FromMs(work.part_ms);
+    };
+    read(work.placed.target);
+    for (const TargetId& it : work.placed.helpers) {
+      read(it);
+    }
+  }
+  pool.works[key] = std::move(work);
+}
+
+void PlacementScheduler::EndReading(Pool& pool, Work& work, Time now) {
+  if (!work.placed.reading) {
+    return;
+  }
+  work.placed.reading = false;
+  const auto end = [&](const TargetId& id) {
+    Target& reader = pool.targets[id];
+    if (--reader.reading == 0) {
+      reader.read_until = now;
+    }
+  };
+  end(work.placed.target);
+  for (const TargetId& it : work.placed.helpers) {
+    end(it);
+  }
+}
+
+void PlacementScheduler::EndWork(Pool& pool,
+                                 std::map<WorkKey, Work>::iterator work,
+                                 Time now) {
+  EndReading(pool, work->second, now);
+  const PlacedWork& placed = work->second.placed;
+  Target& target = pool.targets[placed.target];
+  --(work->second.is_long ? target.long_answers : target.short_answers);
+  --(work->second.is_long ? pool.long_works : pool.short_works);
+  target.memory_used -= placed.prompt + placed.output;
+  const auto gap = target.gap_targets.find(placed.gap_target);
+  if (--gap->second == 0) {
+    target.gap_targets.erase(gap);
+  }
+  pool.works.erase(work);
+}
+
+void PlacementScheduler::Refuse(const Waiting& waiting, Duration retry_after) {
+  PlacementReply reply;
+  reply.number = waiting.ask.number;
+  reply.verdict = PlacementVerdict::kRefused;
+  reply.retry_after = retry_after;
+  decisions_.push_back({waiting.entry, std::move(reply)});
+}
+
+// Requests that can still be in time go first, the most urgent one before the
+// others; late ones follow in the order in which they came.
+void PlacementScheduler::PlaceWaiting(Pool& pool, Time now) {
+  if (pool.waiting.empty()) {
+    return;
+  }
+  const auto key = [&](const Waiting& it) {
+    const Time read_by =
+        it.first_event_by - FromMs(ReadMs(pool.cost, it.ask.prompt) /
+                                   std::max<double>(kMaxHelpers / 2, 1));
+    const bool late = read_by < now;
+    return std::pair(late, late ? it.asked_at : read_by);
+  };
+  std::stable_sort(
+      pool.waiting.begin(), pool.waiting.end(),
+      [&](const Waiting& a, const Waiting& b) { return key(a) < key(b); });
+  std::vector<Waiting> waiting = std::exchange(pool.waiting, {});
+  std::vector<Waiting> left;
+  for (Waiting& it : waiting) {
+    if (now >= it.give_up_at) {
+      Refuse(it, Duration(0));
+    } else if (std::optional<Choice> choice = Choose(pool, it, now)) {
+      Place(pool, it, std::move(*choice), now);
+    } else {
+      left.push_back(std::move(it));
+    }
+  }
+  pool.waiting = std::move(left);
+}
+
+std::string PlacementScheduler::Dump(Time now) const {
+  std::string text = "{";
+  for (const auto& [service, pool] : pools_) {
+    fmt::format_to(std::back_inserter(text),
+                   "{}\"{}\":{{\"short\":{},\"long\":{},\"waiting\":{},"
+                   "\"short_targets\":{},\"targets\":[",
+                   text.size() > 1 ? "," : "", service.value(),
+                   pool.short_works, pool.long_works, pool.waiting.size(),
+                   pool.short_share);
+    bool first = true;
+    for (const TargetId& id : pool.order) {
+      const Target& it = pool.targets.at(id);
+      fmt::format_to(std::back_inserter(text),
+                     "{}{{\"target\":\"{}\",\"short\":{},\"long\":{},"
+                     "\"backlog_ms\":{:.0f},\"memory\":{},\"pace\":{:.2f},"
+                     "\"suspect_ms\":{:.0f}}}",
+                     first ? "" : ",", id.value(), it.short_answers,
+                     it.long_answers, BacklogMs(it, now),
+                     it.memory_used.value(), it.pace,
+                     ToMs(std::max(it.suspect_until - now, Duration(0))));
+      first = false;
+    }
+    text += "]}";
+  }
+  return text + "}";
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/placement_scheduler.h
@@ -0,0 +1,156 @@
+// Places the requests of all entries on the engines of a service. One agent
+// runs it for each service; its state is rebuilt from the entries.
+//
+// An engine stops writing while it reads, so a long prompt delays every answer
+// on the engine that reads it. Short prompts therefore share as few engines as
+// hold them, and long prompts are read in parts by the others, one after the
+// other. The border moves with the number of short requests in progress.
+#ifndef SRC_PLACEMENT_SCHEDULER_H_
+#define SRC_PLACEMENT_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/clock.h"
+#include "src/ids.h"
+#include "src/messages.h"
+#include "src/units.h"
+
+namespace burdockhatch {
+
+class PlacementScheduler {
+ public:
+  struct Decision {
+    PeerId entry;
+    PlacementReply reply;
+  };
+
+  // Takes the list unless a newer one is known. An equal revision is taken too:
+  // the withdrawals of an entry may have changed.
+  void SetTargets(const TargetList& list, Time now);
+
+  // Decides at once, or queues the request.
+  void Ask(const PeerId& entry, const PlacementAsk& ask, Time now);
+
+  void Change(const PeerId& entry, const PlacementChange& change, Time now);
+
+  // Replaces what is known of the entry's placed work. Work placed within
+  // kSnapshotDelay stays, as the reply may still be under way.
+  void Restore(const PeerId& entry,
+               const PlacementSnapshot& snapshot,
+               Time now);
+
+  // Adds work that another scheduler has placed.
+  void Adopt(const PeerId& entry, const PlacedWork& work, Time now);
+
+  void ForgetEntry(const PeerId& entry, Time now);
+
+  // Places what waits; call it every kPlacementTick while HasWaiting().
+  void Tick(Time now);
+
+  bool HasWaiting() const;
+  std::vector<Decision> TakeDecisions();
+  PlacementSnapshot SnapshotOf(const PeerId& entry) const;
+
+  // What an agent has seen of its engine: a factor above 1 means slow.
+  void SetPace(const TargetId& target, double pace, Time now);
+
+  // JSON text.
+  std::string Dump(Time now) const;
+
+ private:
+  using WorkKey = std::pair<PeerId, uint64_t>;
+
+  struct Work {
+    PlacedWork placed;
+    Time placed_at{};
+    double part_ms = 0;  // Read by each of its targets.
+    bool is_long = false;
+  };
+
+  struct Target {
+    TargetDescription description;
+    bool listed = false;
+    Time cold_until{};
+    Time next_cold_request{};
+    uint32_t short_answers = 0;
+    uint32_t long_answers = 0;
+    uint32_t reading = 0;  // Prompts that it reads, whole or in part.
+    Tokens memory_used;
+    std::map<Duration, uint32_t> gap_targets;  // Of the answers it writes.
+    Time read_until{};  // When its reading ends, by estimate.
+    Time suspect_until{};
+    Duration suspect_for{0};
+    double pace = 1;
+
+    uint32_t answers() const { return short_answers + long_answers; }
+  };
+
+  struct Waiting {
+    PeerId entry;
+    PlacementAsk ask;
+    Time asked_at{};
+    Time first_event_by{};
+    Time give_up_at{};
+  };
+
+  struct Pool {
+    EngineCost cost;
+    double cold_requests_per_s = 0;
+    uint64_t revision = 0;
+    std::map<TargetId, Target> targets;
+    std::vector<TargetId> order;  // Short prompts fill it from the front.
+    std::map<WorkKey, Work> works;
+    std::vector<Waiting> waiting;
+    uint32_t short_works = 0;
+    uint32_t long_works = 0;
+    size_t short_share = 1;  // Targets at the front for short prompts.
+    Time shrink_at{};
+  };
+
+  struct Choice {
+    TargetId target;
+    std::vector<TargetId> helpers;
+    double part_ms = 0;
+    Duration expected_first_event{0};
+  };
+
+  static bool IsLong(const Pool& pool, Tokens prompt);
+  static double BacklogMs(const Target& target, Time now);
+  static double PassMsOf(const Pool& pool, const Target& target);
+  // Milliseconds of reading that a target can take on without a pause that is
+  // too long for the answers it writes.
+  static double ReadRoomMs(const Pool& pool, const Target& target, Time now);
+  bool IsAvailable(const Target& target,
+                   const PlacementAsk& ask,
+                   Time now) const;
+  void UpdateShortShare(Pool& pool, bool long_waits, Time now) const;
+  std::optional<Choice> Choose(Pool& pool, const Waiting& waiting, Time now);
+  std::optional<Choice> ChooseShort(Pool& pool,
+                                    const Waiting& waiting,
+                                    Time now);
+  std::optional<Choice> ChooseLong(Pool& pool,
+                                   const Waiting& waiting,
+                                   Time now);
+  void Place(Pool& pool, const Waiting& waiting, Choice choice, Time now);
+  void AddWork(Pool& pool, const WorkKey& key, Work work, Time now);
+  void EndReading(Pool& pool, Work& work, Time now);
+  void EndWork(Pool& pool, std::map<WorkKey, Work>::iterator work, Time now);
+  void Refuse(const Waiting& waiting, Duration retry_after);
+  void PlaceWaiting(Pool& pool, Time now);
+
+  std::map<ServiceId, Pool> pools_;
+  std::map<PeerId, uint32_t> entries_;  // Open works and asks of each.
+  std::vector<Decision> decisions_;
+};
+
+// Interval at which waiting requests are tried again.
+inline constexpr Duration kPlacementTick = std::chrono::milliseconds(10);
+
+}  // namespace burdockhatch
+
+#endif  // SRC_PLACEMENT_SCHEDULER_H_
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -32,6 +32,7 @@
 constexpr Bounds kConnectionBounds{1, 100'000};
 constexpr Bounds kSubsetBounds{1, 10'000};
 constexpr Bounds kCallBounds{1, 100'000};
+constexpr Bounds kPortBounds{1, 65'535};
 
 // The platform gives addresses as IP numbers; resolving a name could block.
 bool IsAddress(const std::string& text) {
@@ -136,6 +137,55 @@
   }
 }
 
+void ReadRegions(const json::value& value,
+                 const std::string& place,
+                 std::map<DataCentreId, RegionId>* regions,
+                 Findings* findings) {
+  const json::object* object = value.if_object();
+  if (object == nullptr) {
+    findings->Add(place, "expected an object");
+    return;
+  }
+  for (const auto& it : *object) {
+    const std::string name(it.key());
+    if (auto region =
+            ReadIdText(it.value(), ChildPlace(place, name), findings)) {
+      regions->emplace(DataCentreId(name), RegionId(*region));
+    }
+  }
+}
+
+void ReadForwarding(const json::value& value,
+                    std::string place,
+                    Role role,
+                    ForwardingSettings* forwarding,
+                    Findings* findings) {
+  using std::chrono::milliseconds;
+  ObjectReader reader(value, std::move(place), findings);
+  if (role == Role::kEntry) {
+    reader.Require({"caller_address", "agent_bus_port"});
+    ReadAddress("caller_address", &reader, &forwarding->caller_address,
+                findings);
+    reader.Count("agent_bus_port", kPortBounds, &forwarding->agent_bus_port);
+    if (const json::value* regions = reader.Find("regions")) {
+      ReadRegions(*regions, reader.PlaceOf("regions"), &forwarding->regions,
+                  findings);
+    }
+    reader.Number("repeat_ratio", 0, 1, &forwarding->repeat_ratio);
+    reader.Time<milliseconds>("repeat_window_ms", kDeadlineBounds,
+                              &forwarding->repeat_window);
+    reader.Count("repeat_allowance", kCallBounds,
+                 &forwarding->repeat_allowance);
+  } else {
+    reader.Require({"engine_address"});
+    ReadAddress("engine_address", &reader, &forwarding->engine_address,
+                findings);
+  }
+  reader.Time<milliseconds>("stop_grace_ms", kLagBounds,
+                            &forwarding->stop_grace);
+  reader.Finish();
+}
+
 void ReadRole(ObjectReader* reader, Settings* settings, Findings* findings) {
   reader->Choice("role", {{"entry", Role::kEntry}, {"agent", Role::kAgent}},
                  &settings->role);
@@ -147,7 +197,9 @@
     }
     return;
   }
-  reader->Require({"target"});
+  if (!settings->forwarding) {
+    reader->Require({"target"});
+  }
   if (const json::value* target = reader->Find("target")) {
     ReadTarget(*target, reader->PlaceOf("target"), &settings->target, findings);
   }
@@ -186,7 +238,14 @@
   }
   reader.Require({"role", "instance", "data_centre", "region", "bus_address",
                   "http_address", "object_api_address"});
+  if (reader.Find("forwarding") != nullptr) {
+    settings.forwarding.emplace();
+  }
   ReadRole(&reader, &settings, findings);
+  if (const json::value* forwarding = reader.Find("forwarding")) {
+    ReadForwarding(*forwarding, reader.PlaceOf("forwarding"), settings.role,
+                   &*settings.forwarding, findings);
+  }
   reader.Id("instance", &settings.instance);
   reader.Id("data_centre", &settings.data_centre);
   reader.Id("region", &settings.region);
--- a/src/settings.h
+++ b/src/settings.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,6 +56,19 @@
   std::string address;  // "ip:port" of its bus.
 };
 
+// Of a process that forwards requests as they are, by the routes of the
+// platform. An agent then places requests and leaves the engine to the entries.
+struct ForwardingSettings {
+  std::string caller_address;   // "ip:port" for callers; entries only.
+  std::string engine_address;   // "ip:port" of the engine; agents only.
+  uint32_t agent_bus_port = 0;  // Of the agents on all machines; entries only.
+  std::map<DataCentreId, RegionId> regions;  // Entries only.
+  double repeat_ratio = 0.2;  // Repeats of a service by its requests.
+  std::chrono::milliseconds repeat_window{10'000};
+  uint32_t repeat_allowance = 50;  // Repeats of all entries beside the ratio.
+  std::chrono::milliseconds stop_grace{8'000};  // From SIGTERM to SIGKILL.
+};
+
 struct Settings {
   Role role = Role::kEntry;
   InstanceId instance;
@@ -67,6 +81,7 @@
   std::vector<PeerSettings> seed_peers;  // Entries only.
   TargetSettings target;                 // Agents only.
   LimitSettings limits;
+  std::optional<ForwardingSettings> forwarding;
 };
 
 // Why a settings file could not be read.
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -204,6 +204,80 @@
   }
 }
 
+void PutBody(const TargetList& from, wire::Envelope* envelope) {
+  wire::TargetList* to = envelope->mutable_target_list();
+  to->set_service(from.service.value());
+  to->set_revision(from.revision);
+  wire::EngineCost* cost = to->mutable_cost();
+  cost->set_slots(from.cost.slots);
+  cost->set_memory(from.cost.memory.value());
+  cost->set_step_ms(from.cost.step_ms);
+  cost->set_step_ms_per_answer(from.cost.step_ms_per_answer);
+  cost->set_step_ms_per_1k_context(from.cost.step_ms_per_1k_context);
+  cost->set_read_tokens_per_s(from.cost.read_tokens_per_s);
+  cost->set_read_ms_per_million_pairs(from.cost.read_ms_per_million_pairs);
+  cost->set_steps_per_pass(from.cost.steps_per_pass);
+  to->set_cold_requests_per_s(from.cold_requests_per_s);
+  for (const TargetDescription& it : from.targets) {
+    wire::TargetDescription* target = to->add_targets();
+    target->set_target(it.target.value());
+    target->set_address(it.address);
+    target->set_data_centre(it.data_centre.value());
+    target->set_cold_left_us(it.cold_left.count());
+  }
+}
+
+void PutBody(const PlacementAsk& from, wire::Envelope* envelope) {
+  wire::PlacementAsk* to = envelope->mutable_placement_ask();
+  to->set_number(from.number);
+  to->set_service(from.service.value());
+  to->set_prompt(from.prompt.value());
+  to->set_output(from.output.value());
+  to->set_first_event_left_us(from.first_event_left.count());
+  to->set_gap_target_us(from.gap_target.count());
+  to->set_time_left_us(from.time_left.count());
+  for (const TargetId& it : from.excluded) {
+    to->add_excluded(it.value());
+  }
+}
+
+void PutBody(const PlacementReply& from, wire::Envelope* envelope) {
+  wire::PlacementReply* to = envelope->mutable_placement_reply();
+  to->set_number(from.number);
+  to->set_verdict(static_cast<uint32_t>(from.verdict));
+  to->set_target(from.target.value());
+  for (const TargetId& it : from.helpers) {
+    to->add_helpers(it.value());
+  }
+  to->set_expected_first_event_us(from.expected_first_event.count());
+  to->set_retry_after_us(from.retry_after.count());
+  to->set_entries(from.entries);
+}
+
+void PutBody(const PlacementChange& from, wire::Envelope* envelope) {
+  wire::PlacementChange* to = envelope->mutable_placement_change();
+  to->set_number(from.number);
+  to->set_event(static_cast<uint32_t>(from.event));
+  to->set_failed(from.failed.value());
+}
+
+void PutBody(const PlacementSnapshot& from, wire::Envelope* envelope) {
+  wire::PlacementSnapshot* to = envelope->mutable_placement_snapshot();
+  for (const PlacedWork& it : from.works) {
+    wire::PlacedWork* work = to->add_works();
+    work->set_number(it.number);
+    work->set_service(it.service.value());
+    work->set_target(it.target.value());
+    for (const TargetId& helper : it.helpers) {
+      work->add_helpers(helper.value());
+    }
+    work->set_prompt(it.prompt.value());
+    work->set_output(it.output.value());
+    work->set_gap_target_us(it.gap_target.count());
+    work->set_reading(it.reading);
+  }
+}
+
 // --- Decoding -------------------------------------------------------------
 
 // Converts the parts of one message and remembers the first error. The value
@@ -306,6 +380,107 @@
     return to;
   }
 
+  // A finite number that is not negative.
+  double Factor(double value) {
+    const bool valid = value >= 0 && value <= static_cast<double>(kMaxAmount);
+    Check(valid, WireError::kBadAmount);
+    return valid ? value : 0;
+  }
+
+  template <class Texts>
+  std::vector<TargetId> Targets(const Texts& from, int limit) {
+    CheckCount(from.size(), limit);
+    std::vector<TargetId> to;
+    for (const std::string& it : from) {
+      to.push_back(RequiredId<TargetId>(it));
+    }
+    return to;
+  }
+
+  EngineCost Cost(const wire::EngineCost& from) {
+    EngineCost to;
+    to.slots = from.slots();
+    to.memory = Read<Tokens>(from.memory());
+    to.step_ms = Factor(from.step_ms());
+    to.step_ms_per_answer = Factor(from.step_ms_per_answer());
+    to.step_ms_per_1k_context = Factor(from.step_ms_per_1k_context());
+    to.read_tokens_per_s = Factor(from.read_tokens_per_s());
+    to.read_ms_per_million_pairs = Factor(from.read_ms_per_million_pairs());
+    to.steps_per_pass = from.steps_per_pass();
+    return to;
+  }
+
+  TargetList Body(const wire::TargetList& from) {
+    TargetList to;
+    to.service = RequiredId<ServiceId>(from.service());
+    to.revision = from.revision();
+    to.cost = Cost(from.cost());
+    to.cold_requests_per_s = Factor(from.cold_requests_per_s());
+    CheckCount(from.targets_size(), kMaxDescribedTargets);
+    for (const wire::TargetDescription& it : from.targets()) {
+      to.targets.push_back({RequiredId<TargetId>(it.target()),
+                            Text(it.address(), kMaxWireIdLength),
+                            OptionalId<DataCentreId>(it.data_centre()),
+                            ReadDuration(it.cold_left_us())});
+    }
+    return to;
+  }
+
+  PlacementAsk Body(const wire::PlacementAsk& from) {
+    PlacementAsk to;
+    to.number = from.number();
+    to.service = RequiredId<ServiceId>(from.service());
+    to.prompt = Read<Tokens>(from.prompt());
+    to.output = Read<Tokens>(from.output());
+    const int64_t left = from.first_event_left_us();
+    Check(left >= -kMaxWireDuration.count(), WireError::kBadAmount);
+    to.first_event_left = left < 0 ? Duration(left) : ReadDuration(left);
+    to.gap_target = ReadDuration(from.gap_target_us());
+    to.time_left = ReadDuration(from.time_left_us());
+    to.excluded = Targets(from.excluded(), kMaxExcludedTargets);
+    return to;
+  }
+
+  PlacementReply Body(const wire::PlacementReply& from) {
+    PlacementReply to;
+    to.number = from.number();
+    to.verdict = ReadEnum(from.verdict(), PlacementVerdict::kUnknownList);
+    to.target = OptionalId<TargetId>(from.target());
+    Check(to.verdict != PlacementVerdict::kPlaced || !to.target.empty(),
+          WireError::kMissingId);
+    to.helpers = Targets(from.helpers(), kMaxHelpers);
+    to.expected_first_event = ReadDuration(from.expected_first_event_us());
+    to.retry_after = ReadDuration(from.retry_after_us());
+    to.entries = from.entries();
+    return to;
+  }
+
+  PlacementChange Body(const wire::PlacementChange& from) {
+    PlacementChange to;
+    to.number = from.number();
+    to.event = ReadEnum(from.event(), PlacementEvent::kTargetFailed);
+    to.failed = OptionalId<TargetId>(from.failed());
+    return to;
+  }
+
+  PlacementSnapshot Body(const wire::PlacementSnapshot& from) {
+    PlacementSnapshot to;
+    CheckCount(from.works_size(), kMaxPlacedWorks);
+    for (const wire::PlacedWork& it : from.works()) {
+      PlacedWork work;
+      work.number = it.number();
+      work.service = RequiredId<ServiceId>(it.service());
+      work.target = RequiredId<TargetId>(it.target());
+      work.helpers = Targets(it.helpers(), kMaxHelpers);
+      work.prompt = Read<Tokens>(it.prompt());
+      work.output = Read<Tokens>(it.output());
+      work.gap_target = ReadDuration(it.gap_target_us());
+      work.reading = it.reading();
+      to.works.push_back(std::move(work));
+    }
+    return to;
+  }
+
   Offer Body(const wire::Offer& from) {
     Offer to;
     to.attempt = Attempt(from.attempt());
@@ -447,6 +622,16 @@
         return Body(from.share_request());
       case wire::Envelope::kShareGrant:
         return Body(from.share_grant());
+      case wire::Envelope::kTargetList:
+        return Body(from.target_list());
+      case wire::Envelope::kPlacementAsk:
+        return Body(from.placement_ask());
+      case wire::Envelope::kPlacementReply:
+        return Body(from.placement_reply());
+      case wire::Envelope::kPlacementChange:
+        return Body(from.placement_change());
+      case wire::Envelope::kPlacementSnapshot:
+        return Body(from.placement_snapshot());
       case wire::Envelope::BODY_NOT_SET:
         break;
     }
