--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -318,6 +318,11 @@
     context_->placement->Report(*placement_, PlacementEvent::kFirstEvent,
                                 TargetId(), context_->timers->Now());
   }
+  const Time now = context_->timers->Now();
+  if (last_event_at_ != Time()) {
+    longest_gap_ = std::max(longest_gap_, now - last_event_at_);
+  }
+  last_event_at_ = now;
   StartPatience(std::max(route_->gap_target * kGapPatience, kLeastGapPatience));
   exchange_->Write(std::move(whole));
 }
@@ -528,8 +533,11 @@
        {"prompt", std::to_string(fields_.prompt.value())},
        {"sends", std::to_string(sends_)},
        {"helpers", std::to_string(helpers_.size())},
+       {"waited_ms",
+        Ms(sends_ > 0 ? sent_at_ - received_at_ : now - received_at_)},
        {"expected_ms", Ms(expected_first_event_)},
        {"first_ms", Ms(first)},
+       {"gap_ms", Ms(longest_gap_)},
        {"took_ms", Ms(now - received_at_)},
        {"status", std::to_string(status)},
        {"outcome", std::string(outcome)}});
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -141,6 +141,8 @@
   EventStream events_;
   bool stream_started_ = false;  // The caller has the head of the answer.
   Time first_event_at_{};
+  Time last_event_at_{};
+  Duration longest_gap_{0};  // Between events that the caller got.
   bool finished_ = false;
 };
 
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -270,9 +270,11 @@
 void PlacementClient::Tick(Time now) {
   const bool waits = !pending_.empty() && !lead_.empty();
   bool lead_is_silent = false;
+  Time waits_since = now;
   for (const auto& [number, pending] : pending_) {
     lead_is_silent = lead_is_silent ||
                      (!pending.queued && now - pending.asked_at > kAskTimeout);
+    waits_since = std::min(waits_since, pending.asked_at);
   }
   for (Agent& it : agents_) {
     const bool is_lead = it.address.instance == lead_;
@@ -284,7 +286,8 @@
       bus_->Send(it.address.instance, heartbeat_);
     }
     if (is_lead && waits &&
-        (lead_is_silent || now - it.last_heard > kQueuedTimeout)) {
+        (lead_is_silent ||
+         now - std::max(it.last_heard, waits_since) > kQueuedTimeout)) {
       Log(LogLevel::kWarning, "placement_lead_silent",
           {{"agent", lead_.value()},
            {"silent_ms",
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <iterator>
 
 #include <fmt/format.h>
@@ -21,18 +22,20 @@
 // Short answers on one engine: enough to leave most engines to long prompts,
 // few enough that two prompts seldom share a pass.
 constexpr uint32_t kShortAnswersPerTarget = 9;
-// The same while long prompts wait for room.
+// The same while long prompts need the engines more.
 constexpr uint32_t kShortAnswersWhenCrowded = 13;
+// Reading of long prompts for which one engine is set apart.
+constexpr double kLongReadPerTargetMs = 700;
 // Reading of a long prompt that one engine does, at the least.
 constexpr double kMinPartMs = 70;
+// Kept free on engines with short answers, for the short prompts to come.
+constexpr double kSharedMarginMs = 30;
 // Kept free between a pause by estimate and the gap target.
 constexpr double kGapMarginMs = 40;
 // Reading that an engine without answers may have before it.
 constexpr double kIdleReadRoomMs = 1'500;
-// A long prompt waits this long for engines whose answers it would not delay.
-constexpr Duration kCourtesyWait = std::chrono::milliseconds(400);
-// Reading still going on is not estimated below this.
-constexpr double kMinReadingMs = 10;
+// Between the end of reading and the first event.
+constexpr double kFirstEventMs = 100;
 constexpr double kAnswerScoreMs = 3;
 constexpr double kColdScoreMs = 200;
 // Cold engines get this share of the requests that they can carry, as requests
@@ -57,26 +60,18 @@
   return ReadMs(pool.cost, prompt) > kLongReadMs;
 }
 
-double PlacementScheduler::BacklogMs(const Target& target, Time now) {
-  const double estimate =
-      ToMs(std::max(target.read_until - now, Duration(0))) * target.pace;
-  return std::max(estimate, target.reading * kMinReadingMs);
-}
-
 double PlacementScheduler::PassMsOf(const Pool& pool, const Target& target) {
   return PassMs(pool.cost, std::max(target.answers(), 1U), target.memory_used) *
          target.pace;
 }
 
-double PlacementScheduler::ReadRoomMs(const Pool& pool,
-                                      const Target& target,
-                                      Time now) {
-  const double backlog = BacklogMs(target, now);
+double PlacementScheduler::ReadRoomMs(const Pool& pool, const Target& target) {
+  const double backlog = target.reading_ms * target.pace;
   if (target.gap_targets.empty()) {
     return kIdleReadRoomMs - backlog;
   }
   const double gap = ToMs(target.gap_targets.begin()->first);
-  return (gap - PassMsOf(pool, target) - kGapMarginMs) / target.pace - backlog;
+  return gap - PassMsOf(pool, target) - kGapMarginMs - backlog;
 }
 
 bool PlacementScheduler::IsAvailable(const Target& target,
@@ -136,11 +131,34 @@
   Pool& pool = it->second;
   Waiting waiting{entry, ask, now, now + ask.first_event_left,
                   now + ask.time_left};
+  // An entry that doubted this scheduler asks again under the same number.
+  std::erase_if(pool.waiting, [&](const Waiting& it) {
+    return it.entry == entry && it.ask.number == ask.number;
+  });
+  const auto placed = pool.works.find({entry, ask.number});
+  if (placed != pool.works.end()) {
+    EndWork(pool, placed, now);
+  }
   entries_.try_emplace(entry, 0);
-  if (std::optional<Choice> choice = Choose(pool, waiting, now)) {
-    Place(pool, waiting, std::move(*choice), now);
+  if (ask.prompt + ask.output > pool.cost.memory) {
+    // More than any engine holds.
+    Refuse(waiting, Duration(0));
     return;
   }
+  // Long prompts are read in the order of their urgency; none overtakes those
+  // that wait.
+  const bool is_long = IsLong(pool, ask.prompt);
+  const bool others_wait =
+      is_long && std::any_of(pool.waiting.begin(), pool.waiting.end(),
+                             [&](const Waiting& it) {
+                               return IsLong(pool, it.ask.prompt);
+                             });
+  if (!others_wait) {
+    if (std::optional<Choice> choice = Choose(pool, waiting, now)) {
+      Place(pool, waiting, std::move(*choice), now);
+      return;
+    }
+  }
   reply.verdict = PlacementVerdict::kQueued;
   decisions_.push_back({entry, reply});
   pool.waiting.push_back(std::move(waiting));
@@ -275,17 +293,33 @@
 
 // --- Decisions --------------------------------------------------------------
 
+double PlacementScheduler::LongReadMs(const Pool& pool) {
+  double read_ms = pool.long_reading_ms;
+  for (const Waiting& it : pool.waiting) {
+    if (IsLong(pool, it.ask.prompt)) {
+      read_ms += ReadMs(pool.cost, it.ask.prompt);
+    }
+  }
+  return read_ms;
+}
+
+// Short answers take as many targets as they comfortably need, and fewer when
+// long prompts need them more.
 void PlacementScheduler::UpdateShortShare(Pool& pool,
-                                          bool long_waits,
-                                          Time now) const {
-  const uint32_t per_target =
-      std::min(long_waits ? kShortAnswersWhenCrowded : kShortAnswersPerTarget,
-               std::max(pool.cost.slots, 1U));
-  const bool long_work = long_waits || pool.long_works > 0;
-  const size_t reserved = long_work && pool.order.size() > 1 ? 1 : 0;
-  const size_t most = std::max<size_t>(pool.order.size() - reserved, 1);
+                                          double long_read_ms,
+                                          Time now) {
+  const auto targets_for = [&](uint32_t per_target) -> size_t {
+    const uint32_t most = std::max(pool.cost.slots, 1U);
+    const uint32_t per = std::min(per_target, most);
+    return (pool.short_works + per) / per;
+  };
+  const size_t all = std::max<size_t>(pool.order.size(), 1);
+  const auto for_long =
+      static_cast<size_t>(std::ceil(long_read_ms / kLongReadPerTargetMs));
+  const size_t least = std::min(targets_for(kShortAnswersWhenCrowded), all);
+  const size_t most = all - std::min(for_long, all - 1);
   const size_t needed =
-      std::min<size_t>((pool.short_works + per_target) / per_target, most);
+      std::max(std::min(targets_for(kShortAnswersPerTarget), most), least);
   if (needed >= pool.short_share) {
     pool.short_share = needed;
     pool.shrink_at = now + kShareShrinkInterval;
@@ -298,13 +332,8 @@
 std::optional<PlacementScheduler::Choice>
 PlacementScheduler::Choose(Pool& pool, const Waiting& waiting, Time now) {
   const bool is_long = IsLong(pool, waiting.ask.prompt);
-  const bool long_waits =
-      is_long || std::any_of(pool.waiting.begin(), pool.waiting.end(),
-                             [&](const Waiting& it) {
-                               return IsLong(pool, it.ask.prompt) &&
-                                      now - it.asked_at > kCourtesyWait;
-                             });
-  UpdateShortShare(pool, long_waits, now);
+  const double own_ms = is_long ? ReadMs(pool.cost, waiting.ask.prompt) : 0;
+  UpdateShortShare(pool, LongReadMs(pool) + own_ms, now);
   return is_long ? ChooseLong(pool, waiting, now)
                  : ChooseShort(pool, waiting, now);
 }
@@ -330,8 +359,8 @@
         target.memory_used + memory > pool.cost.memory) {
       continue;
     }
-    const double score = BacklogMs(target, now) + read_ms * target.pace +
-                         PassMsOf(pool, target) +
+    const double score = target.reading_ms * target.pace +
+                         read_ms * target.pace + PassMsOf(pool, target) +
                          target.answers() * kAnswerScoreMs +
                          (now < target.cold_until ? kColdScoreMs : 0);
     if (best == nullptr || score < best_score) {
@@ -345,66 +374,39 @@
   Choice choice;
   choice.target = best->description.target;
   choice.part_ms = read_ms;
-  choice.expected_first_event = FromMs(
-      BacklogMs(*best, now) + read_ms * best->pace + 2 * PassMsOf(pool, *best));
+  choice.expected_first_event =
+      FromMs(best->reading_ms * best->pace + read_ms * best->pace +
+             2 * PassMsOf(pool, *best));
   return choice;
 }
 
-std::optional<PlacementScheduler::Choice>
-PlacementScheduler::ChooseLong(Pool& pool, const Waiting& waiting, Time now) {
-  struct Candidate {
-    Target* target;
-    double room_ms;
-  };
-  const PlacementAsk& ask = waiting.ask;
-  std::vector<Target*> available;
-  for (const TargetId& it : pool.order) {
-    Target& target = pool.targets[it];
-    if (IsAvailable(target, ask, now) && target.reading < pool.cost.slots) {
-      available.push_back(&target);
-    }
-  }
-  const size_t skipped =
-      available.size() > pool.short_share
-          ? pool.short_share
-          : available.size() - std::min<size_t>(available.size(), 1);
-  std::vector<Candidate> candidates;
-  for (size_t i = skipped; i < available.size(); ++i) {
-    candidates.push_back({available[i], ReadRoomMs(pool, *available[i], now)});
-  }
-  if (candidates.empty()) {
-    return std::nullopt;
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.room_ms > b.room_ms;
-            });
-  const double read_ms = ReadMs(pool.cost, ask.prompt);
-  const size_t most = std::min<size_t>(candidates.size(), kMaxHelpers + 1);
-  size_t parts = std::clamp<size_t>(
-      static_cast<size_t>(std::ceil(read_ms / kMinPartMs)), 1, most);
-  const auto fits = [&](size_t n) {
-    return candidates[n - 1].room_ms >= read_ms / static_cast<double>(n);
-  };
-  while (parts < most && !fits(parts)) {
-    ++parts;
-  }
-  if (!fits(parts)) {
-    // No number of parts spares the answers in progress. Engines without
-    // reading take it once the prompt has waited.
-    const bool idle = std::all_of(
-        candidates.begin(),
-        candidates.begin() + static_cast<std::ptrdiff_t>(parts),
-        [&](const Candidate& it) { return it.target->reading == 0; });
-    if (!idle || now - waiting.asked_at < kCourtesyWait) {
-      return std::nullopt;
+bool PlacementScheduler::FitsWhenIdle(const Pool& pool,
+                                      const std::vector<Candidate>& candidates,
+                                      double read_ms) {
+  std::vector<double> rooms;
+  for (const Candidate& it : candidates) {
+    rooms.push_back(it.room_ms + it.target->reading_ms * it.target->pace);
+  }
+  std::sort(rooms.begin(), rooms.end(), std::greater<>());
+  const size_t most = std::min<size_t>(rooms.size(), kMaxHelpers + 1);
+  for (size_t n = 1; n <= most; ++n) {
+    if (rooms[n - 1] >= read_ms / static_cast<double>(n)) {
+      return true;
     }
   }
+  return false;
+}
+
+std::optional<PlacementScheduler::Choice> PlacementScheduler::SplitInto(
+    const Pool& pool,
+    const PlacementAsk& ask,
+    const std::vector<Candidate>& candidates,
+    size_t parts) {
   // The first target keeps the whole prompt and writes the answer.
   const Tokens memory = ask.prompt + ask.output;
-  Target* first = nullptr;
+  const Target* first = nullptr;
   for (size_t i = 0; i < parts; ++i) {
-    Target& target = *candidates[i].target;
+    const Target& target = *candidates[i].target;
     if (target.answers() >= pool.cost.slots ||
         target.memory_used + memory > pool.cost.memory) {
       continue;
@@ -422,21 +424,100 @@
   }
   Choice choice;
   choice.target = first->description.target;
-  choice.part_ms = read_ms / static_cast<double>(parts);
+  choice.part_ms = ReadMs(pool.cost, ask.prompt) / static_cast<double>(parts);
   double slowest_ms = 0;
   for (size_t i = 0; i < parts; ++i) {
-    Target& target = *candidates[i].target;
+    const Target& target = *candidates[i].target;
     if (&target != first) {
       choice.helpers.push_back(target.description.target);
     }
-    slowest_ms = std::max(slowest_ms, BacklogMs(target, now) +
-                                          choice.part_ms * target.pace +
-                                          2 * PassMsOf(pool, target));
+    slowest_ms = std::max(slowest_ms,
+                          (target.reading_ms + choice.part_ms) * target.pace +
+                              2 * PassMsOf(pool, target));
   }
   choice.expected_first_event = FromMs(slowest_ms);
   return choice;
 }
 
+std::optional<PlacementScheduler::Choice> PlacementScheduler::Split(
+    const Pool& pool,
+    const PlacementAsk& ask,
+    std::vector<Candidate> candidates) {
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.room_ms > b.room_ms;
+            });
+  const double read_ms = ReadMs(pool.cost, ask.prompt);
+  const size_t most = std::min<size_t>(candidates.size(), kMaxHelpers + 1);
+  const auto least =
+      static_cast<size_t>(std::max(std::ceil(read_ms / kMinPartMs), 1.0));
+  const auto fits = [&](size_t n) {
+    return candidates[n - 1].room_ms >= read_ms / static_cast<double>(n);
+  };
+  const size_t wanted = std::min(least, most);
+  for (size_t n = wanted; n > 0 && n <= most; ++n) {
+    if (fits(n)) {
+      return SplitInto(pool, ask, candidates, n);
+    }
+  }
+  for (size_t n = wanted; n > 1; --n) {
+    if (fits(n - 1)) {
+      return SplitInto(pool, ask, candidates, n - 1);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<PlacementScheduler::Choice>
+PlacementScheduler::ChooseLong(Pool& pool, const Waiting& waiting, Time now) {
+  const PlacementAsk& ask = waiting.ask;
+  std::vector<Candidate> all;
+  for (const TargetId& it : pool.order) {
+    Target& target = pool.targets[it];
+    if (IsAvailable(target, ask, now) && target.reading < pool.cost.slots) {
+      all.push_back({&target, ReadRoomMs(pool, target)});
+    }
+  }
+  if (all.empty()) {
+    return std::nullopt;
+  }
+  const size_t skipped = std::min(pool.short_share, all.size() - 1);
+  std::vector<Candidate> apart(
+      all.begin() + static_cast<std::ptrdiff_t>(skipped), all.end());
+  if (auto choice = Split(pool, ask, apart)) {
+    return choice;
+  }
+  // Parts so small that they hardly delay short answers go anywhere.
+  for (Candidate& it : all) {
+    it.room_ms -= it.target->short_answers > 0 ? kSharedMarginMs : 0;
+  }
+  if (auto choice = Split(pool, ask, all)) {
+    return choice;
+  }
+  const double read_ms = ReadMs(pool.cost, ask.prompt);
+  if (FitsWhenIdle(pool, apart, read_ms)) {
+    return std::nullopt;
+  }
+  // Even idle engines would pause their answers for too long. Those without
+  // short answers take it together once they read nothing else.
+  std::erase_if(
+      apart, [](const Candidate& it) { return it.target->short_answers > 0; });
+  const bool idle =
+      std::all_of(apart.begin(), apart.end(),
+                  [](const Candidate& it) { return it.target->reading == 0; });
+  if (apart.empty() || !idle) {
+    return std::nullopt;
+  }
+  const size_t parts = std::min<size_t>(apart.size(), kMaxHelpers + 1);
+  const Duration part = FromMs(read_ms / static_cast<double>(parts));
+  const bool in_time = now + part < waiting.first_event_by;
+  if (!in_time && now < waiting.first_event_by) {
+    // More engines may be free of short answers by then.
+    return std::nullopt;
+  }
+  return SplitInto(pool, ask, apart, parts);
+}
+
 void PlacementScheduler::Place(Pool& pool,
                                const Waiting& waiting,
                                Choice choice,
@@ -474,11 +555,12 @@
         now + FromMs(1e3 / (pool.cold_requests_per_s * kColdShare));
   }
   if (work.placed.reading) {
+    pool.long_reading_ms +=
+        work.is_long ? ReadMs(pool.cost, work.placed.prompt) : 0;
     const auto read = [&](const TargetId& id) {
       Target& reader = pool.targets[id];
       ++reader.reading;
-      reader.read_until =
-          std::max(reader.read_until, now) + FromMs(work.part_ms);
+      reader.reading_ms += work.part_ms;
     };
     read(work.placed.target);
     for (const TargetId& it : work.placed.helpers) {
@@ -493,11 +575,14 @@
     return;
   }
   work.placed.reading = false;
+  pool.long_reading_ms -=
+      work.is_long ? ReadMs(pool.cost, work.placed.prompt) : 0;
   const auto end = [&](const TargetId& id) {
     Target& reader = pool.targets[id];
-    if (--reader.reading == 0) {
-      reader.read_until = now;
-    }
+    --reader.reading;
+    // Sums of fractions do not return to zero by themselves.
+    reader.reading_ms =
+        reader.reading == 0 ? 0 : reader.reading_ms - work.part_ms;
   };
   end(work.placed.target);
   for (const TargetId& it : work.placed.helpers) {
@@ -529,30 +614,75 @@
   decisions_.push_back({waiting.entry, std::move(reply)});
 }
 
-// Requests that can still be in time go first, the most urgent one before the
-// others; late ones follow in the order in which they came.
+// Moore and Hodgson's rule keeps the most requests in time: in the order of
+// their due times, whenever one would be late, the one that reads longest is
+// given up, as the others gain most. What is late keeps the order of arrival.
+void PlacementScheduler::SortWaiting(Pool& pool, Time now) {
+  struct Job {
+    Waiting waiting;
+    double read_ms = 0;
+  };
+  std::vector<Job> jobs;
+  for (Waiting& it : pool.waiting) {
+    const double read_ms = ReadMs(pool.cost, it.ask.prompt);
+    jobs.push_back({std::move(it), read_ms});
+  }
+  std::stable_sort(jobs.begin(), jobs.end(), [](const Job& a, const Job& b) {
+    return a.waiting.first_event_by < b.waiting.first_event_by;
+  });
+  const double engines =
+      std::max<double>(static_cast<double>(pool.order.size()) -
+                           static_cast<double>(pool.short_share),
+                       1);
+  double busy_ms = pool.long_reading_ms / engines;
+  std::vector<Job> in_time;
+  std::vector<Job> late;
+  for (Job& it : jobs) {
+    const double left_ms = ToMs(it.waiting.first_event_by - now);
+    busy_ms += it.read_ms / engines;
+    in_time.push_back(std::move(it));
+    if (busy_ms + kFirstEventMs > left_ms) {
+      const auto longest = std::max_element(
+          in_time.begin(), in_time.end(),
+          [](const Job& a, const Job& b) { return a.read_ms < b.read_ms; });
+      busy_ms -= longest->read_ms / engines;
+      late.push_back(std::move(*longest));
+      in_time.erase(longest);
+    }
+  }
+  std::stable_sort(late.begin(), late.end(), [](const Job& a, const Job& b) {
+    return a.waiting.asked_at < b.waiting.asked_at;
+  });
+  pool.waiting.clear();
+  for (std::vector<Job>* list : {&in_time, &late}) {
+    for (Job& it : *list) {
+      pool.waiting.push_back(std::move(it.waiting));
+    }
+  }
+}
+
 void PlacementScheduler::PlaceWaiting(Pool& pool, Time now) {
   if (pool.waiting.empty()) {
     return;
   }
-  const auto key = [&](const Waiting& it) {
-    const Time read_by =
-        it.first_event_by - FromMs(ReadMs(pool.cost, it.ask.prompt) /
-                                   std::max<double>(kMaxHelpers / 2, 1));
-    const bool late = read_by < now;
-    return std::pair(late, late ? it.asked_at : read_by);
-  };
-  std::stable_sort(
-      pool.waiting.begin(), pool.waiting.end(),
-      [&](const Waiting& a, const Waiting& b) { return key(a) < key(b); });
+  SortWaiting(pool, now);
   std::vector<Waiting> waiting = std::exchange(pool.waiting, {});
   std::vector<Waiting> left;
+  bool long_waits = false;
   for (Waiting& it : waiting) {
+    const bool is_long = IsLong(pool, it.ask.prompt);
     if (now >= it.give_up_at) {
       Refuse(it, Duration(0));
-    } else if (std::optional<Choice> choice = Choose(pool, it, now)) {
+      continue;
+    }
+    std::optional<Choice> choice;
+    if (!is_long || !long_waits) {
+      choice = Choose(pool, it, now);
+    }
+    if (choice) {
       Place(pool, it, std::move(*choice), now);
     } else {
+      long_waits = long_waits || is_long;
       left.push_back(std::move(it));
     }
   }
@@ -562,12 +692,14 @@
 std::string PlacementScheduler::Dump(Time now) const {
   std::string text = "{";
   for (const auto& [service, pool] : pools_) {
-    fmt::format_to(std::back_inserter(text),
-                   "{}\"{}\":{{\"short\":{},\"long\":{},\"waiting\":{},"
-                   "\"short_targets\":{},\"targets\":[",
-                   text.size() > 1 ? "," : "", service.value(),
-                   pool.short_works, pool.long_works, pool.waiting.size(),
-                   pool.short_share);
+    fmt::format_to(
+        std::back_inserter(text),
+        "{}\"{}\":{{\"short\":{},\"long\":{},\"waiting\":{},"
+        "\"short_targets\":{},\"first_waiting_tokens\":{},"
+        "\"targets\":[",
+        text.size() > 1 ? "," : "", service.value(), pool.short_works,
+        pool.long_works, pool.waiting.size(), pool.short_share,
+        pool.waiting.empty() ? 0 : pool.waiting.front().ask.prompt.value());
     bool first = true;
     for (const TargetId& id : pool.order) {
       const Target& it = pool.targets.at(id);
@@ -576,7 +708,7 @@
                      "\"backlog_ms\":{:.0f},\"memory\":{},\"pace\":{:.2f},"
                      "\"suspect_ms\":{:.0f}}}",
                      first ? "" : ",", id.value(), it.short_answers,
-                     it.long_answers, BacklogMs(it, now),
+                     it.long_answers, it.reading_ms * it.pace,
                      it.memory_used.value(), it.pace,
                      ToMs(std::max(it.suspect_until - now, Duration(0))));
       first = false;
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -82,7 +82,7 @@
     uint32_t reading = 0;  // Prompts that it reads, whole or in part.
     Tokens memory_used;
     std::map<Duration, uint32_t> gap_targets;  // Of the answers it writes.
-    Time read_until{};  // When its reading ends, by estimate.
+    double reading_ms = 0;                     // Time to read them on its own.
     Time suspect_until{};
     Duration suspect_for{0};
     double pace = 1;
@@ -108,7 +108,8 @@
     std::vector<Waiting> waiting;
     uint32_t short_works = 0;
     uint32_t long_works = 0;
-    size_t short_share = 1;  // Targets at the front for short prompts.
+    double long_reading_ms = 0;  // Of the prompts in progress, all parts.
+    size_t short_share = 1;      // Targets at the front for short prompts.
     Time shrink_at{};
   };
 
@@ -119,16 +120,27 @@
     Duration expected_first_event{0};
   };
 
+  // A target that may read a part of a long prompt.
+  struct Candidate {
+    Target* target;
+    double room_ms;
+  };
+
+  // Whether parts of the prompt would fit if the targets read nothing else.
+  static bool FitsWhenIdle(const Pool& pool,
+                           const std::vector<Candidate>& candidates,
+                           double read_ms);
   static bool IsLong(const Pool& pool, Tokens prompt);
-  static double BacklogMs(const Target& target, Time now);
   static double PassMsOf(const Pool& pool, const Target& target);
   // Milliseconds of reading that a target can take on without a pause that is
   // too long for the answers it writes.
-  static double ReadRoomMs(const Pool& pool, const Target& target, Time now);
+  static double ReadRoomMs(const Pool& pool, const Target& target);
   bool IsAvailable(const Target& target,
                    const PlacementAsk& ask,
                    Time now) const;
-  void UpdateShortShare(Pool& pool, bool long_waits, Time now) const;
+  static void UpdateShortShare(Pool& pool, double long_read_ms, Time now);
+  // Milliseconds of reading of long prompts that wait or are being read.
+  static double LongReadMs(const Pool& pool);
   std::optional<Choice> Choose(Pool& pool, const Waiting& waiting, Time now);
   std::optional<Choice> ChooseShort(Pool& pool,
                                     const Waiting& waiting,
@@ -136,6 +148,19 @@
   std::optional<Choice> ChooseLong(Pool& pool,
                                    const Waiting& waiting,
                                    Time now);
+  // Splits the prompt among `candidates`, whose answers it does not pause for
+  // too long; nullopt when it cannot.
+  static std::optional<Choice> Split(const Pool& pool,
+                                     const PlacementAsk& ask,
+                                     std::vector<Candidate> candidates);
+  // The same with `parts` parts, whatever the pauses.
+  static std::optional<Choice> SplitInto(
+      const Pool& pool,
+      const PlacementAsk& ask,
+      const std::vector<Candidate>& candidates,
+      size_t parts);
+  // Orders what waits: first what can still be in time, by urgency.
+  static void SortWaiting(Pool& pool, Time now);
   void Place(Pool& pool, const Waiting& waiting, Choice choice, Time now);
   void AddWork(Pool& pool, const WorkKey& key, Work work, Time now);
   void EndReading(Pool& pool, Work& work, Time now);
