Keep answers to long prompts on few engines and refuse what comes too late

Cause: answers to contracts were spread over all engines that read long prompts, so each of them allowed only short parts, and prompts for which no part was short enough paused all of them.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -148,6 +148,7 @@
   const Time now = context_->timers->Now();
   if (reply.verdict == PlacementVerdict::kRefused) {
     placement_.reset();
+    retry_after_ = reply.retry_after;
     FinishFailed("refused_by_placement");
     return;
   }
@@ -504,7 +505,8 @@
   if (status == 503) {
     const auto spread = static_cast<int64_t>(
         context_->random.Below(static_cast<uint64_t>(kRetryAfterSpreadMs)));
-    const Duration wait = kLeastRetryAfter + std::chrono::milliseconds(spread);
+    const Duration wait = std::max(kLeastRetryAfter, retry_after_) +
+                          std::chrono::milliseconds(spread);
     headers.push_back(
         {"Retry-After",
          fmt::format("{:.2f}", static_cast<double>(wait.count()) / 1e6)});
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -123,6 +123,7 @@
   TargetId target_;
   std::vector<std::string> helpers_;
   Duration expected_first_event_{0};
+  Duration retry_after_{0};  // Of a refusal of the placement.
   Time sent_at_{};
   uint32_t status_ = 0;  // 0 until the head of the answer is there.
   HeaderList answer_headers_;
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -33,9 +33,15 @@
 // Kept free between a pause by estimate and the gap target.
 constexpr double kGapMarginMs = 40;
 // Reading that an engine without answers may have before it.
-constexpr double kIdleReadRoomMs = 1'500;
+constexpr double kIdleReadRoomMs = 800;
 // Between the end of reading and the first event.
 constexpr double kFirstEventMs = 100;
+// A long prompt waits this long for engines that write no answer.
+constexpr Duration kCourtesyWait = std::chrono::milliseconds(400);
+// A caller leaves when the first event takes this multiple of its target.
+constexpr int kPatienceTargets = 3;
+// Answers to long prompts that share one engine before the next one is used.
+constexpr uint32_t kLongAnswersPerTarget = 6;
 constexpr double kAnswerScoreMs = 3;
 constexpr double kColdScoreMs = 200;
 // Cold engines get this share of the requests that they can carry, as requests
@@ -404,6 +410,8 @@
     size_t parts) {
   // The first target keeps the whole prompt and writes the answer.
   const Tokens memory = ask.prompt + ask.output;
+  const double part_ms =
+      ReadMs(pool.cost, ask.prompt) / static_cast<double>(parts);
   const Target* first = nullptr;
   for (size_t i = 0; i < parts; ++i) {
     const Target& target = *candidates[i].target;
@@ -411,8 +419,18 @@
         target.memory_used + memory > pool.cost.memory) {
       continue;
     }
-    const auto rank = [](const Target& it) {
-      return std::tuple(it.short_answers, it.long_answers,
+    // Answers of one kind share few targets, which leaves the others free to
+    // read: neither the new answer nor those in progress are to be paused.
+    const auto rank = [&](const Target& it) {
+      const bool pauses =
+          it.reading_ms * it.pace + PassMsOf(pool, it) + kGapMarginMs >
+          ToMs(ask.gap_target);
+      const bool paused = ReadRoomMs(pool, it) < part_ms;
+      const bool other_kind =
+          !it.gap_targets.empty() && !it.gap_targets.contains(ask.gap_target);
+      const bool crowded = it.long_answers >= kLongAnswersPerTarget;
+      return std::tuple(pauses || paused, it.short_answers > 0, crowded,
+                        other_kind, -static_cast<int64_t>(it.long_answers),
                         it.memory_used.value());
     };
     if (first == nullptr || rank(target) < rank(*first)) {
@@ -424,7 +442,7 @@
   }
   Choice choice;
   choice.target = first->description.target;
-  choice.part_ms = ReadMs(pool.cost, ask.prompt) / static_cast<double>(parts);
+  choice.part_ms = part_ms;
   double slowest_ms = 0;
   for (size_t i = 0; i < parts; ++i) {
     const Target& target = *candidates[i].target;
@@ -443,29 +461,47 @@
     const Pool& pool,
     const PlacementAsk& ask,
     std::vector<Candidate> candidates) {
+  const auto backlog_ms = [](const Candidate& it) {
+    return it.target->reading_ms * it.target->pace;
+  };
   std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.room_ms > b.room_ms;
+            [&](const Candidate& a, const Candidate& b) {
+              return std::pair(backlog_ms(a), -a.room_ms) <
+                     std::pair(backlog_ms(b), -b.room_ms);
             });
   const double read_ms = ReadMs(pool.cost, ask.prompt);
   const size_t most = std::min<size_t>(candidates.size(), kMaxHelpers + 1);
-  const auto least =
-      static_cast<size_t>(std::max(std::ceil(read_ms / kMinPartMs), 1.0));
-  const auto fits = [&](size_t n) {
-    return candidates[n - 1].room_ms >= read_ms / static_cast<double>(n);
-  };
-  const size_t wanted = std::min(least, most);
-  for (size_t n = wanted; n > 0 && n <= most; ++n) {
-    if (fits(n)) {
-      return SplitInto(pool, ask, candidates, n);
+  const auto wanted = std::min(
+      static_cast<size_t>(std::max(std::ceil(read_ms / kMinPartMs), 1.0)),
+      most);
+  // The candidates with room for a part of that size, those that come to it
+  // first before the others; of all numbers of parts, the one that ends first.
+  std::vector<Candidate> best;
+  double best_end_ms = 0;
+  for (size_t n = 1; n <= most; ++n) {
+    const double part_ms = read_ms / static_cast<double>(n);
+    std::vector<Candidate> fitting;
+    for (const Candidate& it : candidates) {
+      if (fitting.size() < n && it.room_ms >= part_ms) {
+        fitting.push_back(it);
+      }
     }
-  }
-  for (size_t n = wanted; n > 1; --n) {
-    if (fits(n - 1)) {
-      return SplitInto(pool, ask, candidates, n - 1);
+    if (fitting.size() < n) {
+      continue;
+    }
+    const double end_ms = backlog_ms(fitting.back()) + part_ms;
+    if (best.empty() || end_ms < best_end_ms) {
+      best = std::move(fitting);
+      best_end_ms = end_ms;
     }
+    if (n >= wanted) {
+      break;
+    }
+  }
+  if (best.empty()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return SplitInto(pool, ask, best, best.size());
 }
 
 std::optional<PlacementScheduler::Choice>
@@ -498,24 +534,42 @@
   if (FitsWhenIdle(pool, apart, read_ms)) {
     return std::nullopt;
   }
-  // Even idle engines would pause their answers for too long. Those without
-  // short answers take it together once they read nothing else.
-  std::erase_if(
-      apart, [](const Candidate& it) { return it.target->short_answers > 0; });
-  const bool idle =
-      std::all_of(apart.begin(), apart.end(),
-                  [](const Candidate& it) { return it.target->reading == 0; });
-  if (apart.empty() || !idle) {
-    return std::nullopt;
-  }
-  const size_t parts = std::min<size_t>(apart.size(), kMaxHelpers + 1);
-  const Duration part = FromMs(read_ms / static_cast<double>(parts));
-  const bool in_time = now + part < waiting.first_event_by;
-  if (!in_time && now < waiting.first_event_by) {
-    // More engines may be free of short answers by then.
-    return std::nullopt;
+  return ChooseAgainstPauses(pool, waiting, std::move(apart), now);
+}
+
+// Even idle engines would pause their answers for too long. Those that write
+// none take the prompt together, unless it is then late and others may be free
+// in time; those that write answers to long prompts come last.
+std::optional<PlacementScheduler::Choice>
+PlacementScheduler::ChooseAgainstPauses(const Pool& pool,
+                                        const Waiting& waiting,
+                                        std::vector<Candidate> candidates,
+                                        Time now) {
+  const double read_ms = ReadMs(pool.cost, waiting.ask.prompt);
+  const auto split =
+      [&](std::vector<Candidate> chosen) -> std::optional<Choice> {
+    const size_t parts = std::min<size_t>(chosen.size(), kMaxHelpers + 1);
+    if (parts == 0) {
+      return std::nullopt;
+    }
+    const Duration part = FromMs(read_ms / static_cast<double>(parts));
+    const bool in_time = now + part < waiting.first_event_by;
+    if (!in_time && now < waiting.first_event_by) {
+      return std::nullopt;
+    }
+    return SplitInto(pool, waiting.ask, chosen, parts);
+  };
+  std::erase_if(candidates, [](const Candidate& it) {
+    return it.target->short_answers > 0 || it.target->reading > 0;
+  });
+  std::vector<Candidate> silent = candidates;
+  std::erase_if(silent,
+                [](const Candidate& it) { return it.target->answers() > 0; });
+  if (auto choice = split(std::move(silent))) {
+    return choice;
   }
-  return SplitInto(pool, ask, apart, parts);
+  return now - waiting.asked_at < kCourtesyWait ? std::nullopt
+                                                : split(std::move(candidates));
 }
 
 void PlacementScheduler::Place(Pool& pool,
@@ -653,6 +707,20 @@
   std::stable_sort(late.begin(), late.end(), [](const Job& a, const Job& b) {
     return a.waiting.asked_at < b.waiting.asked_at;
   });
+  // What comes so late that its caller will have left gives its place up now.
+  std::erase_if(late, [&](const Job& it) {
+    const double end_ms = busy_ms + it.read_ms / engines + kFirstEventMs;
+    const Duration target = it.waiting.first_event_by - it.waiting.asked_at;
+    const Time last = it.waiting.asked_at + target * kPatienceTargets;
+    const bool hopeless =
+        it.read_ms > kLongReadMs && now + FromMs(end_ms) > last;
+    if (hopeless) {
+      Refuse(it.waiting, FromMs(end_ms / 2));
+    } else {
+      busy_ms += it.read_ms / engines;
+    }
+    return hopeless;
+  });
   pool.waiting.clear();
   for (std::vector<Job>* list : {&in_time, &late}) {
     for (Job& it : *list) {
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -148,6 +148,11 @@
   std::optional<Choice> ChooseLong(Pool& pool,
                                    const Waiting& waiting,
                                    Time now);
+  static std::optional<Choice> ChooseAgainstPauses(
+      const Pool& pool,
+      const Waiting& waiting,
+      std::vector<Candidate> candidates,
+      Time now);
   // Splits the prompt among `candidates`, whose answers it does not pause for
   // too long; nullopt when it cannot.
   static std::optional<Choice> Split(const Pool& pool,
@@ -159,8 +164,9 @@
       const PlacementAsk& ask,
       const std::vector<Candidate>& candidates,
       size_t parts);
-  // Orders what waits: first what can still be in time, by urgency.
-  static void SortWaiting(Pool& pool, Time now);
+  // Orders what waits: first what can still be in time, by urgency. Refuses
+  // what cannot be served any more.
+  void SortWaiting(Pool& pool, Time now);
   void Place(Pool& pool, const Waiting& waiting, Choice choice, Time now);
   void AddWork(Pool& pool, const WorkKey& key, Work work, Time now);
   void EndReading(Pool& pool, Work& work, Time now);
