--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -42,6 +42,9 @@
 constexpr int kPatienceTargets = 3;
 // Answers to long prompts that share one engine before the next one is used.
 constexpr uint32_t kLongAnswersPerTarget = 6;
+// A prompt that reads longer needs many engines at once, so that others would
+// always take the room that it waits for.
+constexpr double kBigReadMs = 500;
 constexpr double kAnswerScoreMs = 3;
 constexpr double kColdScoreMs = 200;
 // Cold engines get this share of the requests that they can carry, as requests
@@ -151,14 +154,15 @@
     Refuse(waiting, Duration(0));
     return;
   }
-  // Long prompts are read in the order of their urgency; none overtakes those
+  // Big prompts are read in the order of their urgency; none overtakes those
   // that wait.
-  const bool is_long = IsLong(pool, ask.prompt);
+  const auto is_big = [&](const PlacementAsk& it) {
+    return ReadMs(pool.cost, it.prompt) > kBigReadMs;
+  };
   const bool others_wait =
-      is_long && std::any_of(pool.waiting.begin(), pool.waiting.end(),
-                             [&](const Waiting& it) {
-                               return IsLong(pool, it.ask.prompt);
-                             });
+      is_big(ask) &&
+      std::any_of(pool.waiting.begin(), pool.waiting.end(),
+                  [&](const Waiting& it) { return is_big(it.ask); });
   if (!others_wait) {
     if (std::optional<Choice> choice = Choose(pool, waiting, now)) {
       Place(pool, waiting, std::move(*choice), now);
@@ -351,14 +355,16 @@
   const Tokens memory = ask.prompt + ask.output;
   Target* best = nullptr;
   double best_score = 0;
+  bool best_spares = false;
   size_t seen = 0;
   for (const TargetId& it : pool.order) {
     Target& target = pool.targets[it];
     if (!IsAvailable(target, ask, now)) {
       continue;
     }
-    // Engines of long prompts serve a short one only when the others are full.
-    if (seen++ >= pool.short_share && best != nullptr) {
+    // Engines of long prompts serve a short one only when the others are full,
+    // or read so much that their answers would pause for too long.
+    if (seen++ >= pool.short_share && best != nullptr && best_spares) {
       break;
     }
     if (target.answers() >= pool.cost.slots ||
@@ -369,9 +375,12 @@
                          read_ms * target.pace + PassMsOf(pool, target) +
                          target.answers() * kAnswerScoreMs +
                          (now < target.cold_until ? kColdScoreMs : 0);
-    if (best == nullptr || score < best_score) {
+    const bool spares = ReadRoomMs(pool, target) >= read_ms;
+    if (best == nullptr ||
+        std::pair(!spares, score) < std::pair(!best_spares, best_score)) {
       best = &target;
       best_score = score;
+      best_spares = spares;
     }
   }
   if (best == nullptr) {
@@ -403,60 +412,71 @@
   return false;
 }
 
-std::optional<PlacementScheduler::Choice> PlacementScheduler::SplitInto(
+// Answers of one kind share few targets, which leaves the others free to read:
+// neither the new answer nor those in progress are to be paused for long.
+const PlacementScheduler::Candidate* PlacementScheduler::ChooseWriter(
     const Pool& pool,
     const PlacementAsk& ask,
     const std::vector<Candidate>& candidates,
-    size_t parts) {
-  // The first target keeps the whole prompt and writes the answer.
+    double part_ms) {
   const Tokens memory = ask.prompt + ask.output;
-  const double part_ms =
-      ReadMs(pool.cost, ask.prompt) / static_cast<double>(parts);
-  const Target* first = nullptr;
-  for (size_t i = 0; i < parts; ++i) {
-    const Target& target = *candidates[i].target;
+  const auto rank = [&](const Target& it) {
+    const bool pauses =
+        it.reading_ms * it.pace + PassMsOf(pool, it) + kGapMarginMs >
+        ToMs(ask.gap_target);
+    const bool paused = ReadRoomMs(pool, it) < part_ms;
+    const bool other_kind =
+        !it.gap_targets.empty() && !it.gap_targets.contains(ask.gap_target);
+    const bool crowded = it.long_answers >= kLongAnswersPerTarget;
+    return std::tuple(pauses || paused, it.short_answers > 0, crowded,
+                      other_kind, -static_cast<int64_t>(it.long_answers),
+                      it.memory_used.value());
+  };
+  const Candidate* writer = nullptr;
+  for (const Candidate& it : candidates) {
+    const Target& target = *it.target;
     if (target.answers() >= pool.cost.slots ||
         target.memory_used + memory > pool.cost.memory) {
       continue;
     }
-    // Answers of one kind share few targets, which leaves the others free to
-    // read: neither the new answer nor those in progress are to be paused.
-    const auto rank = [&](const Target& it) {
-      const bool pauses =
-          it.reading_ms * it.pace + PassMsOf(pool, it) + kGapMarginMs >
-          ToMs(ask.gap_target);
-      const bool paused = ReadRoomMs(pool, it) < part_ms;
-      const bool other_kind =
-          !it.gap_targets.empty() && !it.gap_targets.contains(ask.gap_target);
-      const bool crowded = it.long_answers >= kLongAnswersPerTarget;
-      return std::tuple(pauses || paused, it.short_answers > 0, crowded,
-                        other_kind, -static_cast<int64_t>(it.long_answers),
-                        it.memory_used.value());
-    };
-    if (first == nullptr || rank(target) < rank(*first)) {
-      first = &target;
+    if (writer == nullptr || rank(target) < rank(*writer->target)) {
+      writer = &it;
     }
   }
-  if (first == nullptr) {
+  return writer;
+}
+
+std::optional<PlacementScheduler::Choice> PlacementScheduler::SplitInto(
+    const Pool& pool,
+    const PlacementAsk& ask,
+    const std::vector<Candidate>& candidates,
+    size_t parts) {
+  Choice choice;
+  choice.part_ms = ReadMs(pool.cost, ask.prompt) / static_cast<double>(parts);
+  const Candidate* writer = ChooseWriter(pool, ask, candidates, choice.part_ms);
+  if (writer == nullptr) {
     return std::nullopt;
   }
-  Choice choice;
-  choice.target = first->description.target;
-  choice.part_ms = part_ms;
+  choice.target = writer->target->description.target;
   double slowest_ms = 0;
-  for (size_t i = 0; i < parts; ++i) {
-    const Target& target = *candidates[i].target;
-    if (&target != first) {
-      choice.helpers.push_back(target.description.target);
-    }
+  const auto add = [&](const Target& target) {
     slowest_ms = std::max(slowest_ms,
                           (target.reading_ms + choice.part_ms) * target.pace +
                               2 * PassMsOf(pool, target));
+  };
+  add(*writer->target);
+  for (const Candidate& it : candidates) {
+    if (&it != writer && choice.helpers.size() + 1 < parts) {
+      choice.helpers.push_back(it.target->description.target);
+      add(*it.target);
+    }
   }
   choice.expected_first_event = FromMs(slowest_ms);
   return choice;
 }
 
+// Tries each number of parts up to those of the least useful size, and more
+// only while nothing fits; takes the one that ends first.
 std::optional<PlacementScheduler::Choice> PlacementScheduler::Split(
     const Pool& pool,
     const PlacementAsk& ask,
@@ -474,34 +494,24 @@
   const auto wanted = std::min(
       static_cast<size_t>(std::max(std::ceil(read_ms / kMinPartMs), 1.0)),
       most);
-  // The candidates with room for a part of that size, those that come to it
-  // first before the others; of all numbers of parts, the one that ends first.
-  std::vector<Candidate> best;
-  double best_end_ms = 0;
+  std::optional<Choice> best;
   for (size_t n = 1; n <= most; ++n) {
     const double part_ms = read_ms / static_cast<double>(n);
-    std::vector<Candidate> fitting;
-    for (const Candidate& it : candidates) {
-      if (fitting.size() < n && it.room_ms >= part_ms) {
-        fitting.push_back(it);
+    std::vector<Candidate> fitting = candidates;
+    std::erase_if(fitting,
+                  [&](const Candidate& it) { return it.room_ms < part_ms; });
+    if (fitting.size() >= n) {
+      std::optional<Choice> choice = SplitInto(pool, ask, fitting, n);
+      if (choice && (!best || choice->expected_first_event <
+                                  best->expected_first_event)) {
+        best = std::move(choice);
       }
     }
-    if (fitting.size() < n) {
-      continue;
-    }
-    const double end_ms = backlog_ms(fitting.back()) + part_ms;
-    if (best.empty() || end_ms < best_end_ms) {
-      best = std::move(fitting);
-      best_end_ms = end_ms;
-    }
-    if (n >= wanted) {
+    if (n >= wanted && best) {
       break;
     }
   }
-  if (best.empty()) {
-    return std::nullopt;
-  }
-  return SplitInto(pool, ask, best, best.size());
+  return best;
 }
 
 std::optional<PlacementScheduler::Choice>
@@ -736,21 +746,21 @@
   SortWaiting(pool, now);
   std::vector<Waiting> waiting = std::exchange(pool.waiting, {});
   std::vector<Waiting> left;
-  bool long_waits = false;
+  bool big_waits = false;
   for (Waiting& it : waiting) {
-    const bool is_long = IsLong(pool, it.ask.prompt);
     if (now >= it.give_up_at) {
       Refuse(it, Duration(0));
       continue;
     }
+    const bool is_big = ReadMs(pool.cost, it.ask.prompt) > kBigReadMs;
     std::optional<Choice> choice;
-    if (!is_long || !long_waits) {
+    if (!is_big || !big_waits) {
       choice = Choose(pool, it, now);
     }
     if (choice) {
       Place(pool, it, std::move(*choice), now);
     } else {
-      long_waits = long_waits || is_long;
+      big_waits = big_waits || is_big;
       left.push_back(std::move(it));
     }
   }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -158,7 +158,13 @@
   static std::optional<Choice> Split(const Pool& pool,
                                      const PlacementAsk& ask,
                                      std::vector<Candidate> candidates);
-  // The same with `parts` parts, whatever the pauses.
+  // The candidate that is to keep the prompt and write the answer; null when
+  // none has room for it.
+  static const Candidate* ChooseWriter(const Pool& pool,
+                                       const PlacementAsk& ask,
+                                       const std::vector<Candidate>& candidates,
+                                       double part_ms);
+  // The same with `parts` parts on the first candidates, whatever the pauses.
   static std::optional<Choice> SplitInto(
       const Pool& pool,
       const PlacementAsk& ask,
