Read prompts that would pause answers for too long only where none is written

Cause: a prompt of which no part was short enough went to engines with answers after 400 ms and paused up to 20 of them for 0.8 to 1.6 s; engines stayed set apart for short answers 200 ms each after a burst had ended.

Ruled out: giving such prompts fewer and larger parts (tried before, every answer on those engines was late).

--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -333,6 +333,9 @@
   if (needed >= pool.short_share) {
     pool.short_share = needed;
     pool.shrink_at = now + kShareShrinkInterval;
+  } else if (long_read_ms > 0) {
+    // Long prompts wait for these targets to finish their short answers.
+    pool.short_share = needed;
   } else if (now >= pool.shrink_at) {
     --pool.short_share;
     pool.shrink_at = now + kShareShrinkInterval;
@@ -570,16 +573,9 @@
     return SplitInto(pool, waiting.ask, chosen, parts);
   };
   std::erase_if(candidates, [](const Candidate& it) {
-    return it.target->short_answers > 0 || it.target->reading > 0;
+    return it.target->answers() > 0 || it.target->reading > 0;
   });
-  std::vector<Candidate> silent = candidates;
-  std::erase_if(silent,
-                [](const Candidate& it) { return it.target->answers() > 0; });
-  if (auto choice = split(std::move(silent))) {
-    return choice;
-  }
-  return now - waiting.asked_at < kCourtesyWait ? std::nullopt
-                                                : split(std::move(candidates));
+  return split(std::move(candidates));
 }
 
 void PlacementScheduler::Place(Pool& pool,
