--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "platform/engine_memory.h"
 #include "platform/fleet_feed.h"
 #include "platform/forward_headers.h"
 #include "src/agent_daemon.h"
@@ -61,6 +62,7 @@
   burdockhatch::ForwardPlatform parts;
   parts.make_feed = burdockhatch::platform::MakeFleetFeed;
   parts.protocol = burdockhatch::platform::MakeForwardProtocol();
+  parts.make_engine_memory = burdockhatch::platform::MakeEngineMemory;
   return burdockhatch::RunForwardEntry(settings, std::move(parts));
 }
 
--- a/src/forward_daemon.h
+++ b/src/forward_daemon.h
@@ -11,6 +11,7 @@
 
 #include "src/fleet_feed.h"
 #include "src/forward_protocol.h"
+#include "src/reservations.h"
 #include "src/settings.h"
 
 namespace burdockhatch {
@@ -21,6 +22,8 @@
                                            std::string address)>
       make_feed;
   std::unique_ptr<ForwardProtocol> protocol;
+  std::function<std::unique_ptr<EngineMemory>(boost::asio::io_context& io)>
+      make_engine_memory;
 };
 
 // Each runs until a planned stop is complete and returns the exit status.
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -42,6 +42,7 @@
         forwarding_(*settings_.forwarding),
         protocol_(std::move(platform.protocol)),
         feed_(platform.make_feed(io_, settings_.object_api_address)),
+        engine_memory_(platform.make_engine_memory(io_)),
         connector_(MakeForwardConnector(io_)),
         placement_(
             self_,
@@ -51,6 +52,7 @@
     context_.protocol = protocol_.get();
     context_.connector = connector_.get();
     context_.placement = &placement_;
+    context_.engine_memory = engine_memory_.get();
     context_.metrics = &metrics_;
     context_.data_centre = settings_.data_centre;
     context_.regions = forwarding_.regions;
@@ -312,6 +314,7 @@
   const ForwardingSettings forwarding_;
   std::unique_ptr<ForwardProtocol> protocol_;
   std::unique_ptr<FleetFeed> feed_;
+  std::unique_ptr<EngineMemory> engine_memory_;
   std::unique_ptr<ForwardConnector> connector_;
   PlacementClient placement_;
   ForwardContext context_;
--- a/src/forward_protocol.h
+++ b/src/forward_protocol.h
@@ -24,11 +24,17 @@
   std::optional<uint64_t> last_event;     // The caller resumes a stream.
 };
 
+// A target that reads a part of the prompt.
+struct ForwardHelper {
+  std::string address;      // "ip:port".
+  std::string reservation;  // Memory that it keeps for it; may be empty.
+};
+
 struct ForwardFields {
   TargetId target;
   Duration time_left{0};
-  ClientAccountId account;           // Empty: the route needs no key.
-  std::vector<std::string> helpers;  // "ip:port" of targets that read along.
+  ClientAccountId account;  // Empty: the route needs no key.
+  std::vector<ForwardHelper> helpers;
   std::optional<uint64_t> last_event;
 };
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -28,6 +28,8 @@
 constexpr Duration kLeastGapPatience = std::chrono::milliseconds(600);
 // While no target may get the request, it is tried again at this interval.
 constexpr Duration kPlaceAgainInterval = std::chrono::milliseconds(25);
+// Memory that was not free is asked for again after a pass or two.
+constexpr Duration kReserveAgainInterval = std::chrono::milliseconds(100);
 // When a refused caller may return: spread, so that callers who were refused
 // together do not return together.
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(150);
@@ -163,15 +165,58 @@
         Duration(0), [self = shared_from_this()] { self->NextAttempt(); });
     return;
   }
-  std::vector<std::string> helpers;
+  std::vector<ForwardHelper> helpers;
   for (const TargetId& it : reply.helpers) {
     const FleetDirectory::Entry* helper = context_->directory.Find(it);
     if (helper != nullptr && context_->directory.IsUsable(*helper, now)) {
-      helpers.push_back(helper->record.address);
+      helpers.push_back({helper->record.address, ""});
     }
   }
   expected_first_event_ = reply.expected_first_event;
-  SendTo(*entry, std::move(helpers));
+  if (reply.holds.empty()) {
+    SendTo(*entry, std::move(helpers));
+  } else {
+    ReserveAndSend(*entry, std::move(helpers), reply.holds);
+  }
+}
+
+// The memory of an oversize prompt is reserved before the prompt is sent.
+void ForwardRequest::ReserveAndSend(const FleetDirectory::Entry& entry,
+                                    std::vector<ForwardHelper> helpers,
+                                    const std::vector<MemoryHold>& holds) {
+  std::vector<Reservation> wanted;
+  for (const MemoryHold& it : holds) {
+    const FleetDirectory::Entry* holder = context_->directory.Find(it.target);
+    const std::string address = holder == nullptr ? "" : holder->record.address;
+    const auto helper = std::find_if(
+        helpers.begin(), helpers.end(),
+        [&](const ForwardHelper& known) { return known.address == address; });
+    if (helper != helpers.end()) {
+      // Another attempt must not use the same memory.
+      helper->reservation =
+          fmt::format("{}-{}-{}", fields_.attempt, sends_, wanted.size());
+      wanted.push_back({address, helper->reservation, it.tokens});
+    }
+  }
+  const TargetId target = entry.record.target;
+  reservations_ = std::make_unique<ReservationSet>(
+      context_->engine_memory, context_->timers, std::move(wanted));
+  reservations_->Start([self = shared_from_this(), target,
+                        helpers = std::move(helpers)](bool reserved) mutable {
+    if (self->finished_) {
+      return;
+    }
+    const FleetDirectory::Entry* found = self->context_->directory.Find(target);
+    if (reserved && found != nullptr) {
+      self->SendTo(*found, std::move(helpers));
+      return;
+    }
+    Log(LogLevel::kWarning, "reservation_failed",
+        {{"request", self->fields_.attempt}, {"target", target.value()}});
+    self->ReleaseAttempt(PlacementEvent::kEnded, CallOutcome::kLeft);
+    self->retry_timer_ = self->context_->timers->After(
+        kReserveAgainInterval, [self] { self->NextAttempt(); });
+  });
 }
 
 void ForwardRequest::PlaceOnService() {
@@ -215,7 +260,7 @@
 }
 
 void ForwardRequest::SendTo(const FleetDirectory::Entry& entry,
-                            std::vector<std::string> helpers) {
+                            std::vector<ForwardHelper> helpers) {
   const Time now = context_->timers->Now();
   target_ = entry.record.target;
   helpers_ = helpers;
@@ -413,6 +458,7 @@
   if (call_) {
     std::exchange(call_, nullptr)->Stop();
   }
+  reservations_.reset();
   events_.DropPartial();
   if (placement) {
     context_->placement->Report(
@@ -464,6 +510,7 @@
   if (call_) {
     std::exchange(call_, nullptr)->Stop();
   }
+  reservations_.reset();
 }
 
 // --- The end ----------------------------------------------------------------
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -21,6 +21,7 @@
 #include "src/placement_client.h"
 #include "src/random.h"
 #include "src/repeat_budget.h"
+#include "src/reservations.h"
 #include "src/routes.h"
 #include "src/service_balancer.h"
 #include "src/timers.h"
@@ -33,6 +34,7 @@
   const ForwardProtocol* protocol = nullptr;
   ForwardConnector* connector = nullptr;
   PlacementClient* placement = nullptr;
+  EngineMemory* engine_memory = nullptr;
   Metrics* metrics = nullptr;
   DataCentreId data_centre;
   std::map<DataCentreId, RegionId> regions;
@@ -72,8 +74,11 @@
   void AskForPlacement();
   void OnPlaced(const PlacementReply& reply);
   void PlaceOnService();
+  void ReserveAndSend(const FleetDirectory::Entry& entry,
+                      std::vector<ForwardHelper> helpers,
+                      const std::vector<MemoryHold>& holds);
   void SendTo(const FleetDirectory::Entry& entry,
-              std::vector<std::string> helpers);
+              std::vector<ForwardHelper> helpers);
   void OnHead(uint32_t status, HeaderList headers);
   void OnBody(std::string_view data);
   void OnEnd(CallEnd end);
@@ -121,7 +126,8 @@
   std::shared_ptr<ForwardCall> call_;
   std::optional<uint64_t> placement_;  // Number at the placement client.
   TargetId target_;
-  std::vector<std::string> helpers_;
+  std::vector<ForwardHelper> helpers_;
+  std::unique_ptr<ReservationSet> reservations_;
   Duration expected_first_event_{0};
   Duration retry_after_{0};  // Of a refusal of the placement.
   Time sent_at_{};
--- a/src/messages.h
+++ b/src/messages.h
@@ -265,11 +265,18 @@
 // Other targets that read a part of one prompt.
 inline constexpr int kMaxHelpers = 16;
 
+// Memory of a helper that keeps a part of a prompt larger than one engine.
+struct MemoryHold {
+  TargetId target;
+  Tokens tokens;
+};
+
 struct PlacementReply {
   uint64_t number = 0;
   PlacementVerdict verdict = PlacementVerdict::kRefused;
   TargetId target;
   std::vector<TargetId> helpers;
+  std::vector<MemoryHold> holds;  // Of some of the helpers.
   Duration expected_first_event{0};
   Duration retry_after{0};
   uint32_t entries = 1;  // That the agent places work for.
@@ -293,6 +300,7 @@
   ServiceId service;
   TargetId target;
   std::vector<TargetId> helpers;
+  std::vector<MemoryHold> holds;
   Tokens prompt;
   Tokens output;
   Duration gap_target{0};
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -201,6 +201,7 @@
     work.service = pending.ask.service;
     work.target = reply.target;
     work.helpers = reply.helpers;
+    work.holds = reply.holds;
     work.prompt = pending.ask.prompt;
     work.output = pending.ask.output;
     work.gap_target = pending.ask.gap_target;
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -28,6 +28,11 @@
 constexpr double kLongReadPerTargetMs = 700;
 // Reading of a long prompt that one engine does, at the least.
 constexpr double kMinPartMs = 70;
+// Kept free on each engine that shares an oversize prompt, as the answers'
+// lengths are estimates.
+constexpr Tokens kMemoryMargin{10'000};
+// A helper with less free memory is not worth an order.
+constexpr Tokens kLeastHold{20'000};
 // Kept free on engines with short answers, for the short prompts to come.
 constexpr double kSharedMarginMs = 30;
 // Kept free between a pause by estimate and the gap target.
@@ -120,7 +125,8 @@
             });
   std::erase_if(pool.targets, [](const auto& it) {
     const Target& target = it.second;
-    return !target.listed && target.answers() == 0 && target.reading == 0;
+    return !target.listed && target.answers() == 0 && target.reading == 0 &&
+           target.memory_used == Tokens(0);
   });
   PlaceWaiting(pool, now);
 }
@@ -149,8 +155,9 @@
     EndWork(pool, placed, now);
   }
   entries_.try_emplace(entry, 0);
-  if (ask.prompt + ask.output > pool.cost.memory) {
-    // More than any engine holds.
+  const size_t most = std::min<size_t>(pool.order.size(), kMaxHelpers + 1);
+  if (ask.prompt + ask.output >
+      (pool.cost.memory - kMemoryMargin) * static_cast<int64_t>(most)) {
     Refuse(waiting, Duration(0));
     return;
   }
@@ -415,6 +422,41 @@
   return false;
 }
 
+bool PlacementScheduler::IsOversize(const Pool& pool, const PlacementAsk& ask) {
+  return ask.prompt + ask.output + kMemoryMargin > pool.cost.memory;
+}
+
+std::optional<std::vector<MemoryHold>> PlacementScheduler::ChooseHolds(
+    const Pool& pool,
+    const PlacementAsk& ask,
+    const Target& writer,
+    std::vector<const Target*> helpers) {
+  const auto free = [&](const Target& it) {
+    return pool.cost.memory - it.memory_used - kMemoryMargin;
+  };
+  std::sort(helpers.begin(), helpers.end(),
+            [](const Target* a, const Target* b) {
+              return a->memory_used < b->memory_used;
+            });
+  Tokens missing = ask.prompt - std::max(free(writer) - ask.output, Tokens(0));
+  std::vector<MemoryHold> holds;
+  for (const Target* it : helpers) {
+    if (missing <= Tokens(0)) {
+      break;
+    }
+    const Tokens part = std::min(free(*it), missing);
+    if (part < kLeastHold && part < missing) {
+      return std::nullopt;
+    }
+    holds.push_back({it->description.target, std::max(part, Tokens(1))});
+    missing -= part;
+  }
+  if (missing > Tokens(0)) {
+    return std::nullopt;
+  }
+  return holds;
+}
+
 // Answers of one kind share few targets, which leaves the others free to read:
 // neither the new answer nor those in progress are to be paused for long.
 const PlacementScheduler::Candidate* PlacementScheduler::ChooseWriter(
@@ -422,7 +464,9 @@
     const PlacementAsk& ask,
     const std::vector<Candidate>& candidates,
     double part_ms) {
-  const Tokens memory = ask.prompt + ask.output;
+  // Helpers keep what an oversize prompt needs beyond the writer's memory.
+  const Tokens memory =
+      IsOversize(pool, ask) ? ask.output + kLeastHold : ask.prompt + ask.output;
   const auto rank = [&](const Target& it) {
     const bool pauses =
         it.reading_ms * it.pace + PassMsOf(pool, it) + kGapMarginMs >
@@ -461,6 +505,7 @@
     return std::nullopt;
   }
   choice.target = writer->target->description.target;
+  std::vector<const Target*> helpers;
   double slowest_ms = 0;
   const auto add = [&](const Target& target) {
     slowest_ms = std::max(slowest_ms,
@@ -471,9 +516,17 @@
   for (const Candidate& it : candidates) {
     if (&it != writer && choice.helpers.size() + 1 < parts) {
       choice.helpers.push_back(it.target->description.target);
+      helpers.push_back(it.target);
       add(*it.target);
     }
   }
+  if (IsOversize(pool, ask)) {
+    auto holds = ChooseHolds(pool, ask, *writer->target, std::move(helpers));
+    if (!holds) {
+      return std::nullopt;
+    }
+    choice.holds = std::move(*holds);
+  }
   choice.expected_first_event = FromMs(slowest_ms);
   return choice;
 }
@@ -584,8 +637,9 @@
                                Time now) {
   const PlacementAsk& ask = waiting.ask;
   Work work;
-  work.placed = {ask.number, ask.service, choice.target,  choice.helpers,
-                 ask.prompt, ask.output,  ask.gap_target, true};
+  work.placed = {ask.number,     ask.service,    choice.target,
+                 choice.helpers, choice.holds,   ask.prompt,
+                 ask.output,     ask.gap_target, true};
   work.placed_at = now;
   work.part_ms = choice.part_ms;
   work.is_long = IsLong(pool, ask.prompt);
@@ -596,6 +650,7 @@
   reply.verdict = PlacementVerdict::kPlaced;
   reply.target = std::move(choice.target);
   reply.helpers = std::move(choice.helpers);
+  reply.holds = std::move(choice.holds);
   reply.expected_first_event = choice.expected_first_event;
   reply.entries = static_cast<uint32_t>(std::max<size_t>(entries_.size(), 1));
   decisions_.push_back({waiting.entry, std::move(reply)});
@@ -609,6 +664,10 @@
   ++(work.is_long ? target.long_answers : target.short_answers);
   ++(work.is_long ? pool.long_works : pool.short_works);
   target.memory_used += work.placed.prompt + work.placed.output;
+  for (const MemoryHold& it : work.placed.holds) {
+    target.memory_used -= it.tokens;
+    pool.targets[it.target].memory_used += it.tokens;
+  }
   ++target.gap_targets[work.placed.gap_target];
   if (now < target.cold_until && pool.cold_requests_per_s > 0) {
     target.next_cold_request =
@@ -659,6 +718,10 @@
   --(work->second.is_long ? target.long_answers : target.short_answers);
   --(work->second.is_long ? pool.long_works : pool.short_works);
   target.memory_used -= placed.prompt + placed.output;
+  for (const MemoryHold& it : placed.holds) {
+    target.memory_used += it.tokens;
+    pool.targets[it.target].memory_used -= it.tokens;
+  }
   const auto gap = target.gap_targets.find(placed.gap_target);
   if (--gap->second == 0) {
     target.gap_targets.erase(gap);
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -116,6 +116,7 @@
   struct Choice {
     TargetId target;
     std::vector<TargetId> helpers;
+    std::vector<MemoryHold> holds;
     double part_ms = 0;
     Duration expected_first_event{0};
   };
@@ -164,6 +165,15 @@
                                        const PlacementAsk& ask,
                                        const std::vector<Candidate>& candidates,
                                        double part_ms);
+  // Whether the prompt and its answer need the memory of several engines.
+  static bool IsOversize(const Pool& pool, const PlacementAsk& ask);
+  // Divides an oversize prompt among the writer's memory and that of helpers;
+  // nullopt when they have too little.
+  static std::optional<std::vector<MemoryHold>> ChooseHolds(
+      const Pool& pool,
+      const PlacementAsk& ask,
+      const Target& writer,
+      std::vector<const Target*> helpers);
   // The same with `parts` parts on the first candidates, whatever the pauses.
   static std::optional<Choice> SplitInto(
       const Pool& pool,
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -241,6 +241,15 @@
   }
 }
 
+template <class Holder>
+void PutHolds(const std::vector<MemoryHold>& from, Holder* to) {
+  for (const MemoryHold& it : from) {
+    wire::MemoryHold* hold = to->add_holds();
+    hold->set_target(it.target.value());
+    hold->set_tokens(it.tokens.value());
+  }
+}
+
 void PutBody(const PlacementReply& from, wire::Envelope* envelope) {
   wire::PlacementReply* to = envelope->mutable_placement_reply();
   to->set_number(from.number);
@@ -252,6 +261,7 @@
   to->set_expected_first_event_us(from.expected_first_event.count());
   to->set_retry_after_us(from.retry_after.count());
   to->set_entries(from.entries);
+  PutHolds(from.holds, to);
 }
 
 void PutBody(const PlacementChange& from, wire::Envelope* envelope) {
@@ -275,6 +285,7 @@
     work->set_output(it.output.value());
     work->set_gap_target_us(it.gap_target.count());
     work->set_reading(it.reading);
+    PutHolds(it.holds, work);
   }
 }
 
@@ -441,6 +452,17 @@
     return to;
   }
 
+  template <class Holds>
+  std::vector<MemoryHold> ReadHolds(const Holds& from) {
+    CheckCount(from.size(), kMaxHelpers);
+    std::vector<MemoryHold> to;
+    for (const wire::MemoryHold& it : from) {
+      to.push_back(
+          {RequiredId<TargetId>(it.target()), Read<Tokens>(it.tokens())});
+    }
+    return to;
+  }
+
   PlacementReply Body(const wire::PlacementReply& from) {
     PlacementReply to;
     to.number = from.number();
@@ -452,6 +474,7 @@
     to.expected_first_event = ReadDuration(from.expected_first_event_us());
     to.retry_after = ReadDuration(from.retry_after_us());
     to.entries = from.entries();
+    to.holds = ReadHolds(from.holds());
     return to;
   }
 
@@ -476,6 +499,7 @@
       work.output = Read<Tokens>(it.output());
       work.gap_target = ReadDuration(it.gap_target_us());
       work.reading = it.reading();
+      work.holds = ReadHolds(it.holds());
       to.works.push_back(std::move(work));
     }
     return to;
