--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -125,14 +125,15 @@
 
   void OnStop() override { server_->BeginDrain(); }
 
+  // Where all entries of a data centre stop, the balancer goes on sending. What
+  // comes after its lag could not end within the grace, so it is refused.
   bool IsStopped(Duration since) override {
-    const bool idle = server_->open_exchanges() == 0;
-    if ((idle && since >= kBalancerLag) ||
-        since >= forwarding_.stop_grace - kStopMargin) {
+    if (since >= kBalancerLag) {
+      context_.refuses_requests = true;
       server_->Stop();
-      return true;
     }
-    return false;
+    return (since >= kBalancerLag && server_->open_exchanges() == 0) ||
+           since >= forwarding_.stop_grace - kStopMargin;
   }
 
   std::string Dump(Time now) const override {
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -73,6 +73,10 @@
 // --- Before the first attempt -----------------------------------------------
 
 bool ForwardRequest::ReadRoute() {
+  if (context_->refuses_requests) {
+    Reject(503, "stopping");
+    return false;
+  }
   if (!config_) {
     Reject(503, "no_configuration");
     return false;
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -38,7 +38,8 @@
   Metrics* metrics = nullptr;
   DataCentreId data_centre;
   std::map<DataCentreId, RegionId> regions;
-  RouteConfigPtr config;  // Null until one is known.
+  RouteConfigPtr config;          // Null until one is known.
+  bool refuses_requests = false;  // A planned stop is about to end.
   FleetDirectory directory;
   ServiceBalancer balancer{0};
   RepeatBudget budget{RepeatLimits()};
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -43,6 +43,9 @@
 constexpr double kFirstEventMs = 100;
 // A long prompt waits this long for engines that write no answer.
 constexpr Duration kCourtesyWait = std::chrono::milliseconds(400);
+// A prompt that is late already waits only behind this much reading: new ones
+// that can be in time would overtake it until its caller leaves.
+constexpr double kLateBacklogMs = 1'500;
 // A caller leaves when the first event takes this multiple of its target.
 constexpr int kPatienceTargets = 3;
 // Answers to long prompts that share one engine before the next one is used.
@@ -782,7 +785,8 @@
     const Duration target = it.waiting.first_event_by - it.waiting.asked_at;
     const Time last = it.waiting.asked_at + target * kPatienceTargets;
     const bool hopeless =
-        it.read_ms > kLongReadMs && now + FromMs(end_ms) > last;
+        it.read_ms > kLongReadMs &&
+        (now + FromMs(end_ms) > last || end_ms > kLateBacklogMs);
     if (hopeless) {
       Refuse(it.waiting, FromMs(end_ms / 2));
     } else {
