--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -27,6 +27,8 @@
 // The balancer asks every second and stops after two refusals; a connection
 // that it opened just before then still brings a request.
 constexpr Duration kBalancerLag = std::chrono::milliseconds(2'500);
+// No connection is taken this long before the end.
+constexpr Duration kLastRequest = std::chrono::milliseconds(1'000);
 // Left of the grace when requests in progress are given up.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
@@ -123,17 +125,20 @@
     return context_.config != nullptr && !context_.directory.entries().empty();
   }
 
-  void OnStop() override { server_->BeginDrain(); }
+  void OnStop() override {
+    context_.stops_at = Now() + forwarding_.stop_grace - kStopMargin;
+    server_->BeginDrain();
+  }
 
-  // Where all entries of a data centre stop, the balancer goes on sending. What
-  // comes after its lag could not end within the grace, so it is refused.
+  // Where all entries of a data centre stop, the balancer goes on sending, so
+  // what can still end within the grace is served.
   bool IsStopped(Duration since) override {
-    if (since >= kBalancerLag) {
-      context_.refuses_requests = true;
+    const Duration end = forwarding_.stop_grace - kStopMargin;
+    if (since >= end - kLastRequest) {
       server_->Stop();
     }
     return (since >= kBalancerLag && server_->open_exchanges() == 0) ||
-           since >= forwarding_.stop_grace - kStopMargin;
+           since >= end;
   }
 
   std::string Dump(Time now) const override {
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -30,6 +30,8 @@
 constexpr Duration kPlaceAgainInterval = std::chrono::milliseconds(25);
 // Memory that was not free is asked for again after a pass or two.
 constexpr Duration kReserveAgainInterval = std::chrono::milliseconds(100);
+// A pass of an engine that reads other prompts between the answers.
+constexpr Duration kSlowPass = std::chrono::milliseconds(90);
 // When a refused caller may return: spread, so that callers who were refused
 // together do not return together.
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(150);
@@ -73,10 +75,6 @@
 // --- Before the first attempt -----------------------------------------------
 
 bool ForwardRequest::ReadRoute() {
-  if (context_->refuses_requests) {
-    Reject(503, "stopping");
-    return false;
-  }
   if (!config_) {
     Reject(503, "no_configuration");
     return false;
@@ -98,9 +96,27 @@
   service_ = ChooseService(*route_, context_->random.Unit());
   const auto pool = config_->services.find(service_);
   pool_ = pool == config_->services.end() ? nullptr : &pool->second;
+  if (context_->stops_at && !EndsBeforeStop()) {
+    Reject(503, "stopping");
+    return false;
+  }
   return true;
 }
 
+bool ForwardRequest::EndsBeforeStop() const {
+  Duration longest = route_->timeout;
+  if (pool_ != nullptr && pool_->engine) {
+    const int64_t passes = fields_.max_output.value() /
+                           std::max<int64_t>(pool_->engine->steps_per_pass, 1);
+    const auto read_ms =
+        static_cast<int64_t>(ReadMs(*pool_->engine, fields_.prompt));
+    longest = kSlowPass * (passes + 2) + std::chrono::milliseconds(read_ms);
+  }
+  longest = std::min(
+      {longest, route_->timeout, fields_.time_left.value_or(route_->timeout)});
+  return received_at_ + longest < *context_->stops_at;
+}
+
 void ForwardRequest::Reject(uint32_t status, std::string_view reason) {
   HeaderList headers = context_->protocol->OwnAnswerHeaders(fields_);
   if (status == 503) {
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -38,8 +38,8 @@
   Metrics* metrics = nullptr;
   DataCentreId data_centre;
   std::map<DataCentreId, RegionId> regions;
-  RouteConfigPtr config;          // Null until one is known.
-  bool refuses_requests = false;  // A planned stop is about to end.
+  RouteConfigPtr config;         // Null until one is known.
+  std::optional<Time> stops_at;  // The end of a planned stop.
   FleetDirectory directory;
   ServiceBalancer balancer{0};
   RepeatBudget budget{RepeatLimits()};
@@ -68,6 +68,8 @@
 
   // --- Before the first attempt ---
   bool ReadRoute();
+  // Whether the answer can be complete before a planned stop ends.
+  bool EndsBeforeStop() const;
   void Reject(uint32_t status, std::string_view reason);
 
   // --- Attempts ---
