--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -9,10 +9,12 @@
 
 namespace {
 
-// Each call costs the same, however long it waits. The wait bounds how long a
-// connection that has gone silent hides a change: the platform counts a machine
-// as connected again three seconds after its connections were cut.
-constexpr Duration kWatchWait = std::chrono::milliseconds(2'300);
+// Each call costs the same, however long it waits. A store that falls silent
+// shows in the probes, and a connection that does in its keep-alive.
+constexpr Duration kWatchWait = std::chrono::seconds(20);
+// Changes often come together; one call then brings them. Far below the bounds
+// within which a change is to be in force.
+constexpr Duration kCollectTime = std::chrono::milliseconds(300);
 constexpr int64_t kFirstRetryMs = 60;
 constexpr int64_t kLongestRetryMs = 600;
 // Changes read this soon after the store is back may come from its absence.
@@ -103,10 +105,31 @@
   }
   OnSuccess();
   revision_ = std::max(revision_, reply.revision);
-  if (!reply.items.empty()) {
-    observer_({false, std::move(reply.items), revision_, WasAway()});
+  if (reply.items.empty()) {
+    Watch();
+    return;
+  }
+  observer_({false, std::move(reply.items), revision_, WasAway()});
+  WatchLater(kCollectTime);
+}
+
+void FeedFollower::WatchLater(Duration delay) {
+  retry_ = timers_->After(delay, [this] { Watch(); });
+}
+
+void FeedFollower::Restart() {
+  alive_ = std::make_shared<bool>(true);
+  retry_.reset();
+  // Marks the time before as an absence, whether a call has failed or not.
+  if (away_since_ == Time()) {
+    away_since_ = timers_->Now();
+  }
+  failures_ = std::max(failures_, 1U);
+  if (listing_) {
+    List("");
+  } else {
+    Watch();
   }
-  Watch();
 }
 
 void FeedFollower::OnFailure(const FeedReply& reply) {
--- a/src/feed_follower.h
+++ b/src/feed_follower.h
@@ -35,7 +35,10 @@
 
   void Start();
 
-  bool has_list() const { return revision_ > 0; }
+  // Gives up the call that is under way, as its connection may be silent, and
+  // asks again. For when the store answers again.
+  void Restart();
+
   // Since when no call has succeeded; zero while calls succeed.
   Time away_since() const { return away_since_; }
   uint64_t revision() const { return revision_; }
@@ -47,6 +50,7 @@
   void OnWatch(FeedReply reply);
   void OnFailure(const FeedReply& reply);
   void OnSuccess();
+  void WatchLater(Duration delay);
   bool WasAway() const;
 
   const FeedKind kind_;
@@ -54,6 +58,7 @@
   Timers* timers_;
   Random random_;
   Observer observer_;
+  // Replaced with each restart; calls that began before it are dropped.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<Timer> retry_;
   std::vector<FeedItem> listed_;
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -1,5 +1,8 @@
 #include "src/http_call.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <atomic>
 #include <charconv>
@@ -162,6 +165,21 @@
   Pool pool;
 };
 
+// A connection whose other end has gone silent for good ends after about two
+// seconds without an acknowledged probe.
+void SetKeepAlive(tcp::socket& socket) {
+  using Seconds =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(Seconds(1), ignored);
+  socket.set_option(Interval(1), ignored);
+  socket.set_option(Count(1), ignored);
+}
+
 // Closes a connection without waiting for the server.
 void CloseNow(Stream* stream) {
   if (stream != nullptr) {
@@ -228,6 +246,7 @@
   void Write() {
     error_code ignored;
     stream_->socket().set_option(tcp::no_delay(true), ignored);
+    SetKeepAlive(stream_->socket());
     stream_->expires_at(deadline_);
     // Last check before the first byte. The process may have been paused for
     // any time since the call was made.
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -39,6 +39,10 @@
 
 class PlacementClient {
  public:
+  // Entries without an agent do not see each other's requests to cold targets,
+  // nor how many they are; this suits some thirty of them.
+  static constexpr double kLocalColdShare = 0.02;
+
   // `heartbeat` is what the entry says of itself; `bus` outlives the client.
   PlacementClient(PeerId self, Heartbeat heartbeat, PlacementBus* bus);
 
@@ -107,7 +111,7 @@
   const Heartbeat heartbeat_;
   PlacementBus* bus_;
   // Mirrors the entry's own work; decides while there is no lead.
-  PlacementScheduler local_;
+  PlacementScheduler local_{kLocalColdShare};
   std::map<ServiceId, TargetList> lists_;
   std::vector<Agent> agents_;  // In the order of their rank.
   InstanceId lead_;
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -55,9 +55,6 @@
 constexpr double kBigReadMs = 500;
 constexpr double kAnswerScoreMs = 3;
 constexpr double kColdScoreMs = 200;
-// Cold engines get this share of the requests that they can carry, as requests
-// of other entries may be under way.
-constexpr double kColdShare = 0.5;
 constexpr Duration kShareShrinkInterval = std::chrono::milliseconds(200);
 constexpr Duration kFirstSuspicion = std::chrono::seconds(1);
 constexpr Duration kLongestSuspicion = std::chrono::seconds(8);
@@ -674,7 +671,7 @@
   ++target.gap_targets[work.placed.gap_target];
   if (now < target.cold_until && pool.cold_requests_per_s > 0) {
     target.next_cold_request =
-        now + FromMs(1e3 / (pool.cold_requests_per_s * kColdShare));
+        now + FromMs(1e3 / (pool.cold_requests_per_s * cold_share_));
   }
   if (work.placed.reading) {
     pool.long_reading_ms +=
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -29,6 +29,10 @@
     PlacementReply reply;
   };
 
+  // `cold_share` of a cold target's rate is used by this scheduler.
+  explicit PlacementScheduler(double cold_share = 0.5)
+      : cold_share_(cold_share) {}
+
   // Takes the list unless a newer one is known. An equal revision is taken too:
   // the withdrawals of an entry may have changed.
   void SetTargets(const TargetList& list, Time now);
@@ -190,6 +194,7 @@
   void Refuse(const Waiting& waiting, Duration retry_after);
   void PlaceWaiting(Pool& pool, Time now);
 
+  double cold_share_;
   std::map<ServiceId, Pool> pools_;
   std::map<PeerId, uint32_t> entries_;  // Open works and asks of each.
   std::vector<Decision> decisions_;
