Believe the target that started last at an address

Cause: after a power loss the list names the former targets for seconds beside those that now have their addresses; 855 requests met another target, the budget of repeats was used up and 380 callers were refused.

--- a/src/fleet_directory.cc
+++ b/src/fleet_directory.cc
@@ -8,6 +8,17 @@
 void FleetDirectory::Put(const TargetRecord& record,
                          uint64_t revision,
                          Time now) {
+  for (auto& [id, other] : entries_) {
+    if (id != record.target && other.record.address == record.address) {
+      // Only the target that started last is there; when that is not known, the
+      // one that was listed last.
+      const bool is_older = record.started_at < other.record.started_at;
+      if (is_older) {
+        return;
+      }
+      other.replaced = true;
+    }
+  }
   Entry& entry = entries_[record.target];
   const bool restarted = entry.record.started_at != record.started_at;
   entry.replaced = entry.replaced && !restarted;
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -13,8 +13,14 @@
 
 // Connections that may fail for one request. None of them reaches a target.
 constexpr uint32_t kMaxUnreached = 4;
-// Further targets after one that says it did not run the request.
-constexpr uint32_t kMaxNotRun = 2;
+// Further targets after one that says it did not run the request. After a power
+// loss many addresses belong to other targets until the list is up to date.
+constexpr uint32_t kMaxNotRun = 6;
+// The first of them are tried at once, the others after doubling waits.
+constexpr uint32_t kNotRunAtOnce = 2;
+constexpr Duration kNotRunWait = std::chrono::milliseconds(40);
+// A caller without a target waits this long at most before it is refused.
+constexpr Duration kMaxPlaceWait = std::chrono::milliseconds(1'000);
 // A repeat needs at least this to be of use.
 constexpr Duration kLeastTimeForRepeat = std::chrono::milliseconds(40);
 // A plain call is repeated at another target after this part of its target.
@@ -266,8 +272,8 @@
     SendTo(*context_->directory.Find(*target), {});
     return;
   }
-  if (sends_ > 0 || TimeLeft() < 2 * kPlaceAgainInterval ||
-      now - received_at_ > route_->latency_target) {
+  if (may_have_run_ || TimeLeft() < 2 * kPlaceAgainInterval ||
+      now - received_at_ > kMaxPlaceWait) {
     FinishFailed("no_target");
     return;
   }
@@ -481,10 +487,14 @@
   reservations_.reset();
   events_.DropPartial();
   if (placement) {
-    context_->placement->Report(
-        *placement,
-        is_fault ? PlacementEvent::kTargetFailed : PlacementEvent::kEnded,
-        is_fault ? failed : TargetId(), now);
+    PlacementEvent event = PlacementEvent::kTargetFailed;
+    if (!is_fault) {
+      event = PlacementEvent::kEnded;
+    } else if (not_run && answer_fields_.is_other) {
+      event = PlacementEvent::kTargetReplaced;
+    }
+    context_->placement->Report(*placement, event,
+                                is_fault ? failed : TargetId(), now);
   } else {
     context_->balancer.End(target_,
                            not_run    ? CallOutcome::kRejected
@@ -500,7 +510,18 @@
     FinishFailed("no_further_attempt");
     return;
   }
-  NextAttempt();
+  const uint32_t rejected = Rejections();
+  if (!not_run || rejected <= kNotRunAtOnce) {
+    NextAttempt();
+    return;
+  }
+  retry_timer_ = context_->timers->After(
+      kNotRunWait * (1 << (rejected - kNotRunAtOnce - 1)),
+      [self = shared_from_this()] { self->NextAttempt(); });
+}
+
+uint32_t ForwardRequest::Rejections() const {
+  return sends_ - unreached_ - attempts_;
 }
 
 bool ForwardRequest::MayRepeat(AttemptEnd end) {
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -91,6 +91,8 @@
   void OnSilent();
   void EndAttempt(AttemptEnd end);
   bool MayRepeat(AttemptEnd end);
+  // Sends of which the target said that the request did not run.
+  uint32_t Rejections() const;
   TargetId FailedTarget(AttemptEnd end) const;
   void ReleaseAttempt(PlacementEvent event, CallOutcome outcome);
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -283,16 +283,17 @@
 };
 
 enum class PlacementEvent : uint8_t {
-  kFirstEvent,    // The prompt has been read.
-  kEnded,         // The request uses its targets no more.
-  kTargetFailed,  // Ended, as a target broke off or did not answer.
+  kFirstEvent,      // The prompt has been read.
+  kEnded,           // The request uses its targets no more.
+  kTargetFailed,    // Ended, as a target broke off or did not answer.
+  kTargetReplaced,  // Ended, as another target has the address.
 };
 
 // Entry to agent: what became of a placed request.
 struct PlacementChange {
   uint64_t number = 0;
   PlacementEvent event = PlacementEvent::kEnded;
-  TargetId failed;  // kTargetFailed only; may be a helper.
+  TargetId failed;  // The target that failed or was replaced.
 };
 
 struct PlacedWork {
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -191,10 +191,13 @@
         return it.entry == entry && it.ask.number == change.number;
       });
     }
-    if (change.event == PlacementEvent::kTargetFailed) {
-      const auto target = pool.targets.find(change.failed);
-      if (target != pool.targets.end()) {
-        Target& failed = target->second;
+    const auto target = pool.targets.find(change.failed);
+    if (target != pool.targets.end()) {
+      Target& failed = target->second;
+      if (change.event == PlacementEvent::kTargetReplaced) {
+        // The lists of the entries still have it for a few seconds.
+        failed.suspect_until = now + kLongestSuspicion;
+      } else if (change.event == PlacementEvent::kTargetFailed) {
         failed.suspect_for = std::clamp(failed.suspect_for * 2, kFirstSuspicion,
                                         kLongestSuspicion);
         failed.suspect_until = now + failed.suspect_for;
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -481,7 +481,7 @@
   PlacementChange Body(const wire::PlacementChange& from) {
     PlacementChange to;
     to.number = from.number();
-    to.event = ReadEnum(from.event(), PlacementEvent::kTargetFailed);
+    to.event = ReadEnum(from.event(), PlacementEvent::kTargetReplaced);
     to.failed = OptionalId<TargetId>(from.failed());
     return to;
   }
--- a/tests/fleet_directory_test.cc
+++ b/tests/fleet_directory_test.cc
@@ -45,8 +45,10 @@
 // Guards against an entry without any target after the list has lapsed.
 TEST(FleetDirectoryTest, LapsedTargetStaysForTheGraceOnly) {
   FleetDirectory directory;
+  TargetRecord other = Record("t2");
+  other.address = "10.0.0.2:80";
   directory.Put(Record("t1"), 1, kStart);
-  directory.Put(Record("t2"), 1, kStart);
+  directory.Put(other, 1, kStart);
   directory.Replace({}, 2, true, kStart);
   EXPECT_EQ(UsableCount(directory, kStart + milliseconds(1'900)), 2u);
   directory.Put(Record("t1"), 3, kStart + milliseconds(1'000));
@@ -74,6 +76,28 @@
   EXPECT_EQ(UsableCount(directory, kStart), 1u);
 }
 
+// Guards against a former target that is tried while its line lapses, found by
+// ktu-burdock-grown trouble-1: 855 requests met another target at the address
+// after a power loss.
+TEST(FleetDirectoryTest, LastStartedTargetHasTheAddress) {
+  FleetDirectory directory;
+  TargetRecord former = Record("t1");
+  former.started_at = 5;
+  TargetRecord latter = Record("t2");
+  latter.started_at = 6;
+  directory.Put(former, 1, kStart);
+  directory.Put(latter, 2, kStart);
+  ASSERT_EQ(UsableCount(directory, kStart), 1u);
+  EXPECT_EQ(directory.Usable(ServiceId("llm"), kStart)[0]->record.target,
+            latter.target);
+  // A list comes in the order of names, not of time.
+  FleetDirectory listed;
+  listed.Replace({latter, former}, 2, false, kStart);
+  ASSERT_EQ(UsableCount(listed, kStart), 1u);
+  EXPECT_EQ(listed.Usable(ServiceId("llm"), kStart)[0]->record.target,
+            latter.target);
+}
+
 // Guards against an address that another target has taken over.
 TEST(FleetDirectoryTest, ReplacedTargetReturnsOnlyAfterARestart) {
   FleetDirectory directory;
--- a/tests/service_balancer_test.cc
+++ b/tests/service_balancer_test.cc
@@ -16,6 +16,7 @@
       TargetRecord record;
       record.target = TargetId("t" + std::to_string(i));
       record.service = ServiceId("orders");
+      record.address = "10.0.0." + std::to_string(i) + ":80";
       record.slots = 6;
       record.data_centre = DataCentreId("dc" + std::to_string(i));
       directory_.Put(record, 1, now_);
