--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -26,7 +26,7 @@
 constexpr Duration kIdleTick = std::chrono::milliseconds(50);
 // The balancer asks every second and stops after two refusals; a connection
 // that it opened just before then still brings a request.
-constexpr Duration kBalancerLag = std::chrono::milliseconds(2'500);
+constexpr Duration kBalancerLag = std::chrono::milliseconds(2'700);
 // No connection is taken this long before the end.
 constexpr Duration kLastRequest = std::chrono::milliseconds(1'000);
 // Left of the grace when requests in progress are given up.
@@ -127,6 +127,7 @@
 
   void OnStop() override {
     context_.stops_at = Now() + forwarding_.stop_grace - kStopMargin;
+    context_.accepts_all_until = Now() + kBalancerLag;
     server_->BeginDrain();
   }
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -102,7 +102,8 @@
   service_ = ChooseService(*route_, context_->random.Unit());
   const auto pool = config_->services.find(service_);
   pool_ = pool == config_->services.end() ? nullptr : &pool->second;
-  if (context_->stops_at && !EndsBeforeStop()) {
+  if (context_->stops_at && received_at_ >= context_->accepts_all_until &&
+      !EndsBeforeStop()) {
     Reject(503, "stopping");
     return false;
   }
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -40,6 +40,9 @@
   std::map<DataCentreId, RegionId> regions;
   RouteConfigPtr config;         // Null until one is known.
   std::optional<Time> stops_at;  // The end of a planned stop.
+  // Until then a planned stop takes all requests, as the balancer still sends
+  // them and has not been told to send them elsewhere for long.
+  Time accepts_all_until{};
   FleetDirectory directory;
   ServiceBalancer balancer{0};
   RepeatBudget budget{RepeatLimits()};
