--- a/src/log.cc
+++ b/src/log.cc
@@ -1,8 +1,12 @@
 #include "src/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <chrono>
-#include <cstdio>
 #include <iterator>
+#include <mutex>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -69,6 +73,67 @@
   AppendValue(value, line);
 }
 
+// Bounded output that never waits: lines beyond the rate, and those that the
+// reader of standard output does not take, are counted and dropped.
+class LogOutput {
+ public:
+  void Put(std::string line) {
+    const std::lock_guard lock(mutex_);
+    Refill();
+    if (dropped_ > 0 && credit_ >= 2) {
+      const std::string note = fmt::format(
+          "level=warning event=log_lines_dropped count={}\n", dropped_);
+      if (TryWrite(note)) {
+        dropped_ = 0;
+      }
+    }
+    line.resize(std::min(line.size(), kMaxLineBytes));
+    if (line.back() != '\n') {
+      line.back() = '\n';
+    }
+    if (credit_ < 1 || !TryWrite(line)) {
+      ++dropped_;
+    }
+  }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  // Lines a second and at once; a busy entry ends some hundred requests a
+  // second.
+  static constexpr double kLinesPerSecond = 400;
+  static constexpr double kMaxBurst = 2'000;
+  // A pipe takes so many bytes whole, when it takes any.
+  static constexpr size_t kMaxLineBytes = 4'096;
+
+  void Refill() {
+    const Clock::time_point now = Clock::now();
+    const std::chrono::duration<double> passed = now - refilled_at_;
+    refilled_at_ = now;
+    credit_ = std::min(credit_ + passed.count() * kLinesPerSecond, kMaxBurst);
+  }
+
+  bool TryWrite(const std::string& line) {
+    pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+      return false;
+    }
+    credit_ -= 1;
+    return write(STDOUT_FILENO, line.data(), line.size()) ==
+           static_cast<ssize_t>(line.size());
+  }
+
+  std::mutex mutex_;
+  Clock::time_point refilled_at_ = Clock::now();
+  double credit_ = kMaxBurst;
+  uint64_t dropped_ = 0;
+};
+
+LogOutput& Output() {
+  static LogOutput output;
+  return output;
+}
+
 void Write(LogLevel level,
            std::string_view request,
            std::string_view event,
@@ -91,8 +156,7 @@
     AppendPair(it.key, it.value, &line);
   }
   line.push_back('\n');
-  // One call, so that lines of different threads do not mix.
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  Output().Put(std::move(line));
 }
 
 }  // namespace
--- a/src/log.h
+++ b/src/log.h
@@ -1,4 +1,5 @@
-// One structured line per event on standard error, as key=value pairs.
+// One structured line per event on standard output, as key=value pairs. The
+// number of lines is bounded, and writing never waits for the reader.
 #ifndef SRC_LOG_H_
 #define SRC_LOG_H_
 
--- a/src/reservations.cc
+++ b/src/reservations.cc
@@ -33,9 +33,11 @@
 }
 
 void ReservationSet::Start(std::function<void(bool reserved)> done) {
-  state_->done = std::move(done);
-  for (const Reservation& it : state_->reservations) {
-    state_->memory->Reserve(it, kHold, [state = state_](bool reserved) {
+  // `done` may destroy the set.
+  const std::shared_ptr<State> state = state_;
+  state->done = std::move(done);
+  for (const Reservation& it : state->reservations) {
+    state->memory->Reserve(it, kHold, [state](bool reserved) {
       ++state->answers;
       state->refused = state->refused || !reserved;
       if (state->ended || state->answers < state->reservations.size()) {
@@ -45,6 +47,9 @@
       done(!state->refused);
     });
   }
+  if (state->ended) {
+    return;
+  }
   renewal_ = state_->timers->After(kRenewInterval, [this] { Renew(); });
 }
 
--- /dev/null
+++ b/tests/forward_request_test.cc
@@ -0,0 +1,497 @@
+#include "src/forward_request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+
+#include <gtest/gtest.h>
+
+#include "tests/manual_timers.h"
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Header names of its own: the platform's are tested in platform/tests.
+class FakeProtocol : public ForwardProtocol {
+ public:
+  CallerFields ReadCaller(const HeaderList& headers) const override {
+    CallerFields fields;
+    fields.attempt = Text(headers, "attempt");
+    fields.key = Text(headers, "key");
+    fields.time_left = milliseconds(Number(headers, "time-left", 10'000));
+    fields.prompt = Tokens(Number(headers, "prompt", 5'000));
+    fields.max_output = Tokens(Number(headers, "output", 1'000));
+    return fields;
+  }
+  HeaderList ForwardHeaders(const HeaderList&,
+                            const ForwardFields& fields) const override {
+    HeaderList headers = {
+        {"target", fields.target.value()},
+        {"account", fields.account.value()},
+        {"time-left", std::to_string(fields.time_left.count() / 1'000)}};
+    if (fields.last_event) {
+      headers.push_back({"last-event", std::to_string(*fields.last_event)});
+    }
+    for (const ForwardHelper& it : fields.helpers) {
+      headers.push_back({"helper", it.address + "/" + it.reservation});
+    }
+    return headers;
+  }
+  TargetFields ReadTarget(uint32_t status,
+                          const HeaderList& headers) const override {
+    TargetFields fields;
+    fields.attempt = Text(headers, "attempt");
+    fields.is_signed = FindHeader(headers, "signed") != nullptr;
+    fields.is_other = status == 421;
+    fields.not_run =
+        fields.is_other || FindHeader(headers, "not-run") != nullptr;
+    return fields;
+  }
+  HeaderList OwnAnswerHeaders(const CallerFields&) const override { return {}; }
+
+ private:
+  static std::string Text(const HeaderList& headers, std::string_view name) {
+    const std::string* text = FindHeader(headers, name);
+    return text == nullptr ? "" : *text;
+  }
+  static int64_t Number(const HeaderList& headers,
+                        std::string_view name,
+                        int64_t missing) {
+    const std::string text = Text(headers, name);
+    return text.empty() ? missing : std::stoll(text);
+  }
+};
+
+struct FakeCall : ForwardCall {
+  void Stop() override { stopped = true; }
+
+  ForwardCallSpec spec;
+  ForwardCallHandlers handlers;
+  bool stopped = false;
+};
+
+class FakeConnector : public ForwardConnector {
+ public:
+  std::shared_ptr<ForwardCall> Start(ForwardCallSpec spec,
+                                     ForwardCallHandlers handlers) override {
+    calls.push_back(std::make_shared<FakeCall>());
+    calls.back()->spec = std::move(spec);
+    calls.back()->handlers = std::move(handlers);
+    return calls.back();
+  }
+
+  std::vector<std::shared_ptr<FakeCall>> calls;
+};
+
+struct FakeExchange : CallerExchange {
+  void Answer(uint32_t status,
+              const HeaderList& answer_headers,
+              const std::string& body) override {
+    ++ends;
+    this->status = status;
+    headers = answer_headers;
+    text = body;
+  }
+  void StartStream(uint32_t status, const HeaderList&) override {
+    this->status = status;
+  }
+  void Write(std::string data) override { text += data; }
+  void EndStream() override { ++ends; }
+  void Abort() override {
+    ++ends;
+    aborted = true;
+  }
+  void OnGone(std::function<void()> handler) override {
+    on_gone = std::move(handler);
+  }
+
+  int ends = 0;
+  uint32_t status = 0;
+  HeaderList headers;
+  std::string text;
+  bool aborted = false;
+  std::function<void()> on_gone;
+};
+
+struct FakeBus : PlacementBus {
+  void Send(const InstanceId&, MessageBody) override {}
+  void Connect(const InstanceId&, const std::string&) override {}
+  void Disconnect(const InstanceId&) override {}
+};
+
+struct FakeMemory : EngineMemory {
+  void Reserve(const Reservation& reservation,
+               Duration,
+               std::function<void(bool)> done) override {
+    reserved.push_back(reservation);
+    done(accepts);
+  }
+  void Release(const Reservation& reservation) override {
+    released.push_back(reservation.id);
+  }
+
+  bool accepts = true;
+  std::vector<Reservation> reserved;
+  std::vector<std::string> released;
+};
+
+class ForwardRequestTest : public testing::Test {
+ protected:
+  ForwardRequestTest() {
+    context_.timers = &timers_;
+    context_.protocol = &protocol_;
+    context_.connector = &connector_;
+    context_.placement = &placement_;
+    context_.engine_memory = &memory_;
+    context_.metrics = &metrics_;
+    context_.data_centre = DataCentreId("dc");
+    auto config = std::make_shared<RouteConfig>();
+    config->version = 1;
+    AddRoute(*config, "/stream/", "llm", true, true, 2);
+    AddRoute(*config, "/once/", "orders", false, false, 1);
+    AddRoute(*config, "/read/", "orders", false, true, 2);
+    config->services[ServiceId("llm")].engine = EngineCost();
+    config->services[ServiceId("orders")];
+    config->keys_required = true;
+    config->keys["k"].account = ClientAccountId("acme");
+    context_.config = config;
+    AddTargets("llm", 4);
+    AddTargets("orders", 3);
+  }
+
+  static void AddRoute(RouteConfig& config,
+                       std::string prefix,
+                       std::string service,
+                       bool streams,
+                       bool repeatable,
+                       uint32_t attempts) {
+    Route route;
+    route.host = "host";
+    route.path_prefix = std::move(prefix);
+    route.shares = {{ServiceId(std::move(service)), 1}};
+    route.streams = streams;
+    route.repeatable = repeatable;
+    route.max_attempts = attempts;
+    route.timeout = std::chrono::seconds(10);
+    route.latency_target = milliseconds(300);
+    route.gap_target = milliseconds(200);
+    config.routes.push_back(std::move(route));
+  }
+
+  void AddTargets(const std::string& service, int count) {
+    TargetList list;
+    list.service = ServiceId(service);
+    list.revision = 1;
+    list.cost.read_tokens_per_s = 5'000'000;
+    for (int i = 0; i < count; ++i) {
+      TargetRecord record;
+      record.target = TargetId(service + std::to_string(i));
+      record.service = ServiceId(service);
+      record.address = service + std::to_string(i) + ":80";
+      record.data_centre = DataCentreId("dc");
+      record.slots = 16;
+      context_.directory.Put(record, 1, timers_.Now());
+      list.targets.push_back(
+          {record.target, record.address, record.data_centre, Duration(0)});
+    }
+    placement_.SetTargets(list, timers_.Now());
+  }
+
+  void Send(const std::string& path, HeaderList headers = {}) {
+    headers.push_back({"attempt", "a1"});
+    if (FindHeader(headers, "key") == nullptr) {
+      headers.push_back({"key", "k"});
+    }
+    ReceivedRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.host = "host";
+    request.headers = std::move(headers);
+    request.body = std::make_shared<const std::string>("body");
+    exchange_ = std::make_shared<FakeExchange>();
+    std::make_shared<ForwardRequest>(&context_, exchange_, std::move(request))
+        ->Start();
+  }
+
+  FakeCall& call(size_t i) { return *connector_.calls.at(i); }
+
+  void Head(size_t i, uint32_t status = 200, HeaderList more = {}) {
+    HeaderList headers = {{"attempt", "a1"}, {"signed", "s"}};
+    headers.insert(headers.end(), more.begin(), more.end());
+    call(i).handlers.on_head(status, headers);
+  }
+  void Body(size_t i, const std::string& data) {
+    call(i).handlers.on_body(data);
+  }
+  void End(size_t i, CallEnd end = CallEnd::kComplete) {
+    call(i).handlers.on_end(end);
+  }
+
+  ManualTimers timers_;
+  FakeProtocol protocol_;
+  FakeConnector connector_;
+  FakeBus bus_;
+  FakeMemory memory_;
+  Metrics metrics_;
+  PlacementClient placement_{{InstanceId("entry"), Incarnation(1)}, {}, &bus_};
+  ForwardContext context_;
+  std::shared_ptr<FakeExchange> exchange_;
+};
+
+// Guards against a target that takes the key, or another's account.
+TEST_F(ForwardRequestTest, TargetSeesTheAccountAndNotTheKey) {
+  Send("/once/1");
+  const HeaderList& headers = call(0).spec.headers;
+  EXPECT_EQ(*FindHeader(headers, "account"), "acme");
+  EXPECT_EQ(FindHeader(headers, "key"), nullptr);
+  EXPECT_EQ(*call(0).spec.body, "body");
+}
+
+TEST_F(ForwardRequestTest, WrongPathAndKeyAreRejected) {
+  Send("/nowhere/");
+  EXPECT_EQ(exchange_->status, 404u);
+  Send("/once/", {{"key", "stolen"}});
+  EXPECT_EQ(exchange_->status, 401u);
+  EXPECT_TRUE(connector_.calls.empty());
+}
+
+// Guards against a 404 or 401 of an entry that knows no configuration yet.
+TEST_F(ForwardRequestTest, WithoutConfigurationNothingIsRejectedForGood) {
+  context_.config = nullptr;
+  Send("/nowhere/");
+  EXPECT_EQ(exchange_->status, 503u);
+}
+
+// Guards against a second run of what may run once, whatever went wrong.
+TEST_F(ForwardRequestTest, OnceOnlyCallIsNeverRepeatedAfterItMayHaveRun) {
+  Send("/once/");
+  End(0, CallEnd::kBroken);
+  EXPECT_EQ(connector_.calls.size(), 1u);
+  EXPECT_EQ(exchange_->status, 502u);
+  EXPECT_EQ(exchange_->ends, 1);
+}
+
+// Guards against a promise "not run" that is false: a target's 503 without a
+// word that it did not run the call.
+TEST_F(ForwardRequestTest, Answer503OfATargetIsNoPromise) {
+  Send("/once/");
+  Head(0, 503);
+  End(0);
+  EXPECT_EQ(exchange_->status, 502u);
+}
+
+// Guards against a caller who is refused although another target has room.
+TEST_F(ForwardRequestTest, OnceOnlyCallMovesOnAfterAProofThatItDidNotRun) {
+  Send("/once/");
+  Head(0, 503, {{"not-run", "1"}});
+  End(0);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  EXPECT_NE(call(0).spec.address, call(1).spec.address);
+  Head(1);
+  Body(1, "done");
+  End(1);
+  EXPECT_EQ(exchange_->status, 200u);
+  EXPECT_EQ(exchange_->text, "done");
+}
+
+// Guards against a call that waits for a target that cannot be reached.
+TEST_F(ForwardRequestTest, UnreachableTargetIsReplaced) {
+  Send("/once/");
+  End(0, CallEnd::kNotSent);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  EXPECT_EQ(exchange_->ends, 0);
+}
+
+// Guards against requests to a target whose address another one has taken.
+TEST_F(ForwardRequestTest, ReplacedTargetIsNotUsedAgain) {
+  Send("/once/");
+  const std::string address = call(0).spec.address;
+  Head(0, 421);
+  End(0);
+  for (int i = 0; i < 20; ++i) {
+    Send("/once/");
+    EXPECT_NE(connector_.calls.back()->spec.address, address);
+  }
+}
+
+// Guards against an application's failure that hides a success at hand.
+TEST_F(ForwardRequestTest, RepeatableCallIsTriedAgainAfterAFailure) {
+  Send("/read/");
+  Head(0, 500);
+  Body(0, "failed");
+  End(0);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  Head(1, 500);
+  Body(1, "failed too");
+  End(1);
+  // The failure of a target is passed on unchanged.
+  EXPECT_EQ(exchange_->status, 500u);
+  EXPECT_EQ(exchange_->text, "failed too");
+}
+
+// Guards against more targets than the route allows.
+TEST_F(ForwardRequestTest, AttemptsAreBounded) {
+  Send("/read/");
+  End(0, CallEnd::kBroken);
+  End(1, CallEnd::kBroken);
+  EXPECT_EQ(connector_.calls.size(), 2u);
+  EXPECT_EQ(exchange_->status, 502u);
+}
+
+// Guards against a repeat that gets the whole time again.
+TEST_F(ForwardRequestTest, RepeatGetsTheTimeThatIsLeft) {
+  Send("/read/", {{"time-left", "1000"}});
+  timers_.Advance(milliseconds(150));
+  End(0, CallEnd::kBroken);
+  EXPECT_EQ(*FindHeader(call(0).spec.headers, "time-left"), "1000");
+  EXPECT_EQ(*FindHeader(call(1).spec.headers, "time-left"), "850");
+}
+
+// Guards against an answer to another request, or of no target.
+TEST_F(ForwardRequestTest, ForeignAnswerIsNotPassedOn) {
+  Send("/once/");
+  call(0).handlers.on_head(200, {{"attempt", "other"}, {"signed", "s"}});
+  EXPECT_EQ(exchange_->status, 502u);
+  Send("/once/");
+  call(1).handlers.on_head(200, {{"attempt", "a1"}});
+  EXPECT_EQ(exchange_->status, 502u);
+}
+
+// Guards against a stream whose events arrive late, in parts or twice.
+TEST_F(ForwardRequestTest, StreamGoesOnAtAnotherTarget) {
+  Send("/stream/");
+  Head(0);
+  Body(0, "id: 0\ndata: a\n\nid: 1\nda");
+  EXPECT_EQ(exchange_->text, "id: 0\ndata: a\n\n");
+  End(0, CallEnd::kBroken);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  EXPECT_EQ(*FindHeader(call(1).spec.headers, "last-event"), "0");
+  Head(1);
+  Body(1, "id: 1\ndata: b\n\n");
+  End(1);
+  EXPECT_EQ(exchange_->text, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+  EXPECT_EQ(exchange_->ends, 1);
+  EXPECT_FALSE(exchange_->aborted);
+}
+
+// Guards against a cut stream that looks complete.
+TEST_F(ForwardRequestTest, StreamThatCannotGoOnIsVisiblyCutOff) {
+  Send("/stream/");
+  Head(0);
+  Body(0, "id: 0\n\n");
+  End(0, CallEnd::kBroken);
+  End(1, CallEnd::kBroken);
+  EXPECT_TRUE(exchange_->aborted);
+  EXPECT_EQ(exchange_->ends, 1);
+}
+
+// Guards against a caller who waits for a target that has fallen silent.
+TEST_F(ForwardRequestTest, SilentStreamGoesOnAtAnotherTarget) {
+  Send("/stream/");
+  Head(0);
+  Body(0, "id: 0\n\n");
+  timers_.Advance(milliseconds(599));
+  EXPECT_EQ(connector_.calls.size(), 1u);
+  timers_.Advance(milliseconds(1));
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  EXPECT_TRUE(call(0).stopped);
+}
+
+// Guards against a target that works on for a caller who has left.
+TEST_F(ForwardRequestTest, CallerWhoLeavesFreesTheTarget) {
+  Send("/stream/");
+  Head(0);
+  exchange_->on_gone();
+  EXPECT_TRUE(call(0).stopped);
+  EXPECT_EQ(exchange_->ends, 0);
+}
+
+// Guards against a caller without an answer at the deadline.
+TEST_F(ForwardRequestTest, DeadlineEndsTheRequest) {
+  Send("/once/", {{"time-left", "500"}});
+  timers_.Advance(milliseconds(500));
+  EXPECT_EQ(exchange_->status, 504u);
+  EXPECT_TRUE(call(0).stopped);
+  EXPECT_EQ(exchange_->ends, 1);
+}
+
+// Guards against a refusal without a time to return.
+TEST_F(ForwardRequestTest, RefusalSaysWhenToReturn) {
+  context_.directory.SetWithdrawn({DataCentreId("dc")});
+  Send("/once/");
+  timers_.Advance(milliseconds(1'100));
+  EXPECT_EQ(exchange_->status, 503u);
+  EXPECT_NE(FindHeader(exchange_->headers, "Retry-After"), nullptr);
+}
+
+// Guards against repeats without end, on a service that fails everything.
+TEST_F(ForwardRequestTest, RepeatsKeepToTheBudget) {
+  context_.budget = RepeatBudget({0.2, std::chrono::seconds(10), 10});
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    Send("/read/");
+    for (; static_cast<size_t>(sent) < connector_.calls.size(); ++sent) {
+      End(static_cast<size_t>(sent), CallEnd::kBroken);
+    }
+  }
+  EXPECT_LE(connector_.calls.size(), 100 + 0.2 * 100 + 10);
+  EXPECT_GT(connector_.calls.size(), 100u);
+}
+
+// Guards against a prompt that is refused because no engine holds it alone, and
+// against memory that stays reserved.
+TEST_F(ForwardRequestTest, OversizePromptUsesReservedMemory) {
+  Send("/stream/", {{"prompt", "1000000"}});
+  ASSERT_EQ(connector_.calls.size(), 1u);
+  ASSERT_FALSE(memory_.reserved.empty());
+  int64_t held = 0;
+  for (const Reservation& it : memory_.reserved) {
+    held += it.tokens.value();
+    const HeaderList& headers = call(0).spec.headers;
+    EXPECT_TRUE(
+        std::any_of(headers.begin(), headers.end(), [&](const Header& header) {
+          return header.value == it.address + "/" + it.id;
+        }));
+  }
+  EXPECT_GE(held, 1'000'000 - EngineCost().memory.value());
+  const size_t count = memory_.reserved.size();
+  Head(0);
+  for (int i = 0; i < 3; ++i) {
+    Body(0, "id: " + std::to_string(i) + "\n\n");
+    timers_.Advance(ReservationSet::kRenewInterval / 2);
+  }
+  EXPECT_EQ(memory_.reserved.size(), 2 * count);
+  End(0);
+  EXPECT_EQ(memory_.released.size(), count);
+}
+
+// Guards against a prompt that is sent without the memory that it needs.
+TEST_F(ForwardRequestTest, NothingIsSentWithoutTheReservations) {
+  memory_.accepts = false;
+  Send("/stream/", {{"prompt", "1000000"}});
+  EXPECT_TRUE(connector_.calls.empty());
+  EXPECT_EQ(memory_.released.size(), memory_.reserved.size());
+  memory_.accepts = true;
+  timers_.Advance(milliseconds(200));
+  EXPECT_EQ(connector_.calls.size(), 1u);
+}
+
+// Guards against a stopping entry that takes what it cannot finish, and against
+// one that refuses while the balancer still sends everything to it.
+TEST_F(ForwardRequestTest, StoppingEntryTakesWhatCanEnd) {
+  context_.accepts_all_until = timers_.Now() + milliseconds(100);
+  context_.stops_at = timers_.Now() + std::chrono::seconds(2);
+  Send("/once/");
+  EXPECT_EQ(connector_.calls.size(), 1u);
+  timers_.Advance(milliseconds(100));
+  Send("/once/", {{"time-left", "1000"}});
+  EXPECT_EQ(connector_.calls.size(), 2u);
+  Send("/once/", {{"time-left", "5000"}});
+  EXPECT_EQ(connector_.calls.size(), 2u);
+  EXPECT_EQ(exchange_->status, 503u);
+}
+
+}  // namespace
+}  // namespace burdockhatch
--- /dev/null
+++ b/tests/placement_client_test.cc
@@ -0,0 +1,180 @@
+#include "src/placement_client.h"
+
+#include <deque>
+
+#include <gtest/gtest.h>
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+const InstanceId kFirst("a1");
+const InstanceId kSecond("a2");
+
+struct Sent {
+  InstanceId to;
+  MessageBody body;
+};
+
+struct RecordingBus : PlacementBus {
+  void Send(const InstanceId& to, MessageBody body) override {
+    sent.push_back({to, std::move(body)});
+  }
+  void Connect(const InstanceId&, const std::string&) override {}
+  void Disconnect(const InstanceId&) override {}
+
+  std::vector<Sent> sent;
+};
+
+class PlacementClientTest : public testing::Test {
+ protected:
+  PlacementClientTest() {
+    TargetList list;
+    list.service = ServiceId("llm");
+    list.revision = 1;
+    for (int i = 0; i < 4; ++i) {
+      list.targets.push_back({TargetId("t" + std::to_string(i)), "10.0.0.1:80",
+                              DataCentreId("dc"), Duration(0)});
+    }
+    client_.SetTargets(list, now_);
+    client_.SetAgents({{kFirst, "10.0.0.1:7000", DataCentreId("dc")},
+                       {kSecond, "10.0.0.2:7000", DataCentreId("dc")}},
+                      now_);
+  }
+
+  void Hear(const InstanceId& agent, MessageBody body = Heartbeat{}) {
+    client_.OnMessage({{agent, Incarnation(1)}, {}, {}, std::move(body)}, now_);
+  }
+
+  uint64_t Ask() {
+    PlacementAsk ask;
+    ask.number = client_.NextNumber();
+    ask.service = ServiceId("llm");
+    ask.prompt = Tokens(5'000);
+    ask.gap_target = milliseconds(200);
+    ask.time_left = std::chrono::seconds(10);
+    client_.Ask(
+        ask, [this](const PlacementReply& reply) { replies_.push_back(reply); },
+        now_);
+    return ask.number;
+  }
+
+  template <class Body>
+  int CountSent(const InstanceId& to) const {
+    int count = 0;
+    for (const Sent& it : bus_.sent) {
+      count += it.to == to && std::holds_alternative<Body>(it.body) ? 1 : 0;
+    }
+    return count;
+  }
+
+  Time now_{std::chrono::seconds(100)};
+  RecordingBus bus_;
+  PlacementClient client_{{InstanceId("entry"), Incarnation(1)}, {}, &bus_};
+  std::vector<PlacementReply> replies_;
+};
+
+// Guards against an entry that cannot work without agents.
+TEST_F(PlacementClientTest, PlacesItselfWhenNoAgentAnswers) {
+  Ask();
+  ASSERT_EQ(replies_.size(), 1u);
+  EXPECT_EQ(replies_[0].verdict, PlacementVerdict::kPlaced);
+}
+
+// Guards against entries that ask different agents while the first one lives.
+TEST_F(PlacementClientTest, FirstLivingAgentDecides) {
+  Hear(kSecond);
+  EXPECT_EQ(client_.lead(), kSecond);
+  Hear(kFirst);
+  EXPECT_EQ(client_.lead(), kFirst);
+  EXPECT_EQ(CountSent<TargetList>(kFirst), 1);
+  EXPECT_EQ(CountSent<PlacementSnapshot>(kFirst), 1);
+  Ask();
+  EXPECT_EQ(CountSent<PlacementAsk>(kFirst), 1);
+  EXPECT_TRUE(replies_.empty());
+}
+
+// Guards against a request that is lost with a frozen agent: the next agent
+// must get it, once the first has been silent for far less than the first
+// event's target of 300 ms.
+TEST_F(PlacementClientTest, SilentAgentIsReplaced) {
+  Hear(kFirst);
+  Hear(kSecond);
+  Ask();
+  now_ += milliseconds(100);
+  client_.Tick(now_);
+  EXPECT_EQ(client_.lead(), kSecond);
+  EXPECT_EQ(CountSent<PlacementAsk>(kSecond), 1);
+  Hear(kFirst);
+  EXPECT_EQ(client_.lead(), kFirst);
+}
+
+// Guards against a request that waits at the agent and is taken as unanswered.
+TEST_F(PlacementClientTest, QueuedRequestStaysWithALivingAgent) {
+  Hear(kFirst);
+  const uint64_t number = Ask();
+  PlacementReply queued;
+  queued.number = number;
+  queued.verdict = PlacementVerdict::kQueued;
+  Hear(kFirst, queued);
+  for (int i = 0; i < 50; ++i) {
+    now_ += milliseconds(100);
+    client_.Tick(now_);
+    Hear(kFirst);
+  }
+  EXPECT_EQ(client_.lead(), kFirst);
+  EXPECT_EQ(CountSent<PlacementAsk>(kFirst), 1);
+}
+
+// Guards against a doubt in an agent that was only quiet between two heartbeats
+// (pcs-hatch quiet-1: five needless changes).
+TEST_F(PlacementClientTest, QuietTimeBeforeTheRequestIsNoSilence) {
+  Hear(kFirst);
+  now_ += milliseconds(450);
+  const uint64_t number = Ask();
+  PlacementReply queued;
+  queued.number = number;
+  queued.verdict = PlacementVerdict::kQueued;
+  client_.Tick(now_);
+  Hear(kFirst, queued);
+  now_ += milliseconds(50);
+  client_.Tick(now_);
+  EXPECT_EQ(client_.lead(), kFirst);
+}
+
+// Guards against work that an agent counts for ever: the placement of a request
+// that has ended meanwhile is given back.
+TEST_F(PlacementClientTest, LatePlacementIsGivenBack) {
+  Hear(kFirst);
+  const uint64_t number = Ask();
+  client_.Report(number, PlacementEvent::kEnded, TargetId(), now_);
+  const int before = CountSent<PlacementChange>(kFirst);
+  PlacementReply placed;
+  placed.number = number;
+  placed.verdict = PlacementVerdict::kPlaced;
+  placed.target = TargetId("t1");
+  Hear(kFirst, placed);
+  EXPECT_EQ(CountSent<PlacementChange>(kFirst), before + 1);
+  EXPECT_TRUE(replies_.empty());
+}
+
+// Guards against an agent that has restarted and knows nothing of the entry.
+TEST_F(PlacementClientTest, RestartedAgentGetsTheStateAgain) {
+  Hear(kFirst);
+  Ask();
+  client_.OnMessage({{kFirst, Incarnation(2)}, {}, {}, Heartbeat{}}, now_);
+  EXPECT_EQ(CountSent<TargetList>(kFirst), 2);
+  EXPECT_EQ(CountSent<PlacementAsk>(kFirst), 2);
+}
+
+// Guards against a stop of an agent that costs requests their time.
+TEST_F(PlacementClientTest, GoodbyeHandsOverAtOnce) {
+  Hear(kFirst);
+  Hear(kSecond);
+  Hear(kFirst, Goodbye{});
+  EXPECT_EQ(client_.lead(), kSecond);
+}
+
+}  // namespace
+}  // namespace burdockhatch
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -24,8 +24,8 @@
 // One program that this test started.
 class Program {
  public:
-  // Starts `name` from the build directory; its standard error goes to
-  // `log_path`, appended.
+  // Starts `name` from the build directory; what it prints goes to `log_path`,
+  // appended.
   Program(const std::string& name,
           const std::vector<std::string>& arguments,
           const std::string& log_path);
