--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -177,19 +177,19 @@
   }
 
   void RefuseMalformed(error_code ec) {
+    const bool is_cut =
+        ec == http::error::end_of_stream || ec == http::error::partial_message;
+    if (is_cut ||
+        ec.category() !=
+            http::make_error_code(http::error::bad_method).category()) {
+      Close();
+      return;
+    }
     uint32_t status = 400;
     if (ec == http::error::header_limit) {
       status = 431;
     } else if (ec == http::error::body_limit) {
       status = 413;
-    } else if (ec.category() !=
-               http::make_error_code(http::error::bad_method).category()) {
-      Close();
-      return;
-    } else if (ec == http::error::end_of_stream ||
-               ec == http::error::partial_message) {
-      Close();
-      return;
     }
     Log(LogLevel::kWarning, "request_malformed", {{"reason", ec.message()}});
     keep_alive_ = false;
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -273,7 +273,8 @@
     SendTo(*context_->directory.Find(*target), {});
     return;
   }
-  if (may_have_run_ || TimeLeft() < 2 * kPlaceAgainInterval ||
+  // Without any usable target the caller is told at once.
+  if (usable.empty() || may_have_run_ || TimeLeft() < 2 * kPlaceAgainInterval ||
       now - received_at_ > kMaxPlaceWait) {
     FinishFailed("no_target");
     return;
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -156,8 +156,9 @@
   }
   entries_.try_emplace(entry, 0);
   const size_t most = std::min<size_t>(pool.order.size(), kMaxHelpers + 1);
-  if (ask.prompt + ask.output >
-      (pool.cost.memory - kMemoryMargin) * static_cast<int64_t>(most)) {
+  if (most == 0 ||
+      ask.prompt + ask.output >
+          (pool.cost.memory - kMemoryMargin) * static_cast<int64_t>(most)) {
     Refuse(waiting, Duration(0));
     return;
   }
