--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -124,5 +124,41 @@
   EXPECT_FALSE(ReadSettingsFile("tests/no-such-file.json"));
 }
 
+constexpr char kForwarding[] = R"({
+  "role": "entry", "instance": "edge-1", "data_centre": "ga-north-a",
+  "region": "ga-north", "bus_address": "127.0.0.1:5001",
+  "http_address": "127.0.0.1:5002", "object_api_address": "127.0.0.1:5003",
+  "forwarding": {"caller_address": "127.0.0.1:5004", "agent_bus_port": 7000,
+                 "regions": {"ga-north-a": "ga-north"}, "repeat_ratio": 0.25,
+                 "repeat_window_ms": 5000, "repeat_allowance": 12,
+                 "stop_grace_ms": 4000}
+})";
+
+TEST(SettingsTest, ReadsForwarding) {
+  Findings findings;
+  const auto settings = ParseSettings(kForwarding, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  ASSERT_TRUE(settings->forwarding);
+  EXPECT_EQ(settings->forwarding->caller_address, "127.0.0.1:5004");
+  EXPECT_EQ(settings->forwarding->agent_bus_port, 7000u);
+  EXPECT_EQ(settings->forwarding->repeat_ratio, 0.25);
+  EXPECT_EQ(settings->forwarding->repeat_allowance, 12u);
+  EXPECT_EQ(settings->forwarding->stop_grace, std::chrono::seconds(4));
+  EXPECT_EQ(settings->forwarding->regions.at(DataCentreId("ga-north-a")),
+            RegionId("ga-north"));
+}
+
+// Guards against a process that starts with settings that it cannot use.
+TEST(SettingsTest, FindingsInForwardingHaveTheirPlace) {
+  EXPECT_EQ(PlacesOf(Replaced(kForwarding, "7000", "70000")),
+            std::vector<std::string>{"/forwarding/agent_bus_port"});
+  EXPECT_EQ(PlacesOf(Replaced(kForwarding, "0.25", "2")),
+            std::vector<std::string>{"/forwarding/repeat_ratio"});
+  EXPECT_EQ(PlacesOf(Replaced(kForwarding, "stop_grace_ms", "grace")),
+            std::vector<std::string>{"/forwarding/grace"});
+  EXPECT_EQ(PlacesOf(Replaced(kForwarding, "\"entry\"", "\"agent\"")).front(),
+            "/forwarding/agent_bus_port");
+}
+
 }  // namespace
 }  // namespace burdockhatch
