--- a/tests/placement_client_test.cc
+++ b/tests/placement_client_test.cc
@@ -9,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-const InstanceId kFirst("a1");
-const InstanceId kSecond("a2");
+const InstanceId first_agent("a1");
+const InstanceId second_agent("a2");
 
 struct Sent {
   InstanceId to;
@@ -38,8 +38,8 @@
                               DataCentreId("dc"), Duration(0)});
     }
     client_.SetTargets(list, now_);
-    client_.SetAgents({{kFirst, "10.0.0.1:7000", DataCentreId("dc")},
-                       {kSecond, "10.0.0.2:7000", DataCentreId("dc")}},
+    client_.SetAgents({{first_agent, "10.0.0.1:7000", DataCentreId("dc")},
+                       {second_agent, "10.0.0.2:7000", DataCentreId("dc")}},
                       now_);
   }
 
@@ -84,14 +84,14 @@
 
 // Guards against entries that ask different agents while the first one lives.
 TEST_F(PlacementClientTest, FirstLivingAgentDecides) {
-  Hear(kSecond);
-  EXPECT_EQ(client_.lead(), kSecond);
-  Hear(kFirst);
-  EXPECT_EQ(client_.lead(), kFirst);
-  EXPECT_EQ(CountSent<TargetList>(kFirst), 1);
-  EXPECT_EQ(CountSent<PlacementSnapshot>(kFirst), 1);
+  Hear(second_agent);
+  EXPECT_EQ(client_.lead(), second_agent);
+  Hear(first_agent);
+  EXPECT_EQ(client_.lead(), first_agent);
+  EXPECT_EQ(CountSent<TargetList>(first_agent), 1);
+  EXPECT_EQ(CountSent<PlacementSnapshot>(first_agent), 1);
   Ask();
-  EXPECT_EQ(CountSent<PlacementAsk>(kFirst), 1);
+  EXPECT_EQ(CountSent<PlacementAsk>(first_agent), 1);
   EXPECT_TRUE(replies_.empty());
 }
 
@@ -99,81 +99,82 @@
 // must get it, once the first has been silent for far less than the first
 // event's target of 300 ms.
 TEST_F(PlacementClientTest, SilentAgentIsReplaced) {
-  Hear(kFirst);
-  Hear(kSecond);
+  Hear(first_agent);
+  Hear(second_agent);
   Ask();
   now_ += milliseconds(100);
   client_.Tick(now_);
-  EXPECT_EQ(client_.lead(), kSecond);
-  EXPECT_EQ(CountSent<PlacementAsk>(kSecond), 1);
-  Hear(kFirst);
-  EXPECT_EQ(client_.lead(), kFirst);
+  EXPECT_EQ(client_.lead(), second_agent);
+  EXPECT_EQ(CountSent<PlacementAsk>(second_agent), 1);
+  Hear(first_agent);
+  EXPECT_EQ(client_.lead(), first_agent);
 }
 
 // Guards against a request that waits at the agent and is taken as unanswered.
 TEST_F(PlacementClientTest, QueuedRequestStaysWithALivingAgent) {
-  Hear(kFirst);
+  Hear(first_agent);
   const uint64_t number = Ask();
   PlacementReply queued;
   queued.number = number;
   queued.verdict = PlacementVerdict::kQueued;
-  Hear(kFirst, queued);
+  Hear(first_agent, queued);
   for (int i = 0; i < 50; ++i) {
     now_ += milliseconds(100);
     client_.Tick(now_);
-    Hear(kFirst);
+    Hear(first_agent);
   }
-  EXPECT_EQ(client_.lead(), kFirst);
-  EXPECT_EQ(CountSent<PlacementAsk>(kFirst), 1);
+  EXPECT_EQ(client_.lead(), first_agent);
+  EXPECT_EQ(CountSent<PlacementAsk>(first_agent), 1);
 }
 
 // Guards against a doubt in an agent that was only quiet between two heartbeats
 // (pcs-hatch quiet-1: five needless changes).
 TEST_F(PlacementClientTest, QuietTimeBeforeTheRequestIsNoSilence) {
-  Hear(kFirst);
+  Hear(first_agent);
   now_ += milliseconds(450);
   const uint64_t number = Ask();
   PlacementReply queued;
   queued.number = number;
   queued.verdict = PlacementVerdict::kQueued;
   client_.Tick(now_);
-  Hear(kFirst, queued);
+  EXPECT_EQ(client_.lead(), first_agent);
+  Hear(first_agent, queued);
   now_ += milliseconds(50);
   client_.Tick(now_);
-  EXPECT_EQ(client_.lead(), kFirst);
+  EXPECT_EQ(client_.lead(), first_agent);
 }
 
 // Guards against work that an agent counts for ever: the placement of a request
 // that has ended meanwhile is given back.
 TEST_F(PlacementClientTest, LatePlacementIsGivenBack) {
-  Hear(kFirst);
+  Hear(first_agent);
   const uint64_t number = Ask();
   client_.Report(number, PlacementEvent::kEnded, TargetId(), now_);
-  const int before = CountSent<PlacementChange>(kFirst);
+  const int before = CountSent<PlacementChange>(first_agent);
   PlacementReply placed;
   placed.number = number;
   placed.verdict = PlacementVerdict::kPlaced;
   placed.target = TargetId("t1");
-  Hear(kFirst, placed);
-  EXPECT_EQ(CountSent<PlacementChange>(kFirst), before + 1);
+  Hear(first_agent, placed);
+  EXPECT_EQ(CountSent<PlacementChange>(first_agent), before + 1);
   EXPECT_TRUE(replies_.empty());
 }
 
 // Guards against an agent that has restarted and knows nothing of the entry.
 TEST_F(PlacementClientTest, RestartedAgentGetsTheStateAgain) {
-  Hear(kFirst);
+  Hear(first_agent);
   Ask();
-  client_.OnMessage({{kFirst, Incarnation(2)}, {}, {}, Heartbeat{}}, now_);
-  EXPECT_EQ(CountSent<TargetList>(kFirst), 2);
-  EXPECT_EQ(CountSent<PlacementAsk>(kFirst), 2);
+  client_.OnMessage({{first_agent, Incarnation(2)}, {}, {}, Heartbeat{}}, now_);
+  EXPECT_EQ(CountSent<TargetList>(first_agent), 2);
+  EXPECT_EQ(CountSent<PlacementAsk>(first_agent), 2);
 }
 
 // Guards against a stop of an agent that costs requests their time.
 TEST_F(PlacementClientTest, GoodbyeHandsOverAtOnce) {
-  Hear(kFirst);
-  Hear(kSecond);
-  Hear(kFirst, Goodbye{});
-  EXPECT_EQ(client_.lead(), kSecond);
+  Hear(first_agent);
+  Hear(second_agent);
+  Hear(first_agent, Goodbye{});
+  EXPECT_EQ(client_.lead(), second_agent);
 }
 
 }  // namespace
--- a/tests/placement_scheduler_test.cc
+++ b/tests/placement_scheduler_test.cc
@@ -17,8 +17,8 @@
 constexpr Tokens kContract{45'000};
 constexpr Tokens kMerge{210'000};
 
-const PeerId kEntry{InstanceId("entry"), Incarnation(1)};
-const PeerId kOther{InstanceId("other"), Incarnation(1)};
+const PeerId entry_id{InstanceId("entry"), Incarnation(1)};
+const PeerId other_id{InstanceId("other"), Incarnation(1)};
 
 // The engine of the users' sheets: reads 256 tokens a millisecond, makes 46
 // tokens a pass.
@@ -69,7 +69,7 @@
   }
 
   // The reply to `ask`, which must come at once.
-  PlacementReply Ask(const PlacementAsk& ask, const PeerId& entry = kEntry) {
+  PlacementReply Ask(const PlacementAsk& ask, const PeerId& entry = entry_id) {
     scheduler_.Ask(entry, ask, now_);
     for (const auto& it : Collect()) {
       if (it.number == ask.number) {
@@ -91,7 +91,7 @@
   void Change(uint64_t number,
               PlacementEvent event,
               const std::string& failed = "") {
-    scheduler_.Change(kEntry, {number, event, TargetId(failed)}, now_);
+    scheduler_.Change(entry_id, {number, event, TargetId(failed)}, now_);
   }
 
   Time now_{std::chrono::seconds(100)};
@@ -200,14 +200,14 @@
 // largest gives way.
 TEST_F(PlacementSchedulerTest, LargestPromptGivesWayUnderOverload) {
   const PlacementAsk huge = MakeAsk(Tokens(440'000));
-  scheduler_.Ask(kEntry, MakeAsk(Tokens(440'000)), now_);
-  scheduler_.Ask(kEntry, MakeAsk(Tokens(440'000)), now_);
-  scheduler_.Ask(kEntry, huge, now_);
+  scheduler_.Ask(entry_id, MakeAsk(Tokens(440'000)), now_);
+  scheduler_.Ask(entry_id, MakeAsk(Tokens(440'000)), now_);
+  scheduler_.Ask(entry_id, huge, now_);
   std::vector<uint64_t> merges;
   for (int i = 0; i < 10; ++i) {
     const PlacementAsk merge = MakeAsk(kMerge);
     merges.push_back(merge.number);
-    scheduler_.Ask(kEntry, merge, now_);
+    scheduler_.Ask(entry_id, merge, now_);
   }
   std::vector<uint64_t> placed;
   for (int i = 0; i < 400; ++i) {
@@ -247,7 +247,7 @@
             PlacementVerdict::kRefused);
   int refused = 0;
   for (int i = 0; i < 60; ++i) {
-    scheduler_.Ask(kEntry, MakeAsk(kMerge), now_);
+    scheduler_.Ask(entry_id, MakeAsk(kMerge), now_);
   }
   scheduler_.Tick(now_ + kPlacementTick);
   for (const PlacementReply& it : Collect()) {
@@ -285,9 +285,9 @@
   PlacementAsk ask = MakeAsk(kMerge);
   Ask(ask);
   Ask(ask);
-  EXPECT_EQ(scheduler_.SnapshotOf(kEntry).works.size(), 1u);
+  EXPECT_EQ(scheduler_.SnapshotOf(entry_id).works.size(), 1u);
   Change(ask.number, PlacementEvent::kEnded);
-  EXPECT_TRUE(scheduler_.SnapshotOf(kEntry).works.empty());
+  EXPECT_TRUE(scheduler_.SnapshotOf(entry_id).works.empty());
   EXPECT_NE(scheduler_.Dump(now_).find("\"long\":0,\"waiting\":0"),
             std::string::npos);
 }
@@ -309,7 +309,7 @@
   const PlacementReply first = Ask(MakeAsk(kShortPrompt));
   Change(first.number, PlacementEvent::kTargetFailed, first.target.value());
   for (int i = 0; i < 5; ++i) {
-    EXPECT_NE(Ask(MakeAsk(kShortPrompt), kOther).target, first.target);
+    EXPECT_NE(Ask(MakeAsk(kShortPrompt), other_id).target, first.target);
   }
 }
 
@@ -320,12 +320,12 @@
   int placed = 0;
   for (int i = 0; i < 1'000; ++i) {
     PlacementAsk ask = MakeAsk(Tokens(100));
-    scheduler_.Ask(i % 2 == 0 ? kEntry : kOther, ask, now_);
+    scheduler_.Ask(i % 2 == 0 ? entry_id : other_id, ask, now_);
     for (const PlacementReply& it : Collect()) {
       placed += it.verdict == PlacementVerdict::kPlaced ? 1 : 0;
     }
-    scheduler_.Change(kEntry, {ask.number, PlacementEvent::kEnded, {}}, now_);
-    scheduler_.Change(kOther, {ask.number, PlacementEvent::kEnded, {}}, now_);
+    scheduler_.Change(entry_id, {ask.number, PlacementEvent::kEnded, {}}, now_);
+    scheduler_.Change(other_id, {ask.number, PlacementEvent::kEnded, {}}, now_);
     now_ += milliseconds(1);
   }
   EXPECT_GT(placed, 0);
@@ -339,12 +339,12 @@
   PlacementScheduler next;
   std::swap(next, scheduler_);
   SetTargets(16);
-  scheduler_.Restore(kEntry, next.SnapshotOf(kEntry), now_);
-  EXPECT_EQ(scheduler_.SnapshotOf(kEntry).works.size(), 2u);
+  scheduler_.Restore(entry_id, next.SnapshotOf(entry_id), now_);
+  EXPECT_EQ(scheduler_.SnapshotOf(entry_id).works.size(), 2u);
   // What the entry does not state any more has ended.
   now_ += std::chrono::seconds(1);
-  scheduler_.Restore(kEntry, {}, now_);
-  EXPECT_TRUE(scheduler_.SnapshotOf(kEntry).works.empty());
+  scheduler_.Restore(entry_id, {}, now_);
+  EXPECT_TRUE(scheduler_.SnapshotOf(entry_id).works.empty());
 }
 
 // Guards against places that stay taken after an entry has died.
@@ -353,9 +353,9 @@
   for (int i = 0; i < 16; ++i) {
     Ask(MakeAsk(Tokens(100)));
   }
-  EXPECT_EQ(Ask(MakeAsk(Tokens(100)), kOther).verdict,
+  EXPECT_EQ(Ask(MakeAsk(Tokens(100)), other_id).verdict,
             PlacementVerdict::kQueued);
-  scheduler_.ForgetEntry(kEntry, now_);
+  scheduler_.ForgetEntry(entry_id, now_);
   const auto replies = Collect();
   ASSERT_EQ(replies.size(), 1u);
   EXPECT_EQ(replies[0].verdict, PlacementVerdict::kPlaced);
