Count unknown entries as many, send a changed list once, remove unused parts

Each entry also sent its whole list of targets to the lead after each change, 727 kB a second at 300 machines; one does now. The pace of engines, which nobody reported, and priorities, which nobody used, are gone.

--- a/src/messages.h
+++ b/src/messages.h
@@ -280,6 +280,9 @@
   Duration expected_first_event{0};
   Duration retry_after{0};
   uint32_t entries = 1;  // That the agent places work for.
+  // Of the list that the agent goes by, see placement_scheduler.h. An entry
+  // with an equal one need not send its own.
+  uint64_t list_fingerprint = 0;
 };
 
 enum class PlacementEvent : uint8_t {
--- a/src/placement_agent_daemon.cc
+++ b/src/placement_agent_daemon.cc
@@ -44,7 +44,7 @@
       scheduler_.SetTargets(*it, now);
     } else if (std::holds_alternative<Heartbeat>(message.body)) {
       bus_->Send(entry, Heartbeat{Role::kAgent, settings_.data_centre,
-                                  settings_.bus_address, stopping()});
+                                  settings_.bus_address, false});
     } else if (std::holds_alternative<Goodbye>(message.body)) {
       Forget(entry, now);
     }
@@ -88,8 +88,6 @@
   }
 
  private:
-  bool stopping() const { return false; }
-
   void StartWaitTimer() {
     wait_timer_ = After(kPlacementTick, [this] {
       wait_timer_.reset();
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "src/log.h"
+#include "src/rendezvous.h"
 
 namespace burdockhatch {
 
@@ -23,6 +24,10 @@
 // Many times the round trip in one region; a first event is due after 300 ms.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(80);
 constexpr Duration kQueuedTimeout = std::chrono::milliseconds(350);
+// All entries have asked a new lead, or sent it their snapshot, by then.
+constexpr Duration kLeadSettles = std::chrono::seconds(3);
+// Changes of the targets reach the lead within this time, from one entry.
+constexpr Duration kListSpread = std::chrono::milliseconds(300);
 constexpr Duration kSnapshotInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -71,14 +76,32 @@
 
 void PlacementClient::SetTargets(TargetList list, Time now) {
   local_.SetTargets(list, now);
-  if (!lead_.empty()) {
-    bus_->Send(lead_, list);
+  KnownList& known = lists_[list.service];
+  known.fingerprint = FingerprintOf(list);
+  known.list = std::move(list);
+  if (!known.send_at) {
+    const auto spread = static_cast<uint64_t>(kListSpread.count());
+    known.send_at = now + Duration(static_cast<int64_t>(
+                              StableHash(self_.instance.value()) % spread));
   }
-  const ServiceId service = list.service;
-  lists_[service] = std::move(list);
   TakeLocalDecisions(now);
 }
 
+// All entries see a change at about the same time. Those that come later find
+// that the lead knows it already.
+void PlacementClient::SendChangedLists(Time now) {
+  for (auto& [service, known] : lists_) {
+    if (!known.send_at || now < *known.send_at) {
+      continue;
+    }
+    known.send_at.reset();
+    if (!lead_.empty() && known.lead_fingerprint != known.fingerprint) {
+      known.lead_fingerprint = known.fingerprint;
+      bus_->Send(lead_, known.list);
+    }
+  }
+}
+
 void PlacementClient::Ask(PlacementAsk ask,
                           std::function<void(const PlacementReply&)> done,
                           Time now) {
@@ -148,8 +171,14 @@
 }
 
 void PlacementClient::OnReply(const PlacementReply& reply, Time now) {
-  entries_ = std::max(reply.entries, 1U);
+  // A new lead has not yet heard all entries.
+  if (reply.entries >= entries_ || now - lead_since_ > kLeadSettles) {
+    entries_ = std::max(reply.entries, 1U);
+  }
   const auto it = pending_.find(reply.number);
+  if (it != pending_.end() && reply.list_fingerprint != 0) {
+    lists_[it->second.ask.service].lead_fingerprint = reply.list_fingerprint;
+  }
   if (it == pending_.end()) {
     // The request has ended meanwhile; the lead must not count it on.
     if (reply.verdict == PlacementVerdict::kPlaced) {
@@ -172,7 +201,7 @@
     case PlacementVerdict::kUnknownList: {
       const auto list = lists_.find(pending.ask.service);
       if (list != lists_.end()) {
-        bus_->Send(lead_, list->second);
+        bus_->Send(lead_, list->second.list);
         SendAsk(pending, now);
         return;
       }
@@ -254,10 +283,13 @@
 
 void PlacementClient::MakeLead(const InstanceId& agent, Time now) {
   lead_ = agent;
+  lead_since_ = now;
   next_snapshot_ = now + kSnapshotInterval;
   if (!lead_.empty()) {
-    for (const auto& [service, list] : lists_) {
-      bus_->Send(lead_, list);
+    for (auto& [service, known] : lists_) {
+      known.lead_fingerprint = known.fingerprint;
+      known.send_at.reset();
+      bus_->Send(lead_, known.list);
     }
     bus_->Send(lead_, local_.SnapshotOf(self_));
   }
@@ -297,6 +329,7 @@
     }
   }
   ChooseLead(now);
+  SendChangedLists(now);
   if (!lead_.empty() && now >= next_snapshot_) {
     next_snapshot_ = now + kSnapshotInterval;
     bus_->Send(lead_, local_.SnapshotOf(self_));
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -42,6 +42,8 @@
   // Entries without an agent do not see each other's requests to cold targets,
   // nor how many they are; this suits some thirty of them.
   static constexpr double kLocalColdShare = 0.02;
+  // Until an agent has said how many entries there are.
+  static constexpr uint32_t kAssumedEntries = 32;
 
   // `heartbeat` is what the entry says of itself; `bus` outlives the client.
   PlacementClient(PeerId self, Heartbeat heartbeat, PlacementBus* bus);
@@ -99,12 +101,20 @@
     bool queued = false;  // The lead has said that it waits.
   };
 
+  struct KnownList {
+    TargetList list;
+    uint64_t fingerprint = 0;
+    uint64_t lead_fingerprint = 0;  // Of the list that the lead has last used.
+    std::optional<Time> send_at;    // A change that the lead may not know.
+  };
+
   static bool IsAlive(const Agent& agent, Time now);
   void ChooseLead(Time now);
   void MakeLead(const InstanceId& agent, Time now);
   void SendAsk(Pending& pending, Time now);
   void OnReply(const PlacementReply& reply, Time now);
   void TakeLocalDecisions(Time now);
+  void SendChangedLists(Time now);
   void Complete(uint64_t number, const PlacementReply& reply, Time now);
 
   const PeerId self_;
@@ -112,12 +122,13 @@
   PlacementBus* bus_;
   // Mirrors the entry's own work; decides while there is no lead.
   PlacementScheduler local_{kLocalColdShare};
-  std::map<ServiceId, TargetList> lists_;
+  std::map<ServiceId, KnownList> lists_;
   std::vector<Agent> agents_;  // In the order of their rank.
   InstanceId lead_;
   std::map<uint64_t, Pending> pending_;
   uint64_t next_number_ = 1;
-  uint32_t entries_ = 1;
+  uint32_t entries_ = kAssumedEntries;
+  Time lead_since_{};
   Time next_snapshot_{};
 };
 
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "src/engine_cost.h"
+#include "src/random.h"
 #include "src/rendezvous.h"
 
 namespace burdockhatch {
@@ -70,17 +71,25 @@
 
 }  // namespace
 
+uint64_t FingerprintOf(const TargetList& list) {
+  // The order of the targets does not matter.
+  uint64_t sum = 0;
+  for (const TargetDescription& it : list.targets) {
+    sum += MixHash(StableHash(it.target.value()), StableHash(it.address));
+  }
+  return sum;
+}
+
 bool PlacementScheduler::IsLong(const Pool& pool, Tokens prompt) {
   return ReadMs(pool.cost, prompt) > kLongReadMs;
 }
 
 double PlacementScheduler::PassMsOf(const Pool& pool, const Target& target) {
-  return PassMs(pool.cost, std::max(target.answers(), 1U), target.memory_used) *
-         target.pace;
+  return PassMs(pool.cost, std::max(target.answers(), 1U), target.memory_used);
 }
 
 double PlacementScheduler::ReadRoomMs(const Pool& pool, const Target& target) {
-  const double backlog = target.reading_ms * target.pace;
+  const double backlog = target.reading_ms;
   if (target.gap_targets.empty()) {
     return kIdleReadRoomMs - backlog;
   }
@@ -105,6 +114,7 @@
     return;
   }
   pool.revision = list.revision;
+  pool.fingerprint = FingerprintOf(list);
   pool.cost = list.cost;
   pool.cold_requests_per_s = list.cold_requests_per_s;
   for (auto& [id, target] : pool.targets) {
@@ -154,7 +164,7 @@
   if (placed != pool.works.end()) {
     EndWork(pool, placed, now);
   }
-  entries_.try_emplace(entry, 0);
+  entries_.insert(entry);
   const size_t most = std::min<size_t>(pool.order.size(), kMaxHelpers + 1);
   if (most == 0 ||
       ask.prompt + ask.output >
@@ -242,7 +252,7 @@
 void PlacementScheduler::Restore(const PeerId& entry,
                                  const PlacementSnapshot& snapshot,
                                  Time now) {
-  entries_.try_emplace(entry, 0);
+  entries_.insert(entry);
   std::map<uint64_t, const PlacedWork*> stated;
   for (const PlacedWork& it : snapshot.works) {
     stated[it.number] = &it;
@@ -276,15 +286,6 @@
   }
 }
 
-void PlacementScheduler::SetPace(const TargetId& id, double pace, Time) {
-  for (auto& [service, pool] : pools_) {
-    const auto it = pool.targets.find(id);
-    if (it != pool.targets.end()) {
-      it->second.pace = std::max(pace, 1.0);
-    }
-  }
-}
-
 void PlacementScheduler::Tick(Time now) {
   for (auto& [service, pool] : pools_) {
     PlaceWaiting(pool, now);
@@ -385,8 +386,7 @@
         target.memory_used + memory > pool.cost.memory) {
       continue;
     }
-    const double score = target.reading_ms * target.pace +
-                         read_ms * target.pace + PassMsOf(pool, target) +
+    const double score = target.reading_ms + read_ms + PassMsOf(pool, target) +
                          target.answers() * kAnswerScoreMs +
                          (now < target.cold_until ? kColdScoreMs : 0);
     const bool spares = ReadRoomMs(pool, target) >= read_ms;
@@ -404,8 +404,7 @@
   choice.target = best->description.target;
   choice.part_ms = read_ms;
   choice.expected_first_event =
-      FromMs(best->reading_ms * best->pace + read_ms * best->pace +
-             2 * PassMsOf(pool, *best));
+      FromMs(best->reading_ms + read_ms + 2 * PassMsOf(pool, *best));
   return choice;
 }
 
@@ -414,7 +413,7 @@
                                       double read_ms) {
   std::vector<double> rooms;
   for (const Candidate& it : candidates) {
-    rooms.push_back(it.room_ms + it.target->reading_ms * it.target->pace);
+    rooms.push_back(it.room_ms + it.target->reading_ms);
   }
   std::sort(rooms.begin(), rooms.end(), std::greater<>());
   const size_t most = std::min<size_t>(rooms.size(), kMaxHelpers + 1);
@@ -472,9 +471,8 @@
   const Tokens memory =
       IsOversize(pool, ask) ? ask.output + kLeastHold : ask.prompt + ask.output;
   const auto rank = [&](const Target& it) {
-    const bool pauses =
-        it.reading_ms * it.pace + PassMsOf(pool, it) + kGapMarginMs >
-        ToMs(ask.gap_target);
+    const bool pauses = it.reading_ms + PassMsOf(pool, it) + kGapMarginMs >
+                        ToMs(ask.gap_target);
     const bool paused = ReadRoomMs(pool, it) < part_ms;
     const bool other_kind =
         !it.gap_targets.empty() && !it.gap_targets.contains(ask.gap_target);
@@ -512,9 +510,8 @@
   std::vector<const Target*> helpers;
   double slowest_ms = 0;
   const auto add = [&](const Target& target) {
-    slowest_ms = std::max(slowest_ms,
-                          (target.reading_ms + choice.part_ms) * target.pace +
-                              2 * PassMsOf(pool, target));
+    slowest_ms = std::max(slowest_ms, (target.reading_ms + choice.part_ms) +
+                                          2 * PassMsOf(pool, target));
   };
   add(*writer->target);
   for (const Candidate& it : candidates) {
@@ -542,7 +539,7 @@
     const PlacementAsk& ask,
     std::vector<Candidate> candidates) {
   const auto backlog_ms = [](const Candidate& it) {
-    return it.target->reading_ms * it.target->pace;
+    return it.target->reading_ms;
   };
   std::sort(candidates.begin(), candidates.end(),
             [&](const Candidate& a, const Candidate& b) {
@@ -657,6 +654,7 @@
   reply.holds = std::move(choice.holds);
   reply.expected_first_event = choice.expected_first_event;
   reply.entries = static_cast<uint32_t>(std::max<size_t>(entries_.size(), 1));
+  reply.list_fingerprint = pool.fingerprint;
   decisions_.push_back({waiting.entry, std::move(reply)});
 }
 
@@ -847,11 +845,10 @@
       const Target& it = pool.targets.at(id);
       fmt::format_to(std::back_inserter(text),
                      "{}{{\"target\":\"{}\",\"short\":{},\"long\":{},"
-                     "\"backlog_ms\":{:.0f},\"memory\":{},\"pace\":{:.2f},"
+                     "\"backlog_ms\":{:.0f},\"memory\":{},"
                      "\"suspect_ms\":{:.0f}}}",
                      first ? "" : ",", id.value(), it.short_answers,
-                     it.long_answers, it.reading_ms * it.pace,
-                     it.memory_used.value(), it.pace,
+                     it.long_answers, it.reading_ms, it.memory_used.value(),
                      ToMs(std::max(it.suspect_until - now, Duration(0))));
       first = false;
     }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,9 @@
 
 namespace burdockhatch {
 
+// Equal for lists of the same targets.
+uint64_t FingerprintOf(const TargetList& list);
+
 class PlacementScheduler {
  public:
   struct Decision {
@@ -60,9 +64,6 @@
   std::vector<Decision> TakeDecisions();
   PlacementSnapshot SnapshotOf(const PeerId& entry) const;
 
-  // What an agent has seen of its engine: a factor above 1 means slow.
-  void SetPace(const TargetId& target, double pace, Time now);
-
   // JSON text.
   std::string Dump(Time now) const;
 
@@ -89,7 +90,6 @@
     double reading_ms = 0;                     // Time to read them on its own.
     Time suspect_until{};
     Duration suspect_for{0};
-    double pace = 1;
 
     uint32_t answers() const { return short_answers + long_answers; }
   };
@@ -106,6 +106,7 @@
     EngineCost cost;
     double cold_requests_per_s = 0;
     uint64_t revision = 0;
+    uint64_t fingerprint = 0;
     std::map<TargetId, Target> targets;
     std::vector<TargetId> order;  // Short prompts fill it from the front.
     std::map<WorkKey, Work> works;
@@ -196,7 +197,7 @@
 
   double cold_share_;
   std::map<ServiceId, Pool> pools_;
-  std::map<PeerId, uint32_t> entries_;  // Open works and asks of each.
+  std::set<PeerId> entries_;
   std::vector<Decision> decisions_;
 };
 
--- a/src/repeat_budget.cc
+++ b/src/repeat_budget.cc
@@ -8,7 +8,7 @@
 
 // Part of the budget that is used. The rest covers entries that count each
 // other late.
-constexpr double kUsedShare = 0.85;
+constexpr double kUsedShare = 0.7;
 // Repeats that an entry always has, however many entries there are.
 constexpr double kLeastAllowance = 2;
 
--- a/src/routes.h
+++ b/src/routes.h
@@ -34,7 +34,6 @@
   Duration latency_target =
       std::chrono::seconds(1);                    // First event of a stream.
   Duration gap_target = std::chrono::seconds(1);  // Between events.
-  uint32_t priority = 0;                          // 0 is first.
   bool anonymous = false;                         // Needs no key.
   std::vector<RegionId> regions;                  // Empty: anywhere.
 };
@@ -46,8 +45,7 @@
 
 struct KeyOwner {
   ClientAccountId account;
-  std::optional<uint32_t> priority;  // Takes precedence over the route's.
-  std::vector<RegionId> regions;     // Empty: anywhere.
+  std::vector<RegionId> regions;  // Empty: anywhere.
 };
 
 // What a caller may send and how long it may take.
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -261,6 +261,7 @@
   to->set_expected_first_event_us(from.expected_first_event.count());
   to->set_retry_after_us(from.retry_after.count());
   to->set_entries(from.entries);
+  to->set_list_fingerprint(from.list_fingerprint);
   PutHolds(from.holds, to);
 }
 
@@ -474,6 +475,7 @@
     to.expected_first_event = ReadDuration(from.expected_first_event_us());
     to.retry_after = ReadDuration(from.retry_after_us());
     to.entries = from.entries();
+    to.list_fingerprint = from.list_fingerprint();
     to.holds = ReadHolds(from.holds());
     return to;
   }
--- a/tests/placement_client_test.cc
+++ b/tests/placement_client_test.cc
@@ -169,6 +169,57 @@
   EXPECT_EQ(CountSent<PlacementAsk>(first_agent), 2);
 }
 
+// Guards against lists that all entries send after each change: 727 kB a second
+// at the lead of 300 machines.
+TEST_F(PlacementClientTest, ListThatTheLeadHasIsNotSent) {
+  Hear(first_agent);
+  const int sent = CountSent<TargetList>(first_agent);
+  TargetList list;
+  list.service = ServiceId("llm");
+  list.revision = 2;
+  list.targets.push_back(
+      {TargetId("t9"), "10.0.0.9:80", DataCentreId("dc"), Duration(0)});
+  client_.SetTargets(list, now_);
+  EXPECT_EQ(CountSent<TargetList>(first_agent), sent);
+  PlacementReply reply;
+  reply.number = Ask();
+  reply.verdict = PlacementVerdict::kPlaced;
+  reply.target = TargetId("t9");
+  reply.list_fingerprint = FingerprintOf(list);
+  Hear(first_agent, reply);
+  now_ += milliseconds(400);
+  Hear(first_agent);
+  client_.Tick(now_);
+  EXPECT_EQ(CountSent<TargetList>(first_agent), sent);
+  // A change that the lead does not show is sent.
+  list.targets.pop_back();
+  client_.SetTargets(list, now_);
+  now_ += milliseconds(400);
+  Hear(first_agent);
+  client_.Tick(now_);
+  EXPECT_EQ(CountSent<TargetList>(first_agent), sent + 1);
+}
+
+// Guards against entries that each take the whole allowance of repeats, found
+// by pcs-hatch-grown hunt-67e4-7: an entry that had just started believed to be
+// the only one.
+TEST_F(PlacementClientTest, UnknownNumberOfEntriesIsNotTakenAsOne) {
+  EXPECT_GE(client_.entries(), 30u);
+  Hear(first_agent);
+  const auto hear_entries = [&](uint32_t entries) {
+    PlacementReply reply;
+    reply.number = Ask();
+    reply.verdict = PlacementVerdict::kRefused;
+    reply.entries = entries;
+    Hear(first_agent, reply);
+  };
+  hear_entries(2);
+  EXPECT_GE(client_.entries(), 30u);
+  now_ += milliseconds(3'100);
+  hear_entries(4);
+  EXPECT_EQ(client_.entries(), 4u);
+}
+
 // Guards against a stop of an agent that costs requests their time.
 TEST_F(PlacementClientTest, GoodbyeHandsOverAtOnce) {
   Hear(first_agent);
