Parse addresses in one place; a target that turns cold changes the list

The list of a lead that knew a target as warm was not replaced when it turned cold, as the fingerprint did not show it: found by reading, tested in PlacementClientTest.ListThatTheLeadHasIsNotSent.

--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -15,6 +15,7 @@
 #include <boost/leaf/error.hpp>
 
 #include "src/caller_server.h"
+#include "src/ip_endpoint.h"
 #include "src/log.h"
 
 namespace burdockhatch {
@@ -386,14 +387,12 @@
 
   // Returns an error text, empty on success.
   std::string Start(const std::string& address) {
-    const size_t colon = address.rfind(':');
-    error_code ec;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    if (ec || colon == std::string::npos) {
+    const std::optional<tcp::endpoint> parsed = ParseIpEndpoint(address);
+    if (!parsed) {
       return fmt::format("'{}' is not <IP number>:<port>", address);
     }
-    const tcp::endpoint endpoint(
-        ip, static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
+    const tcp::endpoint endpoint = *parsed;
+    error_code ec;
     acceptor_.open(endpoint.protocol(), ec);
     if (!ec) {
       acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
--- a/src/forward_call_http.cc
+++ b/src/forward_call_http.cc
@@ -1,4 +1,4 @@
-#include <charconv>
+#include <array>
 #include <optional>
 #include <utility>
 
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "src/forward_call.h"
+#include "src/ip_endpoint.h"
 
 namespace burdockhatch {
 
@@ -26,23 +27,6 @@
 
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 
-std::optional<tcp::endpoint> ParseEndpoint(const std::string& address) {
-  const size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  error_code ec;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-  uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  const auto [rest, parsed] =
-      std::from_chars(address.data() + colon + 1, end, port);
-  if (ec || parsed != std::errc() || rest != end || port == 0) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(ip, port);
-}
-
 std::string HeadText(const ForwardCallSpec& spec) {
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", spec.method, spec.path);
   AppendHeaders(spec.headers, &text);
@@ -65,7 +49,8 @@
       : spec_(std::move(spec)), handlers_(std::move(handlers)), stream_(io) {}
 
   void Start() {
-    const std::optional<tcp::endpoint> endpoint = ParseEndpoint(spec_.address);
+    const std::optional<tcp::endpoint> endpoint =
+        ParseIpEndpoint(spec_.address);
     if (!endpoint) {
       asio::post(stream_.get_executor(), [self = shared_from_this()] {
         self->Finish(CallEnd::kNotSent);
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
 #include <chrono>
 #include <mutex>
 #include <optional>
@@ -22,6 +21,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "src/ip_endpoint.h"
 #include "src/server_sent_events.h"
 
 namespace burdockhatch {
@@ -47,24 +47,6 @@
 using Strand = asio::strand<asio::io_context::executor_type>;
 using Stream = beast::tcp_stream;
 
-std::optional<tcp::endpoint> ParseEndpoint(const std::string& address) {
-  const size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  error_code ec;
-  const asio::ip::address ip =
-      asio::ip::make_address(address.substr(0, colon), ec);
-  uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  auto [rest, parse_ec] =
-      std::from_chars(address.data() + colon + 1, end, port);
-  if (ec || parse_ec != std::errc() || rest != end || port == 0) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(ip, port);
-}
-
 // A request line or a header with these characters would be another request.
 bool IsSafe(std::string_view text, bool allow_space) {
   for (const char c : text) {
@@ -157,7 +139,7 @@
   Server(asio::io_context& context, std::string text)
       : io(context),
         address(std::move(text)),
-        endpoint(ParseEndpoint(address)) {}
+        endpoint(ParseIpEndpoint(address)) {}
 
   asio::io_context& io;
   std::string address;
--- /dev/null
+++ b/src/ip_endpoint.cc
@@ -0,0 +1,27 @@
+#include "src/ip_endpoint.h"
+
+#include <charconv>
+#include <cstdint>
+
+namespace burdockhatch {
+
+std::optional<boost::asio::ip::tcp::endpoint> ParseIpEndpoint(
+    const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const boost::asio::ip::address ip =
+      boost::asio::ip::make_address(address.substr(0, colon), ec);
+  uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto [rest, parsed] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  if (ec || parsed != std::errc() || rest != end || port == 0) {
+    return std::nullopt;
+  }
+  return boost::asio::ip::tcp::endpoint(ip, port);
+}
+
+}  // namespace burdockhatch
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -75,7 +75,9 @@
   // The order of the targets does not matter.
   uint64_t sum = 0;
   for (const TargetDescription& it : list.targets) {
-    sum += MixHash(StableHash(it.target.value()), StableHash(it.address));
+    const uint64_t cold = it.cold_left > Duration(0) ? 1 : 0;
+    sum +=
+        MixHash(StableHash(it.target.value()), StableHash(it.address) + cold);
   }
   return sum;
 }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -23,7 +23,7 @@
 
 namespace burdockhatch {
 
-// Equal for lists of the same targets.
+// Equal for lists of the same targets of which the same are cold.
 uint64_t FingerprintOf(const TargetList& list);
 
 class PlacementScheduler {
--- a/tests/placement_client_test.cc
+++ b/tests/placement_client_test.cc
@@ -191,8 +191,8 @@
   Hear(first_agent);
   client_.Tick(now_);
   EXPECT_EQ(CountSent<TargetList>(first_agent), sent);
-  // A change that the lead does not show is sent.
-  list.targets.pop_back();
+  // A change that the lead does not show is sent: a target that turns cold.
+  list.targets[0].cold_left = milliseconds(500);
   client_.SetTargets(list, now_);
   now_ += milliseconds(400);
   Hear(first_agent);
