--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -391,7 +391,7 @@
     if (!parsed) {
       return fmt::format("'{}' is not <IP number>:<port>", address);
     }
-    const tcp::endpoint endpoint = *parsed;
+    const tcp::endpoint& endpoint = *parsed;
     error_code ec;
     acceptor_.open(endpoint.protocol(), ec);
     if (!ec) {
