Read changes from the first page of a long list; remove what is written twice

A list of several pages was followed from the revision of its last page, so a change of an earlier page's item meanwhile was lost: found by reading, tested in FeedFollowerListTest.ReadsAllPages. A target that was found replaced no longer makes the entry state all targets at once; the next tick does.

--- /dev/null
+++ b/src/daemon_common.h
@@ -0,0 +1,19 @@
+// What all daemons of the project do alike.
+#ifndef SRC_DAEMON_COMMON_H_
+#define SRC_DAEMON_COMMON_H_
+
+#include "src/bus.h"
+#include "src/ids.h"
+#include "src/metrics.h"
+
+namespace burdockhatch {
+
+// The incarnation of a process that starts now.
+Incarnation IncarnationNow();
+
+// States the bus's counters in the metrics.
+void SetBusCounters(const BusStats& bus, Metrics* metrics);
+
+}  // namespace burdockhatch
+
+#endif  // SRC_DAEMON_COMMON_H_
--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -18,6 +18,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/config_edit.h"
+#include "src/daemon_common.h"
 #include "src/log.h"
 #include "src/object_api_http.h"
 #include "src/random.h"
@@ -40,12 +41,6 @@
 // After the work is done, peers may still ask for a lost chunk.
 constexpr Duration kStopLinger = std::chrono::milliseconds(300);
 
-Incarnation IncarnationNow() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now);
-  return Incarnation(static_cast<uint64_t>(ms.count()));
-}
-
 ConfigSpreadOptions SpreadOptions(const Settings& settings,
                                   const PeerId& self) {
   ConfigSpreadOptions options;
@@ -396,16 +391,8 @@
 }
 
 void DaemonLoop::UpdateMetrics() {
-  const BusStats bus = bus_->Stats();
+  SetBusCounters(bus_->Stats(), &metrics_);
   const HttpEntryStats http = http_->Stats();
-  metrics_.SetCounter("burdockhatch_bus_messages_sent_total", "", bus.sent);
-  metrics_.SetCounter("burdockhatch_bus_bytes_sent_total", "", bus.sent_bytes);
-  metrics_.SetCounter("burdockhatch_bus_messages_received_total", "",
-                      bus.received);
-  metrics_.SetCounter("burdockhatch_bus_bytes_received_total", "",
-                      bus.received_bytes);
-  metrics_.SetCounter("burdockhatch_bus_not_sent_total", "", bus.not_sent);
-  metrics_.SetCounter("burdockhatch_bus_rejected_total", "", bus.rejected);
   metrics_.SetGauge("burdockhatch_connections", "",
                     static_cast<int64_t>(http.connections));
   metrics_.SetGauge("burdockhatch_requests_in_progress", "",
--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -58,6 +58,7 @@
   listing_ = true;
   if (after.empty()) {
     listed_.clear();
+    list_revision_ = 0;
   }
   const std::weak_ptr<bool> alive = alive_;
   feed_->List(kind_, after, [this, alive](FeedReply reply) {
@@ -73,13 +74,17 @@
     return;
   }
   OnSuccess();
+  if (list_revision_ == 0) {
+    // An item of this page may change while later pages are read.
+    list_revision_ = reply.revision;
+  }
   listed_.insert(listed_.end(), std::make_move_iterator(reply.items.begin()),
                  std::make_move_iterator(reply.items.end()));
   if (!reply.next.empty()) {
     List(reply.next);
     return;
   }
-  revision_ = reply.revision;
+  revision_ = list_revision_;
   listing_ = false;
   observer_({true, std::exchange(listed_, {}), revision_, WasAway()});
   Watch();
--- a/src/feed_follower.h
+++ b/src/feed_follower.h
@@ -57,6 +57,7 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<Timer> retry_;
   std::vector<FeedItem> listed_;
+  uint64_t list_revision_ = 0;  // Of the first page.
   bool listing_ = true;
   uint64_t revision_ = 0;
   uint32_t failures_ = 0;
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -62,7 +62,6 @@
     context_.budget = RepeatBudget(RepeatLimitsOf(forwarding_));
     context_.random =
         Random(StableHash(self_.instance.value()) ^ self_.incarnation.value());
-    context_.on_directory_changed = [this] { SpreadTargets(Now()); };
     for (int i = 0; i < kFeedKindCount; ++i) {
       const auto kind = static_cast<FeedKind>(i);
       followers_[static_cast<size_t>(i)] = std::make_unique<FeedFollower>(
--- a/src/forward_loop_daemon.cc
+++ b/src/forward_loop_daemon.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "src/daemon_common.h"
 #include "src/log.h"
 
 namespace burdockhatch {
@@ -32,12 +33,6 @@
   asio::steady_timer timer_;
 };
 
-Incarnation IncarnationNow() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now);
-  return Incarnation(static_cast<uint64_t>(ms.count()));
-}
-
 }  // namespace
 
 ForwardLoop::ForwardLoop(Settings settings)
@@ -168,13 +163,7 @@
 }
 
 std::string ForwardLoop::MetricsText() {
-  const BusStats bus = bus_->Stats();
-  metrics_.SetCounter("burdockhatch_bus_messages_sent_total", "", bus.sent);
-  metrics_.SetCounter("burdockhatch_bus_bytes_sent_total", "", bus.sent_bytes);
-  metrics_.SetCounter("burdockhatch_bus_messages_received_total", "",
-                      bus.received);
-  metrics_.SetCounter("burdockhatch_bus_bytes_received_total", "",
-                      bus.received_bytes);
+  SetBusCounters(bus_->Stats(), &metrics_);
   return metrics_.Text();
 }
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -466,9 +466,6 @@
         events_.last_id() ? std::to_string(*events_.last_id()) : "none"}});
   if (end == AttemptEnd::kNotRun && answer_fields_.is_other) {
     context_->directory.MarkReplaced(target_);
-    if (context_->on_directory_changed) {
-      context_->on_directory_changed();
-    }
   }
   if (end == AttemptEnd::kFailedAnswer && answer_fields_.is_signed &&
       (route_->repeatable || (status_ != 503 && status_ != 429))) {
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -47,8 +47,6 @@
   ServiceBalancer balancer{0};
   RepeatBudget budget{RepeatLimits()};
   Random random{0};
-  // Called when a target has shown that it is not the one listed.
-  std::function<void()> on_directory_changed;
 };
 
 class ForwardRequest : public std::enable_shared_from_this<ForwardRequest> {
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -42,8 +42,6 @@
 constexpr double kIdleReadRoomMs = 800;
 // Between the end of reading and the first event.
 constexpr double kFirstEventMs = 100;
-// A long prompt waits this long for engines that write no answer.
-constexpr Duration kCourtesyWait = std::chrono::milliseconds(400);
 // A prompt that is late already waits only behind this much reading: new ones
 // that can be in time would overtake it until its caller leaves.
 constexpr double kLateBacklogMs = 1'500;
@@ -164,7 +162,7 @@
   });
   const auto placed = pool.works.find({entry, ask.number});
   if (placed != pool.works.end()) {
-    EndWork(pool, placed, now);
+    EndWork(pool, placed);
   }
   entries_.insert(entry);
   const size_t most = std::min<size_t>(pool.order.size(), kMaxHelpers + 1);
@@ -221,9 +219,9 @@
       continue;
     }
     if (ended) {
-      EndWork(pool, work, now);
+      EndWork(pool, work);
     } else {
-      EndReading(pool, work->second, now);
+      EndReading(pool, work->second);
       pool.targets[work->second.placed.target].suspect_for = Duration(0);
     }
     PlaceWaiting(pool, now);
@@ -266,7 +264,7 @@
       const bool settled = now - work->second.placed_at > kSnapshotDelay;
       if (work->first.first == entry && settled &&
           !stated.contains(work->first.second)) {
-        EndWork(pool, work, now);
+        EndWork(pool, work);
       }
     }
     PlaceWaiting(pool, now);
@@ -281,7 +279,7 @@
     for (auto it = pool.works.begin(); it != pool.works.end();) {
       const auto work = it++;
       if (work->first.first == entry) {
-        EndWork(pool, work, now);
+        EndWork(pool, work);
       }
     }
     PlaceWaiting(pool, now);
@@ -410,8 +408,7 @@
   return choice;
 }
 
-bool PlacementScheduler::FitsWhenIdle(const Pool& pool,
-                                      const std::vector<Candidate>& candidates,
+bool PlacementScheduler::FitsWhenIdle(const std::vector<Candidate>& candidates,
                                       double read_ms) {
   std::vector<double> rooms;
   for (const Candidate& it : candidates) {
@@ -600,7 +597,7 @@
     return choice;
   }
   const double read_ms = ReadMs(pool.cost, ask.prompt);
-  if (FitsWhenIdle(pool, apart, read_ms)) {
+  if (FitsWhenIdle(apart, read_ms)) {
     return std::nullopt;
   }
   return ChooseAgainstPauses(pool, waiting, std::move(apart), now);
@@ -693,7 +690,7 @@
   pool.works[key] = std::move(work);
 }
 
-void PlacementScheduler::EndReading(Pool& pool, Work& work, Time now) {
+void PlacementScheduler::EndReading(Pool& pool, Work& work) {
   if (!work.placed.reading) {
     return;
   }
@@ -714,9 +711,8 @@
 }
 
 void PlacementScheduler::EndWork(Pool& pool,
-                                 std::map<WorkKey, Work>::iterator work,
-                                 Time now) {
-  EndReading(pool, work->second, now);
+                                 std::map<WorkKey, Work>::iterator work) {
+  EndReading(pool, work->second);
   const PlacedWork& placed = work->second.placed;
   Target& target = pool.targets[placed.target];
   --(work->second.is_long ? target.long_answers : target.short_answers);
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -133,8 +133,7 @@
   };
 
   // Whether parts of the prompt would fit if the targets read nothing else.
-  static bool FitsWhenIdle(const Pool& pool,
-                           const std::vector<Candidate>& candidates,
+  static bool FitsWhenIdle(const std::vector<Candidate>& candidates,
                            double read_ms);
   static bool IsLong(const Pool& pool, Tokens prompt);
   static double PassMsOf(const Pool& pool, const Target& target);
@@ -190,8 +189,8 @@
   void SortWaiting(Pool& pool, Time now);
   void Place(Pool& pool, const Waiting& waiting, Choice choice, Time now);
   void AddWork(Pool& pool, const WorkKey& key, Work work, Time now);
-  void EndReading(Pool& pool, Work& work, Time now);
-  void EndWork(Pool& pool, std::map<WorkKey, Work>::iterator work, Time now);
+  static void EndReading(Pool& pool, Work& work);
+  static void EndWork(Pool& pool, std::map<WorkKey, Work>::iterator work);
   void Refuse(const Waiting& waiting, Duration retry_after);
   void PlaceWaiting(Pool& pool, Time now);
 
--- a/tests/feed_follower_test.cc
+++ b/tests/feed_follower_test.cc
@@ -104,6 +104,8 @@
   second.done(Ok(4, {DataCentreId("b")}));
   ASSERT_EQ(updates.size(), 1u);
   EXPECT_EQ(updates[0].items.size(), 2u);
+  // A change of the first page's items while the second was read is not lost.
+  EXPECT_EQ(feed.Take().revision, 3u);
 }
 
 // Guards against changes that are lost with the store's history.
