--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -15,6 +15,7 @@
 
 #include "bench/control_cost.h"
 #include "bench/experiments.h"
+#include "bench/mixed_lengths.h"
 #include "bench/report.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "Seed of the workloads.");
@@ -25,7 +26,7 @@
     only,
     "",
     "Run one experiment: slowdown, overload, long, data_centre, cold, control, "
-    "decision.");
+    "decision, fleet, spread, mixed.");
 
 namespace burdockhatch::bench {
 namespace {
@@ -37,7 +38,7 @@
     {"long", RunLongPrompts},    {"data_centre", RunDataCentreChange},
     {"cold", RunColdTargets},    {"decision", RunDecision},
     {"control", RunControl},     {"fleet", RunFleet},
-    {"spread", RunConfigSpread},
+    {"spread", RunConfigSpread}, {"mixed", RunMixedLengths},
 };
 
 int Main() {
