Predict the passes of engines, let long prompts pause few answers, try less often

All of a prompt's engines counted as busy until its first event, although what comes during a pass is read by the next one and only that pass pauses answers. After a burst of short prompts the first long ones waited 2 s for the last few short answers. The longest prompts were refused for their own length once they were late.

PassClock predicts per engine which parts share a pass; a part that may have missed its pass counts for both. A long prompt may pause answers of a shorter gap target, one for each 100,000 tokens. The order of big prompts, which kept all behind the first one waiting, is gone. What is late waits behind 1.2 s of reading, its own length apart.

What waits is now tried every 5 ms and only until four in a row found no place, and no number of parts is tried that fits nowhere.

Four of the new placement tests were seen failing on the code before.

--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -28,7 +28,7 @@
 // Reading of long prompts for which one engine is set apart.
 constexpr double kLongReadPerTargetMs = 700;
 // Reading of a long prompt that one engine does, at the least.
-constexpr double kMinPartMs = 70;
+constexpr double kMinPartMs = 50;
 // Kept free on each engine that shares an oversize prompt, as the answers'
 // lengths are estimates.
 constexpr Tokens kMemoryMargin{10'000};
@@ -37,23 +37,39 @@
 // Kept free on engines with short answers, for the short prompts to come.
 constexpr double kSharedMarginMs = 30;
 // Kept free between a pause by estimate and the gap target.
-constexpr double kGapMarginMs = 40;
+constexpr double kGapMarginMs = 25;
 // Reading that an engine without answers may have before it.
-constexpr double kIdleReadRoomMs = 800;
+constexpr double kIdleReadRoomMs = 1'000;
 // Between the end of reading and the first event.
 constexpr double kFirstEventMs = 100;
 // A prompt that is late already waits only behind this much reading: new ones
-// that can be in time would overtake it until its caller leaves.
-constexpr double kLateBacklogMs = 1'500;
+// that can be in time would overtake it until its caller leaves. Its own length
+// does not count, or the longest would never be answered.
+constexpr double kLateBacklogMs = 1'200;
 // A caller leaves when the first event takes this multiple of its target.
 constexpr int kPatienceTargets = 3;
 // Answers to long prompts that share one engine before the next one is used.
-constexpr uint32_t kLongAnswersPerTarget = 6;
-// A prompt that reads longer needs many engines at once, so that others would
-// always take the room that it waits for.
-constexpr double kBigReadMs = 500;
+constexpr uint32_t kLongAnswersPerTarget = 10;
+// Reading that one engine may have before it or be given, all passes: short
+// prompts that come meanwhile find no engine to go to.
+constexpr double kMostBacklogMs = 800;
+// A short prompt does not wait longer while other engines could take it.
+constexpr double kShortWaitMs = 90;
+// Tokens of a long prompt that outweigh one answer to a short one: answers are
+// worth about the square root of their prompts' lengths to the users, and few
+// answers of an engine notice one pause.
+constexpr double kTokensPerPausedAnswer = 100'000;
+// Time to the first event that is worth one paused answer.
+constexpr double kMsPerPausedAnswer = 50;
 constexpr double kAnswerScoreMs = 3;
 constexpr double kColdScoreMs = 200;
+// Beyond the expected first event, before an engine counts as slow: a pass and
+// the way of the news.
+constexpr Duration kOverdueAllowance = std::chrono::milliseconds(100);
+// The deciding agent has a fifth of a core: what waits is tried at this
+// interval, and only until some of it in a row of urgency found no place.
+constexpr Duration kTryInterval = std::chrono::milliseconds(5);
+constexpr int kMostFailedTries = 4;
 constexpr Duration kShareShrinkInterval = std::chrono::milliseconds(200);
 constexpr Duration kFirstSuspicion = std::chrono::seconds(1);
 constexpr Duration kLongestSuspicion = std::chrono::seconds(8);
@@ -88,13 +104,22 @@
   return PassMs(pool.cost, std::max(target.answers(), 1U), target.memory_used);
 }
 
-double PlacementScheduler::ReadRoomMs(const Pool& pool, const Target& target) {
-  const double backlog = target.reading_ms;
+double PlacementScheduler::FullRoomMs(const Pool& pool, const Target& target) {
   if (target.gap_targets.empty()) {
-    return kIdleReadRoomMs - backlog;
+    return kIdleReadRoomMs;
   }
   const double gap = ToMs(target.gap_targets.begin()->first);
-  return gap - PassMsOf(pool, target) - kGapMarginMs - backlog;
+  return gap - PassMsOf(pool, target) - kGapMarginMs;
+}
+
+double PlacementScheduler::ReadRoomMs(const Pool& pool,
+                                      const Target& target,
+                                      Time now) {
+  // Passes are long only while an answer is written. Otherwise a part that is
+  // added is read at once, ahead of the prompts that the engine has begun.
+  const double wait = target.passes.WaitMs(now);
+  const double taken = target.writing == 0 ? wait : target.passes.SharedMs(now);
+  return std::min(FullRoomMs(pool, target) - taken, kMostBacklogMs - wait);
 }
 
 bool PlacementScheduler::IsAvailable(const Target& target,
@@ -126,12 +151,14 @@
     target.description = it;
     target.listed = true;
     target.cold_until = now + it.cold_left;
-    pool.order.push_back(it.target);
+    pool.order.push_back(&target);
   }
   std::sort(pool.order.begin(), pool.order.end(),
-            [](const TargetId& a, const TargetId& b) {
-              return std::pair(StableHash(a.value()), a) <
-                     std::pair(StableHash(b.value()), b);
+            [](const Target* a, const Target* b) {
+              const TargetId& first = a->description.target;
+              const TargetId& second = b->description.target;
+              return std::pair(StableHash(first.value()), first) <
+                     std::pair(StableHash(second.value()), second);
             });
   std::erase_if(pool.targets, [](const auto& it) {
     const Target& target = it.second;
@@ -162,7 +189,7 @@
   });
   const auto placed = pool.works.find({entry, ask.number});
   if (placed != pool.works.end()) {
-    EndWork(pool, placed);
+    EndWork(pool, placed, now);
   }
   entries_.insert(entry);
   const size_t most = std::min<size_t>(pool.order.size(), kMaxHelpers + 1);
@@ -172,20 +199,9 @@
     Refuse(waiting, Duration(0));
     return;
   }
-  // Big prompts are read in the order of their urgency; none overtakes those
-  // that wait.
-  const auto is_big = [&](const PlacementAsk& it) {
-    return ReadMs(pool.cost, it.prompt) > kBigReadMs;
-  };
-  const bool others_wait =
-      is_big(ask) &&
-      std::any_of(pool.waiting.begin(), pool.waiting.end(),
-                  [&](const Waiting& it) { return is_big(it.ask); });
-  if (!others_wait) {
-    if (std::optional<Choice> choice = Choose(pool, waiting, now)) {
-      Place(pool, waiting, std::move(*choice), now);
-      return;
-    }
+  if (std::optional<Choice> choice = Choose(pool, waiting, now)) {
+    Place(pool, waiting, std::move(*choice), now);
+    return;
   }
   reply.verdict = PlacementVerdict::kQueued;
   decisions_.push_back({entry, reply});
@@ -219,9 +235,9 @@
       continue;
     }
     if (ended) {
-      EndWork(pool, work);
+      EndWork(pool, work, now);
     } else {
-      EndReading(pool, work->second);
+      EndReading(pool, work->second, true, now);
       pool.targets[work->second.placed.target].suspect_for = Duration(0);
     }
     PlaceWaiting(pool, now);
@@ -264,7 +280,7 @@
       const bool settled = now - work->second.placed_at > kSnapshotDelay;
       if (work->first.first == entry && settled &&
           !stated.contains(work->first.second)) {
-        EndWork(pool, work);
+        EndWork(pool, work, now);
       }
     }
     PlaceWaiting(pool, now);
@@ -279,7 +295,7 @@
     for (auto it = pool.works.begin(); it != pool.works.end();) {
       const auto work = it++;
       if (work->first.first == entry) {
-        EndWork(pool, work);
+        EndWork(pool, work, now);
       }
     }
     PlaceWaiting(pool, now);
@@ -372,8 +388,8 @@
   double best_score = 0;
   bool best_spares = false;
   size_t seen = 0;
-  for (const TargetId& it : pool.order) {
-    Target& target = pool.targets[it];
+  for (Target* it : pool.order) {
+    Target& target = *it;
     if (!IsAvailable(target, ask, now)) {
       continue;
     }
@@ -386,10 +402,12 @@
         target.memory_used + memory > pool.cost.memory) {
       continue;
     }
-    const double score = target.reading_ms + read_ms + PassMsOf(pool, target) +
+    const double score = target.passes.WaitMs(now) + read_ms +
+                         PassMsOf(pool, target) +
                          target.answers() * kAnswerScoreMs +
                          (now < target.cold_until ? kColdScoreMs : 0);
-    const bool spares = ReadRoomMs(pool, target) >= read_ms;
+    const bool spares = ReadRoomMs(pool, target, now) >= read_ms &&
+                        target.passes.WaitMs(now) <= kShortWaitMs;
     if (best == nullptr ||
         std::pair(!spares, score) < std::pair(!best_spares, best_score)) {
       best = &target;
@@ -404,15 +422,16 @@
   choice.target = best->description.target;
   choice.part_ms = read_ms;
   choice.expected_first_event =
-      FromMs(best->reading_ms + read_ms + 2 * PassMsOf(pool, *best));
+      FromMs(best->passes.WaitMs(now) + read_ms + 2 * PassMsOf(pool, *best));
   return choice;
 }
 
-bool PlacementScheduler::FitsWhenIdle(const std::vector<Candidate>& candidates,
+bool PlacementScheduler::FitsWhenIdle(const Pool& pool,
+                                      const std::vector<Candidate>& candidates,
                                       double read_ms) {
   std::vector<double> rooms;
   for (const Candidate& it : candidates) {
-    rooms.push_back(it.room_ms + it.target->reading_ms);
+    rooms.push_back(FullRoomMs(pool, *it.target));
   }
   std::sort(rooms.begin(), rooms.end(), std::greater<>());
   const size_t most = std::min<size_t>(rooms.size(), kMaxHelpers + 1);
@@ -469,10 +488,11 @@
   // Helpers keep what an oversize prompt needs beyond the writer's memory.
   const Tokens memory =
       IsOversize(pool, ask) ? ask.output + kLeastHold : ask.prompt + ask.output;
-  const auto rank = [&](const Target& it) {
-    const bool pauses = it.reading_ms + PassMsOf(pool, it) + kGapMarginMs >
+  const auto rank = [&](const Candidate& candidate) {
+    const Target& it = *candidate.target;
+    const bool pauses = candidate.wait_ms + PassMsOf(pool, it) + kGapMarginMs >
                         ToMs(ask.gap_target);
-    const bool paused = ReadRoomMs(pool, it) < part_ms;
+    const bool paused = candidate.room_ms < part_ms;
     const bool other_kind =
         !it.gap_targets.empty() && !it.gap_targets.contains(ask.gap_target);
     const bool crowded = it.long_answers >= kLongAnswersPerTarget;
@@ -487,7 +507,7 @@
         target.memory_used + memory > pool.cost.memory) {
       continue;
     }
-    if (writer == nullptr || rank(target) < rank(*writer->target)) {
+    if (writer == nullptr || rank(it) < rank(*writer)) {
       writer = &it;
     }
   }
@@ -508,16 +528,16 @@
   choice.target = writer->target->description.target;
   std::vector<const Target*> helpers;
   double slowest_ms = 0;
-  const auto add = [&](const Target& target) {
-    slowest_ms = std::max(slowest_ms, (target.reading_ms + choice.part_ms) +
-                                          2 * PassMsOf(pool, target));
+  const auto add = [&](const Candidate& it) {
+    slowest_ms = std::max(slowest_ms, it.wait_ms + choice.part_ms +
+                                          2 * PassMsOf(pool, *it.target));
   };
-  add(*writer->target);
+  add(*writer);
   for (const Candidate& it : candidates) {
     if (&it != writer && choice.helpers.size() + 1 < parts) {
       choice.helpers.push_back(it.target->description.target);
       helpers.push_back(it.target);
-      add(*it.target);
+      add(it);
     }
   }
   if (IsOversize(pool, ask)) {
@@ -531,19 +551,25 @@
   return choice;
 }
 
+size_t PlacementScheduler::LeastParts(const std::vector<Candidate>& candidates,
+                                      double read_ms) {
+  double most_room_ms = 1;
+  for (const Candidate& it : candidates) {
+    most_room_ms = std::max(most_room_ms, it.room_ms);
+  }
+  return static_cast<size_t>(std::max(std::ceil(read_ms / most_room_ms), 1.0));
+}
+
 // Tries each number of parts up to those of the least useful size, and more
 // only while nothing fits; takes the one that ends first.
 std::optional<PlacementScheduler::Choice> PlacementScheduler::Split(
     const Pool& pool,
     const PlacementAsk& ask,
     std::vector<Candidate> candidates) {
-  const auto backlog_ms = [](const Candidate& it) {
-    return it.target->reading_ms;
-  };
   std::sort(candidates.begin(), candidates.end(),
             [&](const Candidate& a, const Candidate& b) {
-              return std::pair(backlog_ms(a), -a.room_ms) <
-                     std::pair(backlog_ms(b), -b.room_ms);
+              return std::pair(a.wait_ms, -a.room_ms) <
+                     std::pair(b.wait_ms, -b.room_ms);
             });
   const double read_ms = ReadMs(pool.cost, ask.prompt);
   const size_t most = std::min<size_t>(candidates.size(), kMaxHelpers + 1);
@@ -551,7 +577,7 @@
       static_cast<size_t>(std::max(std::ceil(read_ms / kMinPartMs), 1.0)),
       most);
   std::optional<Choice> best;
-  for (size_t n = 1; n <= most; ++n) {
+  for (size_t n = LeastParts(candidates, read_ms); n <= most; ++n) {
     const double part_ms = read_ms / static_cast<double>(n);
     std::vector<Candidate> fitting = candidates;
     std::erase_if(fitting,
@@ -574,10 +600,11 @@
 PlacementScheduler::ChooseLong(Pool& pool, const Waiting& waiting, Time now) {
   const PlacementAsk& ask = waiting.ask;
   std::vector<Candidate> all;
-  for (const TargetId& it : pool.order) {
-    Target& target = pool.targets[it];
+  for (Target* it : pool.order) {
+    Target& target = *it;
     if (IsAvailable(target, ask, now) && target.reading < pool.cost.slots) {
-      all.push_back({&target, ReadRoomMs(pool, target)});
+      all.push_back(
+          {&target, ReadRoomMs(pool, target, now), target.passes.WaitMs(now)});
     }
   }
   if (all.empty()) {
@@ -596,13 +623,86 @@
   if (auto choice = Split(pool, ask, all)) {
     return choice;
   }
+  if (auto choice = SplitPausingFew(pool, ask, all)) {
+    return choice;
+  }
   const double read_ms = ReadMs(pool.cost, ask.prompt);
-  if (FitsWhenIdle(apart, read_ms)) {
+  if (FitsWhenIdle(pool, apart, read_ms)) {
     return std::nullopt;
   }
   return ChooseAgainstPauses(pool, waiting, std::move(apart), now);
 }
 
+// Answers of the target that would pause for too long if it read `part_ms` in
+// one pass; nullopt when others than those of a shorter gap target would.
+std::optional<uint32_t> PlacementScheduler::AnswersPaused(
+    const Pool& pool,
+    const PlacementAsk& ask,
+    const Target& target,
+    double part_ms) {
+  const double pause_ms = part_ms + PassMsOf(pool, target) + kGapMarginMs;
+  uint32_t paused = 0;
+  for (const auto& [gap, answers] : target.gap_targets) {
+    if (pause_ms > ToMs(gap)) {
+      if (gap >= ask.gap_target) {
+        return std::nullopt;
+      }
+      paused += answers;
+    }
+  }
+  return paused;
+}
+
+std::optional<PlacementScheduler::Choice> PlacementScheduler::SplitPausingFew(
+    const Pool& pool,
+    const PlacementAsk& ask,
+    std::vector<Candidate> candidates) {
+  std::erase_if(candidates,
+                [](const Candidate& it) { return it.target->reading > 0; });
+  for (Candidate& it : candidates) {
+    it.room_ms = kIdleReadRoomMs;
+  }
+  const double read_ms = ReadMs(pool.cost, ask.prompt);
+  const double budget =
+      static_cast<double>(ask.prompt.value()) / kTokensPerPausedAnswer;
+  const size_t most = std::min<size_t>(candidates.size(), kMaxHelpers + 1);
+  std::optional<Choice> best;
+  double best_cost_ms = 0;
+  for (size_t parts = LeastParts(candidates, read_ms); parts <= most; ++parts) {
+    const double part_ms = read_ms / static_cast<double>(parts);
+    std::vector<std::pair<uint32_t, const Candidate*>> by_paused;
+    for (const Candidate& it : candidates) {
+      if (const auto paused = AnswersPaused(pool, ask, *it.target, part_ms)) {
+        by_paused.emplace_back(*paused, &it);
+      }
+    }
+    if (by_paused.size() < parts) {
+      continue;
+    }
+    std::sort(by_paused.begin(), by_paused.end());
+    uint32_t paused = 0;
+    std::vector<Candidate> chosen;
+    for (size_t i = 0; i < parts; ++i) {
+      paused += by_paused[i].first;
+      chosen.push_back(*by_paused[i].second);
+    }
+    if (paused > budget) {
+      continue;
+    }
+    std::optional<Choice> choice = SplitInto(pool, ask, chosen, parts);
+    if (!choice) {
+      continue;
+    }
+    const double cost_ms =
+        ToMs(choice->expected_first_event) + paused * kMsPerPausedAnswer;
+    if (!best || cost_ms < best_cost_ms) {
+      best = std::move(choice);
+      best_cost_ms = cost_ms;
+    }
+  }
+  return best;
+}
+
 // Even idle engines would pause their answers for too long. Those that write
 // none take the prompt together, unless it is then late and others may be free
 // in time; those that write answers to long prompts come last.
@@ -641,6 +741,7 @@
                  choice.helpers, choice.holds,   ask.prompt,
                  ask.output,     ask.gap_target, true};
   work.placed_at = now;
+  work.expected_first_event = choice.expected_first_event;
   work.part_ms = choice.part_ms;
   work.is_long = IsLong(pool, ask.prompt);
   AddWork(pool, {waiting.entry, ask.number}, std::move(work), now);
@@ -674,13 +775,17 @@
     target.next_cold_request =
         now + FromMs(1e3 / (pool.cold_requests_per_s * cold_share_));
   }
+  work.serial = next_serial_++;
+  target.writing += work.placed.reading ? 0 : 1;
   if (work.placed.reading) {
+    const Time due = now + work.expected_first_event + kOverdueAllowance;
     pool.long_reading_ms +=
         work.is_long ? ReadMs(pool.cost, work.placed.prompt) : 0;
     const auto read = [&](const TargetId& id) {
       Target& reader = pool.targets[id];
       ++reader.reading;
-      reader.reading_ms += work.part_ms;
+      reader.passes.Add({work.serial, work.part_ms, due},
+                        PassMsOf(pool, reader), now);
     };
     read(work.placed.target);
     for (const TargetId& it : work.placed.helpers) {
@@ -690,19 +795,25 @@
   pool.works[key] = std::move(work);
 }
 
-void PlacementScheduler::EndReading(Pool& pool, Work& work) {
+void PlacementScheduler::EndReading(Pool& pool,
+                                    Work& work,
+                                    bool was_read,
+                                    Time now) {
   if (!work.placed.reading) {
     return;
   }
   work.placed.reading = false;
+  ++pool.targets[work.placed.target].writing;
   pool.long_reading_ms -=
       work.is_long ? ReadMs(pool.cost, work.placed.prompt) : 0;
   const auto end = [&](const TargetId& id) {
     Target& reader = pool.targets[id];
     --reader.reading;
-    // Sums of fractions do not return to zero by themselves.
-    reader.reading_ms =
-        reader.reading == 0 ? 0 : reader.reading_ms - work.part_ms;
+    if (was_read) {
+      reader.passes.Finish(work.serial, now);
+    } else {
+      reader.passes.Cancel(work.serial, now);
+    }
   };
   end(work.placed.target);
   for (const TargetId& it : work.placed.helpers) {
@@ -711,12 +822,14 @@
 }
 
 void PlacementScheduler::EndWork(Pool& pool,
-                                 std::map<WorkKey, Work>::iterator work) {
-  EndReading(pool, work->second);
+                                 std::map<WorkKey, Work>::iterator work,
+                                 Time now) {
+  EndReading(pool, work->second, false, now);
   const PlacedWork& placed = work->second.placed;
   Target& target = pool.targets[placed.target];
   --(work->second.is_long ? target.long_answers : target.short_answers);
   --(work->second.is_long ? pool.long_works : pool.short_works);
+  --target.writing;
   target.memory_used -= placed.prompt + placed.output;
   for (const MemoryHold& it : placed.holds) {
     target.memory_used += it.tokens;
@@ -783,7 +896,7 @@
     const Time last = it.waiting.asked_at + target * kPatienceTargets;
     const bool hopeless =
         it.read_ms > kLongReadMs &&
-        (now + FromMs(end_ms) > last || end_ms > kLateBacklogMs);
+        (now + FromMs(end_ms) > last || busy_ms > kLateBacklogMs);
     if (hopeless) {
       Refuse(it.waiting, FromMs(end_ms / 2));
     } else {
@@ -800,27 +913,27 @@
 }
 
 void PlacementScheduler::PlaceWaiting(Pool& pool, Time now) {
-  if (pool.waiting.empty()) {
+  if (pool.waiting.empty() || now < pool.next_try) {
     return;
   }
+  pool.next_try = now + kTryInterval;
   SortWaiting(pool, now);
   std::vector<Waiting> waiting = std::exchange(pool.waiting, {});
   std::vector<Waiting> left;
-  bool big_waits = false;
+  int failed = 0;
   for (Waiting& it : waiting) {
     if (now >= it.give_up_at) {
       Refuse(it, Duration(0));
       continue;
     }
-    const bool is_big = ReadMs(pool.cost, it.ask.prompt) > kBigReadMs;
     std::optional<Choice> choice;
-    if (!is_big || !big_waits) {
+    if (failed < kMostFailedTries) {
       choice = Choose(pool, it, now);
     }
     if (choice) {
       Place(pool, it, std::move(*choice), now);
     } else {
-      big_waits = big_waits || is_big;
+      ++failed;
       left.push_back(std::move(it));
     }
   }
@@ -839,14 +952,15 @@
         pool.long_works, pool.waiting.size(), pool.short_share,
         pool.waiting.empty() ? 0 : pool.waiting.front().ask.prompt.value());
     bool first = true;
-    for (const TargetId& id : pool.order) {
-      const Target& it = pool.targets.at(id);
+    for (const Target* target : pool.order) {
+      const Target& it = *target;
       fmt::format_to(std::back_inserter(text),
                      "{}{{\"target\":\"{}\",\"short\":{},\"long\":{},"
                      "\"backlog_ms\":{:.0f},\"memory\":{},"
                      "\"suspect_ms\":{:.0f}}}",
-                     first ? "" : ",", id.value(), it.short_answers,
-                     it.long_answers, it.reading_ms, it.memory_used.value(),
+                     first ? "" : ",", it.description.target.value(),
+                     it.short_answers, it.long_answers, it.passes.WaitMs(now),
+                     it.memory_used.value(),
                      ToMs(std::max(it.suspect_until - now, Duration(0))));
       first = false;
     }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -19,6 +19,7 @@
 #include "src/clock.h"
 #include "src/ids.h"
 #include "src/messages.h"
+#include "src/pass_clock.h"
 #include "src/units.h"
 
 namespace burdockhatch {
@@ -72,7 +73,9 @@
 
   struct Work {
     PlacedWork placed;
+    uint64_t serial = 0;  // Unique among the works of the scheduler.
     Time placed_at{};
+    Duration expected_first_event{0};
     double part_ms = 0;  // Read by each of its targets.
     bool is_long = false;
   };
@@ -84,10 +87,11 @@
     Time next_cold_request{};
     uint32_t short_answers = 0;
     uint32_t long_answers = 0;
+    uint32_t writing = 0;  // Answers whose first event has come.
     uint32_t reading = 0;  // Prompts that it reads, whole or in part.
     Tokens memory_used;
     std::map<Duration, uint32_t> gap_targets;  // Of the answers it writes.
-    double reading_ms = 0;                     // Time to read them on its own.
+    PassClock passes;                          // What it reads.
     Time suspect_until{};
     Duration suspect_for{0};
 
@@ -108,7 +112,7 @@
     uint64_t revision = 0;
     uint64_t fingerprint = 0;
     std::map<TargetId, Target> targets;
-    std::vector<TargetId> order;  // Short prompts fill it from the front.
+    std::vector<Target*> order;  // Short prompts fill it from the front.
     std::map<WorkKey, Work> works;
     std::vector<Waiting> waiting;
     uint32_t short_works = 0;
@@ -116,6 +120,7 @@
     double long_reading_ms = 0;  // Of the prompts in progress, all parts.
     size_t short_share = 1;      // Targets at the front for short prompts.
     Time shrink_at{};
+    Time next_try{};  // Of what waits.
   };
 
   struct Choice {
@@ -130,16 +135,20 @@
   struct Candidate {
     Target* target;
     double room_ms;
+    double wait_ms;  // Until it can begin.
   };
 
   // Whether parts of the prompt would fit if the targets read nothing else.
-  static bool FitsWhenIdle(const std::vector<Candidate>& candidates,
+  static bool FitsWhenIdle(const Pool& pool,
+                           const std::vector<Candidate>& candidates,
                            double read_ms);
   static bool IsLong(const Pool& pool, Tokens prompt);
   static double PassMsOf(const Pool& pool, const Target& target);
-  // Milliseconds of reading that a target can take on without a pause that is
-  // too long for the answers it writes.
-  static double ReadRoomMs(const Pool& pool, const Target& target);
+  // Milliseconds of reading that a target could do in one pass without a pause
+  // that is too long for the answers it writes, if it read nothing else.
+  static double FullRoomMs(const Pool& pool, const Target& target);
+  // What is left of it now.
+  static double ReadRoomMs(const Pool& pool, const Target& target, Time now);
   bool IsAvailable(const Target& target,
                    const PlacementAsk& ask,
                    Time now) const;
@@ -158,6 +167,19 @@
       const Waiting& waiting,
       std::vector<Candidate> candidates,
       Time now);
+  static std::optional<uint32_t> AnswersPaused(const Pool& pool,
+                                               const PlacementAsk& ask,
+                                               const Target& target,
+                                               double part_ms);
+  // Splits the prompt among engines that read nothing, so that few answers of
+  // a shorter gap target pause for too long.
+  static std::optional<Choice> SplitPausingFew(
+      const Pool& pool,
+      const PlacementAsk& ask,
+      std::vector<Candidate> candidates);
+  // Parts of the prompt that are small enough for the largest room.
+  static size_t LeastParts(const std::vector<Candidate>& candidates,
+                           double read_ms);
   // Splits the prompt among `candidates`, whose answers it does not pause for
   // too long; nullopt when it cannot.
   static std::optional<Choice> Split(const Pool& pool,
@@ -189,14 +211,18 @@
   void SortWaiting(Pool& pool, Time now);
   void Place(Pool& pool, const Waiting& waiting, Choice choice, Time now);
   void AddWork(Pool& pool, const WorkKey& key, Work work, Time now);
-  static void EndReading(Pool& pool, Work& work);
-  static void EndWork(Pool& pool, std::map<WorkKey, Work>::iterator work);
+  // `was_read`: its first event has come.
+  static void EndReading(Pool& pool, Work& work, bool was_read, Time now);
+  static void EndWork(Pool& pool,
+                      std::map<WorkKey, Work>::iterator work,
+                      Time now);
   void Refuse(const Waiting& waiting, Duration retry_after);
   void PlaceWaiting(Pool& pool, Time now);
 
   double cold_share_;
   std::map<ServiceId, Pool> pools_;
   std::set<PeerId> entries_;
+  uint64_t next_serial_ = 1;
   std::vector<Decision> decisions_;
 };
 
--- a/tests/placement_scheduler_test.cc
+++ b/tests/placement_scheduler_test.cc
@@ -332,6 +332,96 @@
   EXPECT_LE(placed, 36);
 }
 
+// Pattern: long prompts one after the other. Guards against engines that stand
+// idle from the end of their part until the whole prompt's first event.
+TEST_F(PlacementSchedulerTest, NextPromptIsQueuedForTheNextPass) {
+  SetTargets(4);
+  // Each engine writes an answer to a long prompt.
+  for (int i = 0; i < 4; ++i) {
+    PlacementAsk ask = MakeAsk(kContract);
+    ask.gap_target = milliseconds(800);
+    const PlacementReply reply = Ask(ask);
+    ASSERT_EQ(reply.verdict, PlacementVerdict::kPlaced);
+    Change(reply.number, PlacementEvent::kFirstEvent);
+    now_ += milliseconds(500);
+  }
+  PlacementAsk ask = MakeAsk(Tokens(150'000));
+  ASSERT_EQ(Ask(ask).verdict, PlacementVerdict::kPlaced);
+  // Their passes have begun, so the next one has room again.
+  now_ += milliseconds(200);
+  ask = MakeAsk(Tokens(100'000));
+  EXPECT_EQ(Ask(ask).verdict, PlacementVerdict::kPlaced);
+}
+
+// Pattern: long prompts come when short ones have just filled the engines.
+// Guards against a long prompt that waits for the last few short answers.
+TEST_F(PlacementSchedulerTest, LongPromptMayPauseFewShortAnswers) {
+  SetTargets(6);
+  // One short answer on each of three engines.
+  std::vector<TargetId> used;
+  for (int i = 0; i < 3; ++i) {
+    PlacementAsk ask = MakeAsk(kShortPrompt);
+    ask.excluded = used;
+    const PlacementReply reply = Ask(ask);
+    used.push_back(reply.target);
+    Change(reply.number, PlacementEvent::kFirstEvent);
+  }
+  // The other three would read it for 1.9 s.
+  PlacementAsk ask = MakeAsk(Tokens(310'000));
+  ask.first_event_left = milliseconds(1'500);
+  const PlacementReply reply = Ask(ask);
+  ASSERT_EQ(reply.verdict, PlacementVerdict::kPlaced);
+  EXPECT_EQ(TargetsOf(reply).size(), 6u);
+}
+
+// The same; guards against one long prompt that pauses many.
+TEST_F(PlacementSchedulerTest, LongPromptDoesNotPauseManyShortAnswers) {
+  SetTargets(4);
+  for (int i = 0; i < 40; ++i) {
+    const PlacementReply reply = Ask(MakeAsk(kShortPrompt));
+    Change(reply.number, PlacementEvent::kFirstEvent);
+    now_ += milliseconds(100);
+  }
+  EXPECT_EQ(Ask(MakeAsk(kMerge)).verdict, PlacementVerdict::kQueued);
+}
+
+// Pattern: a burst of long prompts has just ended. Guards against the longest
+// prompts, which would never be answered if their own length spoke against
+// them.
+TEST_F(PlacementSchedulerTest, LatePromptIsNotRefusedForItsOwnLength) {
+  SetTargets(4);
+  for (int i = 0; i < 40; ++i) {
+    const PlacementReply reply = Ask(MakeAsk(kShortPrompt));
+    Change(reply.number, PlacementEvent::kFirstEvent);
+    now_ += milliseconds(100);
+  }
+  PlacementAsk ask = MakeAsk(Tokens(300'000));
+  ask.first_event_left = milliseconds(2'500);
+  ASSERT_EQ(Ask(ask).verdict, PlacementVerdict::kQueued);
+  now_ += milliseconds(10);
+  scheduler_.Tick(now_);
+  EXPECT_TRUE(Collect().empty());
+  EXPECT_TRUE(scheduler_.HasWaiting());
+}
+
+// Pattern: many long prompts wait. Guards against an agent whose core is busy
+// with trying them all at each event.
+TEST_F(PlacementSchedulerTest, WaitingPromptsAreNotTriedAtEachEvent) {
+  SetTargets(1);
+  for (int i = 0; i < 16; ++i) {
+    Ask(MakeAsk(Tokens(100)));
+  }
+  const PlacementAsk waiting = MakeAsk(Tokens(100));
+  ASSERT_EQ(Ask(waiting).verdict, PlacementVerdict::kQueued);
+  scheduler_.Tick(now_);
+  // Tried a moment ago: the place is given at the next turn.
+  Change(1, PlacementEvent::kEnded);
+  EXPECT_TRUE(Collect().empty());
+  now_ += milliseconds(10);
+  scheduler_.Tick(now_);
+  ASSERT_EQ(Collect().size(), 1u);
+}
+
 // Guards against an agent that takes over and places work on full targets.
 TEST_F(PlacementSchedulerTest, SnapshotRebuildsTheState) {
   Change(Ask(MakeAsk(kMerge)).number, PlacementEvent::kFirstEvent);
