Ask a replying agent no heartbeats, collect changes of targets for 400 ms

A heartbeat goes out only after the interval without any word from the agent; silence shows as soon as before. Changes of targets are collected for 400 ms in place of 200; the bound for a leaving target is two seconds.

The new test of the client was seen failing before.

--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -20,6 +20,9 @@
 // Changes often come together; one call then brings them. Far below the bounds
 // within which a change is to be in force.
 constexpr Duration kCollectTime = std::chrono::milliseconds(200);
+// Targets come and go by the dozen when a release or a failure goes through the
+// fleet; a leaving one is to get nothing new after two seconds.
+constexpr Duration kTargetsCollectTime = std::chrono::milliseconds(400);
 constexpr int64_t kFirstRetryMs = 60;
 constexpr int64_t kLongestRetryMs = 600;
 // Changes read this soon after the store is back may come from its absence.
@@ -122,7 +125,7 @@
     return;
   }
   observer_({false, std::move(reply.items), revision_, WasAway()});
-  WatchLater(kCollectTime);
+  WatchLater(kind_ == FeedKind::kTargets ? kTargetsCollectTime : kCollectTime);
 }
 
 void FeedFollower::WatchLater(Duration delay) {
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -313,9 +313,10 @@
     const bool is_lead = it.address.instance == lead_;
     const Duration interval =
         is_lead && waits ? kBusyHeartbeatInterval : kHeartbeatInterval;
-    it.next_heartbeat = std::min(it.next_heartbeat, now + interval);
-    if (now >= it.next_heartbeat) {
-      it.next_heartbeat = now + interval;
+    // A reply tells as much as the answer to a heartbeat, and a busy agent has
+    // better to do.
+    if (now - std::max(it.last_heard, it.last_asked) >= interval) {
+      it.last_asked = now;
       bus_->Send(it.address.instance, heartbeat_);
     }
     if (is_lead && waits &&
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -87,8 +87,8 @@
   struct Agent {
     AgentAddress address;
     Incarnation incarnation;
-    Time last_heard{};  // Zero: never.
-    Time next_heartbeat{};
+    Time last_heard{};     // Zero: never.
+    Time last_asked{};     // By a heartbeat.
     bool suspect = false;  // Until it is heard again.
   };
 
--- a/tests/placement_client_test.cc
+++ b/tests/placement_client_test.cc
@@ -146,6 +146,27 @@
   EXPECT_EQ(client_.lead(), first_agent);
 }
 
+// Guards against heartbeats that keep a busy agent from its work: thirty
+// entries asked ten times a second while their requests waited.
+TEST_F(PlacementClientTest, AgentThatRepliesIsNotAskedWhetherItLives) {
+  client_.Tick(now_);
+  Hear(first_agent);
+  const int before = CountSent<Heartbeat>(first_agent);
+  for (int i = 0; i < 20; ++i) {
+    PlacementReply queued;
+    queued.number = Ask();
+    queued.verdict = PlacementVerdict::kQueued;
+    Hear(first_agent, queued);
+    now_ += milliseconds(50);
+    client_.Tick(now_);
+  }
+  EXPECT_EQ(CountSent<Heartbeat>(first_agent), before);
+  now_ += milliseconds(100);
+  client_.Tick(now_);
+  EXPECT_EQ(CountSent<Heartbeat>(first_agent), before + 1);
+  EXPECT_EQ(client_.lead(), first_agent);
+}
+
 // Guards against work that an agent counts for ever: the placement of a request
 // that has ended meanwhile is given back.
 TEST_F(PlacementClientTest, LatePlacementIsGivenBack) {
