--- a/src/pass_clock.cc
+++ b/src/pass_clock.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "src/units.h"
+
 namespace burdockhatch {
 
 namespace {
@@ -16,14 +18,6 @@
 constexpr double kPassMarginMs = 20;
 constexpr double kReadMargin = 0.1;
 
-Duration FromMs(double ms) {
-  return Duration(static_cast<int64_t>(ms * 1e3));
-}
-
-double ToMs(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 void Erase(std::vector<PassClock::Part>* parts, uint64_t work) {
   std::erase_if(*parts, [work](const auto& it) { return it.work == work; });
 }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -143,6 +143,8 @@
                            const std::vector<Candidate>& candidates,
                            double read_ms);
   static bool IsLong(const Pool& pool, Tokens prompt);
+  // Of a prompt with its answer, on as many engines as may share one.
+  static Tokens MostTokens(const Pool& pool);
   static double PassMsOf(const Pool& pool, const Target& target);
   // Milliseconds of reading that a target could do in one pass without a pause
   // that is too long for the answers it writes, if it read nothing else.
--- a/src/units.h
+++ b/src/units.h
@@ -58,6 +58,13 @@
 // All durations in decision logic have a resolution of one microsecond.
 using Duration = std::chrono::microseconds;
 
+constexpr Duration FromMs(double ms) {
+  return Duration(static_cast<int64_t>(ms * 1e3));
+}
+constexpr double ToMs(Duration duration) {
+  return static_cast<double>(duration.count()) / 1e3;
+}
+
 // The time that `count` tokens take at `rate`. A rate of zero or less counts as
 // one token a second.
 constexpr Duration TimeFor(Tokens count, TokensPerSecond rate) {
