--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -18,7 +18,7 @@
 // A prompt that is late already waits only behind this much reading: new ones
 // that can be in time would overtake it until its caller leaves. Its own length
 // does not count, or the longest would never be answered.
-constexpr double kLateBacklogMs = 1'200;
+constexpr double kLateBacklogMs = 1'600;
 // A caller leaves when the first event takes this multiple of its target.
 constexpr int kPatienceTargets = 3;
 // Beyond the expected first event, before an engine counts as slow: a pass and
