--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -29,8 +29,9 @@
 constexpr Duration kBalancerLag = std::chrono::milliseconds(2'700);
 // No connection is taken this long before the end.
 constexpr Duration kLastRequest = std::chrono::milliseconds(1'000);
-// Left of the grace when requests in progress are given up.
-constexpr Duration kStopMargin = std::chrono::milliseconds(300);
+// Left of the grace when requests in progress are given up: the bus lingers for
+// 300 ms, and the exit takes as long on a tenth of a core.
+constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 
 RepeatLimits RepeatLimitsOf(const ForwardingSettings& settings) {
   return {settings.repeat_ratio, settings.repeat_window,
