--- a/tests/placement_scheduler_test.cc
+++ b/tests/placement_scheduler_test.cc
@@ -94,6 +94,15 @@
     scheduler_.Change(entry_id, {number, event, TargetId(failed)}, now_);
   }
 
+  // Prompts that come one after the other and have been read.
+  void WriteShortAnswers(int count) {
+    for (int i = 0; i < count; ++i) {
+      const PlacementReply reply = Ask(MakeAsk(kShortPrompt));
+      Change(reply.number, PlacementEvent::kFirstEvent);
+      now_ += milliseconds(100);
+    }
+  }
+
   Time now_{std::chrono::seconds(100)};
   uint64_t revision_ = 0;
   uint64_t next_ = 1;
@@ -377,11 +386,7 @@
 // The same; guards against one long prompt that pauses many.
 TEST_F(PlacementSchedulerTest, LongPromptDoesNotPauseManyShortAnswers) {
   SetTargets(4);
-  for (int i = 0; i < 40; ++i) {
-    const PlacementReply reply = Ask(MakeAsk(kShortPrompt));
-    Change(reply.number, PlacementEvent::kFirstEvent);
-    now_ += milliseconds(100);
-  }
+  WriteShortAnswers(40);
   EXPECT_EQ(Ask(MakeAsk(kMerge)).verdict, PlacementVerdict::kQueued);
 }
 
@@ -390,11 +395,7 @@
 // them.
 TEST_F(PlacementSchedulerTest, LatePromptIsNotRefusedForItsOwnLength) {
   SetTargets(4);
-  for (int i = 0; i < 40; ++i) {
-    const PlacementReply reply = Ask(MakeAsk(kShortPrompt));
-    Change(reply.number, PlacementEvent::kFirstEvent);
-    now_ += milliseconds(100);
-  }
+  WriteShortAnswers(40);
   PlacementAsk ask = MakeAsk(Tokens(300'000));
   ask.first_event_left = milliseconds(2'500);
   ASSERT_EQ(Ask(ask).verdict, PlacementVerdict::kQueued);
