--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
             $(if $(wildcard src/ctl_main.cc),$(BUILD)/burdockctl) \
             $(patsubst standins/%_main.cc,$(BUILD)/%,$(STANDIN_MAINS))
 
-.PHONY: help setup all build test unit-test process-test demo bench model fuzz fuzz-programs fuzz-link format format-check \
+.PHONY: help setup all build test unit-test process-test sanitize-test demo bench model fuzz fuzz-programs fuzz-link format format-check \
         lint proto clean check
 .DEFAULT_GOAL := help
 
@@ -55,6 +55,8 @@
 	@echo "  make build         build build/burdockhatchd, build/burdockctl and the stand-ins"
 	@echo "  make unit-test     tests of the core and of single modules"
 	@echo "  make process-test  tests with real processes on loopback"
+	@echo "  make sanitize-test unit and process tests under AddressSanitizer and UBSan"
+	@echo "                     (SANITIZE_FILTER=pattern)"
 	@echo "  make bench         policy and control-cost figures with bounds and a signature"
 	@echo "                     (BENCH_FLAGS=--only=NAME runs one experiment)"
 	@echo "  make model         check the specifications in spec/ with spin"
@@ -117,6 +119,16 @@
 unit-test: $(BUILD)/unit_tests
 	$(BUILD)/unit_tests --gtest_brief=1 $(if $(FILTER),--gtest_filter=$(FILTER))
 
+# Tests under AddressSanitizer and UndefinedBehaviorSanitizer. SANITIZE_FILTER
+# chooses the tests; a long-lived leak is reported at the exit of a program.
+SANITIZE_FLAGS := -fsanitize=address,undefined -fno-sanitize-recover=undefined
+SANITIZE_FILTER ?= *
+sanitize-test:
+	@$(MAKE) --no-print-directory -j$(JOBS) BUILD=$(BUILD)/sanitized OPT=-O1 \
+	  SANITIZE="$(SANITIZE_FLAGS)" all $(BUILD)/sanitized/unit_tests $(BUILD)/sanitized/process_tests
+	$(BUILD)/sanitized/unit_tests --gtest_brief=1 --gtest_filter='$(SANITIZE_FILTER)'
+	BUILD=$(BUILD)/sanitized $(BUILD)/sanitized/process_tests --gtest_brief=1 --gtest_filter='$(SANITIZE_FILTER)'
+
 process-test: all $(if $(PROCESS_TEST_SOURCES),$(BUILD)/process_tests)
 	$(if $(PROCESS_TEST_SOURCES),$(BUILD)/process_tests --gtest_brief=1 $(if $(FILTER),--gtest_filter=$(FILTER)))
 
--- a/src/bus.cc
+++ b/src/bus.cc
@@ -22,6 +22,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "src/exception_guard.h"
 #include "src/wire.h"
 
 namespace burdockhatch {
@@ -260,7 +261,9 @@
       stop = stopping_;
     }
     for (Command& it : commands) {
-      std::visit([this](auto& command) { Execute(command); }, it);
+      RunGuarded("bus_command", [&] {
+        std::visit([this](auto& command) { Execute(command); }, it);
+      });
     }
     return stop;
   }
@@ -370,7 +373,9 @@
     const std::string_view bytes(static_cast<char*>(zmq_msg_data(frame)),
                                  zmq_msg_size(frame));
     if (single) {
-      Deliver(bytes);
+      if (!RunGuarded("bus_receive", [&] { Deliver(bytes); })) {
+        ++rejected_;
+      }
     } else {
       ++rejected_;
       SkipFrames(socket, frame);
--- a/src/caller_exchange.h
+++ b/src/caller_exchange.h
@@ -34,6 +34,12 @@
   virtual void Write(std::string data) = 0;
   virtual void EndStream() = 0;
 
+  // Returns whether the output that the caller has not read exceeds a limit.
+  // Write accepts more nevertheless.
+  virtual bool IsCongested() const = 0;
+  // Sets the handler that runs each time the exchange is no longer congested.
+  virtual void SetDrainedHandler(std::function<void()> handler) = 0;
+
   // Resets the connection, so that the caller detects a truncated response.
   virtual void Abort() = 0;
 
--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -29,13 +29,20 @@
 
 namespace {
 
-// A caller that does not read pending output within this time is treated as
+// A caller that reads nothing of pending output for this long is treated as
 // disconnected.
 constexpr auto kWriteTimeout = std::chrono::seconds(30);
 // Time for the caller to close a connection after the server has shut down its
 // sending side.
 constexpr auto kCloseTimeout = std::chrono::seconds(1);
 constexpr size_t kReadBufferBytes = 64 * 1024;
+// Output that waits for a slow caller: above the first mark the response is
+// not read on, below the second it is again.
+constexpr size_t kCongestedOutputBytes = 256 * 1024;
+constexpr size_t kDrainedOutputBytes = 64 * 1024;
+// Wait after a failed accept, for example when no descriptor is free. The
+// failed connection stays in the queue, so an immediate retry would spin.
+constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 struct SharedState {
   CallerLimits limits;
@@ -117,6 +124,12 @@
     Close();
   }
 
+  bool IsCongested() const override { return congested_; }
+
+  void SetDrainedHandler(std::function<void()> handler) override {
+    drained_handler_ = std::move(handler);
+  }
+
   void SetDisconnectHandler(std::function<void()> handler) override {
     disconnect_handler_ = std::move(handler);
   }
@@ -269,25 +282,38 @@
       return;
     }
     queued_output_ += text;
+    congested_ = congested_ || PendingOutputBytes() > kCongestedOutputBytes;
     if (!write_pending_) {
       WriteQueuedOutput();
     }
   }
 
+  size_t PendingOutputBytes() const {
+    return queued_output_.size() + output_being_written_.size() -
+           written_bytes_;
+  }
+
   void WriteQueuedOutput() {
     write_pending_ = true;
     output_being_written_ = std::exchange(queued_output_, std::string());
+    written_bytes_ = 0;
+    WriteSome();
+  }
+
+  // Writes in steps, because the timeout restarts with each step that makes
+  // progress.
+  void WriteSome() {
     if (in_exchange_) {
       stream_.expires_after(kWriteTimeout);
     }
-    asio::async_write(stream_, asio::buffer(output_being_written_),
-                      [self = shared_from_this()](error_code ec, size_t) {
-                        self->OnWritten(ec);
-                      });
+    stream_.async_write_some(
+        asio::buffer(output_being_written_) + written_bytes_,
+        [self = shared_from_this()](error_code ec, size_t n) {
+          self->OnWritten(ec, n);
+        });
   }
 
-  void OnWritten(error_code ec) {
-    write_pending_ = false;
+  void OnWritten(error_code ec, size_t n) {
     if (closed_) {
       return;
     }
@@ -295,6 +321,24 @@
       Close();
       return;
     }
+    written_bytes_ += n;
+    if (congested_ && PendingOutputBytes() < kDrainedOutputBytes) {
+      congested_ = false;
+      // The handler may replace itself or end the exchange.
+      if (const auto handler = drained_handler_) {
+        handler();
+      }
+      if (closed_) {
+        return;
+      }
+    }
+    if (written_bytes_ < output_being_written_.size()) {
+      WriteSome();
+      return;
+    }
+    write_pending_ = false;
+    output_being_written_.clear();
+    written_bytes_ = 0;
     if (!queued_output_.empty()) {
       WriteQueuedOutput();
       return;
@@ -344,6 +388,7 @@
     if (in_exchange_) {
       in_exchange_ = false;
       disconnect_handler_ = nullptr;
+      drained_handler_ = nullptr;
       --shared_->open_exchanges;
     }
   }
@@ -355,6 +400,7 @@
     closed_ = true;
     const auto self = shared_from_this();
     const auto disconnect_handler = std::move(disconnect_handler_);
+    const auto drained_handler = std::move(drained_handler_);
     EndExchange();
     error_code ignored;
     stream_.socket().close(ignored);
@@ -368,6 +414,7 @@
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::function<void()> disconnect_handler_;
+  std::function<void()> drained_handler_;
   unsigned http_version_ = 11;
   bool keep_alive_ = false;
   bool is_head_request_ = false;
@@ -377,14 +424,16 @@
   bool disconnect_watch_pending_ = false;
   bool write_pending_ = false;
   bool closed_ = false;
+  bool congested_ = false;  // See CallerExchange::IsCongested.
   std::string output_being_written_;
+  size_t written_bytes_ = 0;  // Of output_being_written_.
   std::string queued_output_;
 };
 
 class HttpCallerServer : public CallerServer {
  public:
   HttpCallerServer(asio::io_context& io, std::shared_ptr<SharedState> shared)
-      : io_(io), acceptor_(io), shared_(std::move(shared)) {}
+      : io_(io), acceptor_(io), accept_retry_(io), shared_(std::move(shared)) {}
 
   ~HttpCallerServer() override { Stop(); }
 
@@ -422,6 +471,7 @@
   void Stop() override {
     error_code ignored;
     acceptor_.close(ignored);
+    accept_retry_.cancel();
     std::vector<std::shared_ptr<Connection>> open;
     for (const auto& [key, weak] : shared_->connections) {
       if (auto connection = weak.lock()) {
@@ -439,15 +489,30 @@
       if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
         return;
       }
-      if (!ec && shared_->connections.size() < shared_->max_connections) {
-        std::make_shared<Connection>(std::move(socket), shared_)->Start();
+      if (ec) {
+        AcceptAfterDelay(ec);
+        return;
       }
       Accept();
+      if (shared_->connections.size() < shared_->max_connections) {
+        std::make_shared<Connection>(std::move(socket), shared_)->Start();
+      }
+    });
+  }
+
+  void AcceptAfterDelay(error_code accept_ec) {
+    Log(LogLevel::kWarning, "accept_failed", {{"reason", accept_ec.message()}});
+    accept_retry_.expires_after(kAcceptRetryDelay);
+    accept_retry_.async_wait([this](error_code ec) {
+      if (!ec && acceptor_.is_open()) {
+        Accept();
+      }
     });
   }
 
   asio::io_context& io_;
   tcp::acceptor acceptor_;
+  asio::steady_timer accept_retry_;
   std::shared_ptr<SharedState> shared_;
 };
 
--- a/src/clock.cc
+++ b/src/clock.cc
@@ -1,9 +1,16 @@
 #include "src/clock.h"
 
+#include <ctime>
+
 namespace burdockhatch {
 
 Time SteadyClock::Now() const {
-  const auto since_origin = std::chrono::steady_clock::now().time_since_epoch();
+  // Unlike the steady clock, CLOCK_BOOTTIME counts the time for which the
+  // machine is suspended, in which deadlines and leases expire elsewhere.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto since_origin =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
   return Time(std::chrono::duration_cast<Duration>(since_origin));
 }
 
--- a/src/clock.h
+++ b/src/clock.h
@@ -31,8 +31,8 @@
   virtual UnixSeconds WallNow() const = 0;
 };
 
-// The clocks of the machine: the monotonic clock for Now(), the system clock
-// for WallNow().
+// The clocks of the machine: the monotonic clock that counts suspension for
+// Now(), the system clock for WallNow().
 class SteadyClock : public Clock {
  public:
   Time Now() const override;
--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -19,6 +19,7 @@
 
 #include "src/config_edit.h"
 #include "src/daemon_common.h"
+#include "src/exception_guard.h"
 #include "src/log.h"
 #include "src/object_api_http.h"
 #include "src/random.h"
@@ -111,7 +112,7 @@
   }
   auto traffic_work = asio::make_work_guard(traffic_io_);
   for (uint32_t i = 0; i < settings_.limits.traffic_threads; ++i) {
-    internals_->threads.emplace_back([this] { traffic_io_.run(); });
+    internals_->threads.emplace_back([this] { RunLoopGuarded(traffic_io_); });
   }
   Log(LogLevel::kInfo, "started",
       {{"incarnation", std::to_string(self_.incarnation.value())},
@@ -126,7 +127,7 @@
           BeginStop(number);
         }
       });
-  control_io_.run();
+  RunLoopGuarded(control_io_);
 
   http_server_->Stop();
   bus_->Stop();
--- a/src/event_stream.cc
+++ b/src/event_stream.cc
@@ -38,6 +38,19 @@
   return std::nullopt;
 }
 
+// Returns whether the event has an id or data.
+bool HasOutput(std::string_view event) {
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
+    event = end == std::string_view::npos ? "" : event.substr(end + 1);
+    if (line.starts_with("data") || line.starts_with("id:")) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 bool EventStream::AcceptEvent(std::string_view event) {
@@ -70,14 +83,18 @@
     }
     const std::string_view event =
         std::string_view(partial_event_).substr(begin, end - begin);
-    if (AcceptEvent(event)) {
+    if (!HasOutput(event)) {
+      held_events_.append(event);
+    } else if (AcceptEvent(event)) {
+      complete_events.append(TakeHeldEvents());
       complete_events.append(event);
     }
     begin = end;
     search = end;
   }
   partial_event_.erase(0, begin);
-  is_invalid_ = is_invalid_ || partial_event_.size() > kMaxEventBytes;
+  is_invalid_ = is_invalid_ ||
+                partial_event_.size() + held_events_.size() > kMaxEventBytes;
   return complete_events;
 }
 
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace burdockhatch {
 
@@ -17,13 +18,23 @@
 
   // Appends `data` and returns the events that it completes. Omits events whose
   // id is at or below the last one, because a resumed stream may repeat them.
+  // An event without output, such as a comment, is held back and returned
+  // before the next one with output, so that a result that is not empty shows
+  // progress of the answer.
   std::string Feed(std::string_view data);
 
-  // Discards the received part of an incomplete event.
-  void DropPartialEvent() { partial_event_.clear(); }
+  // Returns the held events at the end of the stream.
+  std::string TakeHeldEvents() { return std::exchange(held_events_, {}); }
+
+  // Discards the received part of an incomplete event, and held events.
+  void DropPartialEvent() {
+    partial_event_.clear();
+    held_events_.clear();
+  }
 
   bool has_partial_event() const { return !partial_event_.empty(); }
-  // True after an event that is too long or whose id skips at least one.
+  // True after an event that is too long or whose id skips at least one, or
+  // after more than kMaxEventBytes of events without output.
   bool is_invalid() const { return is_invalid_; }
   std::optional<uint64_t> last_id() const { return last_id_; }
   void set_last_id(std::optional<uint64_t> id) { last_id_ = id; }
@@ -33,6 +44,7 @@
   bool AcceptEvent(std::string_view event);
 
   std::string partial_event_;
+  std::string held_events_;  // Complete events without output.
   std::optional<uint64_t> last_id_;
   bool is_invalid_ = false;
 };
--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -46,6 +46,11 @@
 
   // Closes the connection, which tells the target to abandon the request.
   virtual void Stop() = 0;
+
+  // Stops reading the body, so that the target's sends block once the socket
+  // buffers are full. A read in progress may still call on_body once.
+  virtual void PauseReading() = 0;
+  virtual void ResumeReading() = 0;
 };
 
 class ForwardConnector {
--- a/src/forward_call_http.cc
+++ b/src/forward_call_http.cc
@@ -26,6 +26,16 @@
 namespace {
 
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+// Also limits what a target may send without the end of a chunk header or of
+// the trailer.
+constexpr size_t kReadBufferBytes = 2 * kMaxHeaderBytes;
+// Responses with a status of 1xx that may precede the final response.
+constexpr int kMaxInterimResponses = 8;
+
+bool IsInterim(unsigned status) {
+  // 101 answers a request for another protocol, which is never sent.
+  return status >= 100 && status < 200 && status != 101;
+}
 
 std::string FormatRequestHead(const ForwardCallSpec& spec) {
   std::string text = fmt::format("{} {} HTTP/1.1\r\n", spec.method, spec.path);
@@ -69,11 +79,22 @@
   }
 
   void Stop() override {
-    stopped_ = true;
-    handlers_ = {};
+    if (std::exchange(stopped_, true)) {
+      return;
+    }
+    ReleaseHandlers();
     CloseSocket();
   }
 
+  void PauseReading() override { paused_ = true; }
+
+  void ResumeReading() override {
+    if (std::exchange(paused_, false) && std::exchange(read_deferred_, false)) {
+      asio::post(stream_.get_executor(),
+                 [self = shared_from_this()] { self->ReadBody(); });
+    }
+  }
+
  private:
   void SendRequest() {
     if (stopped_) {
@@ -92,7 +113,12 @@
                       });
     // A target may respond before it has read the whole body, so reading starts
     // in parallel with writing.
+    ReadResponseHead();
+  }
+
+  void ReadResponseHead() {
     parser_.emplace();
+    // The caller of ForwardCall limits the body.
     parser_->body_limit(boost::none);
     parser_->header_limit(kMaxHeaderBytes);
     parser_->skip(spec_.method == "HEAD");
@@ -114,14 +140,16 @@
       Finish(ForwardCallResult::kBroken);
       return;
     }
-    if (parser_->get().result_int() == 100) {
-      parser_.emplace();
-      parser_->body_limit(boost::none);
-      http::async_read_header(
-          stream_, buffer_, *parser_,
-          [self = shared_from_this()](error_code ec, size_t) {
-            self->OnResponseHead(ec);
-          });
+    if (stopped_) {
+      return;
+    }
+    const unsigned status = parser_->get().result_int();
+    if (IsInterim(status) && ++interim_responses_ <= kMaxInterimResponses) {
+      ReadResponseHead();
+      return;
+    }
+    if (status < 200) {
+      Finish(ForwardCallResult::kBroken);
       return;
     }
     response_head_read_ = true;
@@ -130,9 +158,8 @@
       headers.push_back(
           {std::string(it.name_string()), std::string(it.value())});
     }
-    const auto self = shared_from_this();
     if (handlers_.on_head) {
-      handlers_.on_head(parser_->get().result_int(), std::move(headers));
+      handlers_.on_head(status, std::move(headers));
     }
     ReadBody();
   }
@@ -141,6 +168,10 @@
     if (stopped_) {
       return;
     }
+    if (paused_) {
+      read_deferred_ = true;
+      return;
+    }
     if (parser_->is_done()) {
       Finish(ForwardCallResult::kComplete);
       return;
@@ -179,12 +210,19 @@
     stopped_ = true;
     CloseSocket();
     const auto on_end = std::move(handlers_.on_end);
-    handlers_ = {};
+    ReleaseHandlers();
     if (on_end) {
       on_end(result);
     }
   }
 
+  // A handler that calls Stop() is still running, and may hold the last
+  // reference to its owner.
+  void ReleaseHandlers() {
+    asio::post(stream_.get_executor(),
+               [handlers = std::exchange(handlers_, {})] {});
+  }
+
   void CloseSocket() {
     error_code ignored;
     stream_.socket().close(ignored);
@@ -194,10 +232,13 @@
   ForwardCallHandlers handlers_;
   beast::tcp_stream stream_;
   std::string request_head_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kReadBufferBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
+  int interim_responses_ = 0;
   bool response_head_read_ = false;
   bool stopped_ = false;
+  bool paused_ = false;
+  bool read_deferred_ = false;  // A read is due once reading resumes.
 };
 
 class HttpForwardConnector : public ForwardConnector {
--- a/src/forward_loop_daemon.cc
+++ b/src/forward_loop_daemon.cc
@@ -9,6 +9,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/daemon_common.h"
+#include "src/exception_guard.h"
 #include "src/log.h"
 
 namespace burdockhatch {
@@ -18,29 +19,15 @@
 
 namespace {
 
-class AsioTimer : public Timer {
- public:
-  AsioTimer(asio::io_context& io,
-            Duration delay,
-            std::function<void()> callback)
-      : timer_(io, delay) {
-    timer_.async_wait(
-        [callback = std::move(callback)](boost::system::error_code ec) {
-          if (!ec) {
-            callback();
-          }
-        });
-  }
-
- private:
-  asio::steady_timer timer_;
-};
+// Delay until the next tick after one that has failed.
+constexpr Duration kTickRetryDelay = std::chrono::milliseconds(50);
 
 }  // namespace
 
 ForwardDaemonBase::ForwardDaemonBase(Settings settings)
     : settings_(std::move(settings)),
       self_{settings_.instance, NewIncarnation()},
+      timers_(io_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_(io_) {}
 
@@ -49,7 +36,7 @@
 std::unique_ptr<Timer> ForwardDaemonBase::Schedule(
     Duration delay,
     std::function<void()> callback) {
-  return std::make_unique<AsioTimer>(io_, delay, std::move(callback));
+  return timers_.Schedule(delay, std::move(callback));
 }
 
 int ForwardDaemonBase::Run() {
@@ -70,7 +57,7 @@
        {"http", settings_.http_address}});
   WaitForSignal();
   Tick();
-  io_.run();
+  RunLoopGuarded(io_);
   admin_server_->Stop();
   bus_->Stop();
   Log(LogLevel::kInfo, "stopped");
@@ -84,11 +71,13 @@
   Bus::Handlers handlers;
   handlers.on_message = [this](Message message) {
     asio::post(io_, [this, message = std::move(message)] {
-      OnMessage(message, Now());
+      RunGuarded("message", [&] { OnMessage(message, Now()); });
     });
   };
   handlers.on_unreachable = [this](const InstanceId& peer) {
-    asio::post(io_, [this, peer] { OnUnreachable(peer, Now()); });
+    asio::post(io_, [this, peer] {
+      RunGuarded("unreachable", [&] { OnUnreachable(peer, Now()); });
+    });
   };
   HttpEntryOptions http_options;
   http_options.address = settings_.http_address;
@@ -112,7 +101,7 @@
 void ForwardDaemonBase::WaitForSignal() {
   signals_.async_wait([this](boost::system::error_code ec, int signal) {
     if (!ec) {
-      OnSignal(signal);
+      RunGuarded("signal", [&] { OnSignal(signal); });
       WaitForSignal();
     }
   });
@@ -136,7 +125,8 @@
 
 void ForwardDaemonBase::Tick() {
   const Time now = Now();
-  const Duration next = OnTick(now);
+  Duration next = kTickRetryDelay;
+  RunGuarded("tick", [&] { next = OnTick(now); });
   const bool ready = IsReady();
   if (ready != ready_ && !stopping_) {
     ready_ = ready;
@@ -169,6 +159,8 @@
 
 std::string ForwardDaemonBase::MetricsText() {
   ExportBusCounters(bus_->Stats(), &metrics_);
+  metrics_.SetGauge("burdockhatch_caught_exceptions", "",
+                    static_cast<int64_t>(CaughtExceptions()));
   return metrics_.ExpositionText();
 }
 
--- a/src/forward_loop_daemon.h
+++ b/src/forward_loop_daemon.h
@@ -15,6 +15,7 @@
 #include "src/bus.h"
 #include "src/clock.h"
 #include "src/http_entry.h"
+#include "src/loop_timers_daemon.h"
 #include "src/metrics.h"
 #include "src/settings.h"
 #include "src/timers.h"
@@ -63,6 +64,7 @@
   SteadyClock clock_;
   Metrics metrics_;
   boost::asio::io_context io_;
+  LoopTimers timers_;
   std::unique_ptr<Bus> bus_;
   std::unique_ptr<HttpEntry> admin_server_;
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "src/exception_guard.h"
 #include "src/log.h"
 
 namespace burdockhatch {
@@ -36,6 +37,8 @@
 // gap target.
 constexpr int kGapTimeoutFactor = 3;
 constexpr Duration kMinGapTimeout = std::chrono::milliseconds(600);
+// Interval at which a silent attempt that cannot be retried yet is checked.
+constexpr Duration kSilenceRecheckInterval = std::chrono::milliseconds(300);
 // Interval at which a request looks for an available target again.
 constexpr Duration kTargetRetryInterval = std::chrono::milliseconds(25);
 // Engine memory that was not free may become free after one or two passes.
@@ -67,19 +70,38 @@
       config_(context->config),
       received_at_(context->timers->Now()) {}
 
+template <class Step>
+void ForwardRequest::Guard(Step&& step) {
+  if (RunGuarded("request", std::forward<Step>(step)) || finished_) {
+    return;
+  }
+  Log(LogLevel::kError, "request_failed_by_exception",
+      {{"request", caller_fields_.attempt_id}});
+  may_have_executed_ = may_have_executed_ || forward_call_ != nullptr;
+  CloseAttempt(PlacementEvent::kEnded, CallOutcome::kFailed);
+  FinishWithFailure("internal_error");
+}
+
 void ForwardRequest::Start() {
+  Guard([this] { Admit(); });
+}
+
+void ForwardRequest::Admit() {
   if (!ResolveRoute()) {
     return;
   }
   context_->retry_budget.OnRequest(service_, received_at_);
   events_.set_last_id(caller_fields_.last_event_id);
-  exchange_->SetDisconnectHandler(
-      [self = shared_from_this()] { self->OnCallerGone(); });
+  exchange_->SetDisconnectHandler([self = shared_from_this()] {
+    self->Guard([&] { self->OnCallerGone(); });
+  });
   const Duration time_left = std::min(
       caller_fields_.time_left.value_or(route_->timeout), route_->timeout);
   deadline_ = received_at_ + time_left;
-  deadline_timer_ = context_->timers->Schedule(
-      time_left, [self = shared_from_this()] { self->OnDeadline(); });
+  deadline_timer_ =
+      context_->timers->Schedule(time_left, [self = shared_from_this()] {
+        self->Guard([&] { self->OnDeadline(); });
+      });
   StartNextAttempt();
 }
 
@@ -172,7 +194,7 @@
   context_->placement->RequestPlacement(
       std::move(ask),
       [self = shared_from_this()](const PlacementReply& reply) {
-        self->OnPlacementReply(reply);
+        self->Guard([&] { self->OnPlacementReply(reply); });
       },
       now);
 }
@@ -196,8 +218,10 @@
     context_->placement->ReportEvent(reply.number, PlacementEvent::kEnded,
                                      TargetId(), now);
     placement_number_.reset();
-    retry_timer_ = context_->timers->Schedule(
-        Duration(0), [self = shared_from_this()] { self->StartNextAttempt(); });
+    retry_timer_ =
+        context_->timers->Schedule(Duration(0), [self = shared_from_this()] {
+          self->Guard([&] { self->StartNextAttempt(); });
+        });
     return;
   }
   std::vector<ForwardHelper> helpers;
@@ -294,22 +318,31 @@
     return;
   }
   // Excluded targets may be back in the target list by the next try.
-  retry_timer_ = context_->timers->Schedule(kTargetRetryInterval,
-                                            [self = shared_from_this()] {
-                                              self->excluded_targets_.clear();
-                                              self->StartNextAttempt();
-                                            });
+  retry_timer_ = context_->timers->Schedule(
+      kTargetRetryInterval, [self = shared_from_this()] {
+        self->excluded_targets_.clear();
+        self->Guard([&] { self->StartNextAttempt(); });
+      });
 }
 
 void ForwardRequest::SendToTarget(const FleetDirectory::KnownTarget& entry,
                                   std::vector<ForwardHelper> helpers) {
   const Time now = context_->timers->Now();
+  if (now >= deadline_) {
+    // The process was paused, and the deadline timer runs later in this turn.
+    if (!placement_number_) {
+      context_->balancer.EndCall(entry.record.target, CallOutcome::kCallerGone,
+                                 Duration(0), now);
+    }
+    OnDeadline();
+    return;
+  }
   target_ = entry.record.target;
   helpers_ = helpers;
   sent_at_ = now;
   response_status_ = 0;
   response_headers_.clear();
-  response_body_.clear();
+  DropBufferedBodies();
   is_streaming_ = false;
   ++attempt_count_;
   ++send_count_;
@@ -331,13 +364,13 @@
   const auto self = shared_from_this();
   ForwardCallHandlers handlers;
   handlers.on_head = [self](uint32_t status, HeaderList headers) {
-    self->OnResponseHead(status, std::move(headers));
+    self->Guard([&] { self->OnResponseHead(status, std::move(headers)); });
   };
   handlers.on_body = [self](std::string_view data) {
-    self->OnResponseBody(data);
+    self->Guard([&] { self->OnResponseBody(data); });
   };
   handlers.on_end = [self](ForwardCallResult result) {
-    self->OnCallEnd(result);
+    self->Guard([&] { self->OnCallEnd(result); });
   };
   StartSilenceTimer(FirstResponseTimeout());
   forward_call_ =
@@ -356,8 +389,10 @@
 void ForwardRequest::StartSilenceTimer(Duration timeout) {
   silence_timer_.reset();
   if (route_->repeatable) {
-    silence_timer_ = context_->timers->Schedule(
-        timeout, [self = shared_from_this()] { self->OnSilenceTimeout(); });
+    silence_timer_ =
+        context_->timers->Schedule(timeout, [self = shared_from_this()] {
+          self->Guard([&] { self->OnSilenceTimeout(); });
+        });
   }
 }
 
@@ -366,6 +401,12 @@
       TimeLeft() < kMinTimeForRetry) {
     return;
   }
+  // The target may be slow and sound: without a retry its answer is awaited
+  // until the deadline.
+  if (!AllowRetry(AttemptFailure::kTimedOut)) {
+    StartSilenceTimer(kSilenceRecheckInterval);
+    return;
+  }
   FailAttempt(AttemptFailure::kTimedOut);
 }
 
@@ -388,11 +429,33 @@
 }
 
 void ForwardRequest::OnResponseBody(std::string_view data) {
-  if (!is_streaming_) {
-    response_body_.append(data);
+  if (is_streaming_) {
+    ForwardEvents(data);
     return;
   }
-  ForwardEvents(data);
+  if (ExceedsResponseLimits(data.size())) {
+    FailAttempt(AttemptFailure::kTooLarge);
+    return;
+  }
+  response_body_.append(data);
+  buffered_bytes_ += data.size();
+  context_->buffered_response_bytes += data.size();
+}
+
+bool ForwardRequest::ExceedsResponseLimits(size_t more) const {
+  const ResponseLimits& limits = context_->response_limits;
+  return response_body_.size() + more >
+             static_cast<size_t>(limits.max_response.value()) ||
+         context_->buffered_response_bytes + more >
+             static_cast<size_t>(limits.max_buffered_responses.value());
+}
+
+// The last error response stays, as it may be the final one.
+void ForwardRequest::DropBufferedBodies() {
+  response_body_ = std::string();
+  const size_t kept = error_response_ ? error_response_->body.size() : 0;
+  context_->buffered_response_bytes -= buffered_bytes_ - kept;
+  buffered_bytes_ = kept;
 }
 
 void ForwardRequest::ForwardEvents(std::string_view data) {
@@ -419,9 +482,29 @@
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
-  StartSilenceTimer(
-      std::max(route_->gap_target * kGapTimeoutFactor, kMinGapTimeout));
+  StartSilenceTimer(GapTimeout());
   exchange_->Write(std::move(complete_events));
+  PauseWhileCongested();
+}
+
+void ForwardRequest::PauseWhileCongested() {
+  if (!exchange_->IsCongested() || !forward_call_) {
+    return;
+  }
+  forward_call_->PauseReading();
+  silence_timer_.reset();
+  exchange_->SetDrainedHandler([self = shared_from_this()] {
+    self->Guard([&] {
+      if (!self->finished_ && self->forward_call_) {
+        self->StartSilenceTimer(self->GapTimeout());
+        self->forward_call_->ResumeReading();
+      }
+    });
+  });
+}
+
+Duration ForwardRequest::GapTimeout() const {
+  return std::max(route_->gap_target * kGapTimeoutFactor, kMinGapTimeout);
 }
 
 void ForwardRequest::OnCallEnd(ForwardCallResult result) {
@@ -443,6 +526,7 @@
       return;
     }
     CloseAttempt(PlacementEvent::kEnded, CallOutcome::kAnswered);
+    exchange_->Write(events_.TakeHeldEvents());
     exchange_->EndStream();
     Finish(200, "streamed");
     return;
@@ -460,6 +544,24 @@
   Finish(response_status_, "answered");
 }
 
+std::string_view ForwardRequest::ToString(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kNotSent:
+      return "not_sent";
+    case AttemptFailure::kNotExecuted:
+      return "not_run";
+    case AttemptFailure::kBroken:
+      return "broken";
+    case AttemptFailure::kTimedOut:
+      return "silent";
+    case AttemptFailure::kErrorResponse:
+      return "failed_answer";
+    case AttemptFailure::kTooLarge:
+      return "too_large";
+  }
+  return "unknown";
+}
+
 TargetId ForwardRequest::FindFailedTarget(AttemptFailure failure) const {
   if (failure != AttemptFailure::kNotExecuted ||
       response_fields_.failed_helper.empty()) {
@@ -478,11 +580,7 @@
   Log(LogLevel::kWarning, "attempt_failed",
       {{"request", caller_fields_.attempt_id},
        {"target", target_.value()},
-       {"why", failure == AttemptFailure::kNotSent       ? "not_sent"
-               : failure == AttemptFailure::kNotExecuted ? "not_run"
-               : failure == AttemptFailure::kBroken      ? "broken"
-               : failure == AttemptFailure::kTimedOut    ? "silent"
-                                                         : "failed_answer"},
+       {"why", std::string(ToString(failure))},
        {"status", std::to_string(response_status_)},
        {"after_ms", FormatMs(now - sent_at_)},
        {"helpers", std::to_string(helpers_.size())},
@@ -495,8 +593,8 @@
   if (failure == AttemptFailure::kErrorResponse && response_fields_.is_signed &&
       (route_->repeatable ||
        (response_status_ != 503 && response_status_ != 429))) {
-    error_response_ =
-        ErrorResponse{response_status_, response_headers_, response_body_};
+    error_response_ = ErrorResponse{response_status_, response_headers_,
+                                    std::exchange(response_body_, {})};
   }
   const bool not_sent = failure == AttemptFailure::kNotSent;
   const bool not_executed = failure == AttemptFailure::kNotExecuted;
@@ -533,7 +631,8 @@
   if (excluded_targets_.size() >= static_cast<size_t>(kMaxExcludedTargets)) {
     excluded_targets_.erase(excluded_targets_.begin());
   }
-  if (!AllowRetry(failure)) {
+  // OnSilenceTimeout has taken the retry already.
+  if (failure != AttemptFailure::kTimedOut && !AllowRetry(failure)) {
     FinishWithFailure("no_further_attempt");
     return;
   }
@@ -544,7 +643,9 @@
   }
   retry_timer_ = context_->timers->Schedule(
       kRejectionRetryDelay * (1 << (rejected - kImmediateRejectionRetries - 1)),
-      [self = shared_from_this()] { self->StartNextAttempt(); });
+      [self = shared_from_this()] {
+        self->Guard([&] { self->StartNextAttempt(); });
+      });
 }
 
 uint32_t ForwardRequest::RejectedSends() const {
@@ -638,6 +739,8 @@
     return;
   }
   finished_ = true;
+  error_response_.reset();
+  DropBufferedBodies();
   deadline_timer_.reset();
   silence_timer_.reset();
   retry_timer_.reset();
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -29,6 +29,13 @@
 
 namespace burdockhatch {
 
+// Limits of response bodies that an entry holds in memory until they are
+// complete.
+struct ResponseLimits {
+  Bytes max_response{2 * 1024 * 1024};             // Of one response.
+  Bytes max_buffered_responses{32 * 1024 * 1024};  // Of all of them.
+};
+
 // State and services shared by all requests of an entry. Must outlive them.
 struct ForwardContext {
   Timers* timers = nullptr;
@@ -48,6 +55,8 @@
   ServiceBalancer balancer{0};
   RequestRetryBudget retry_budget{RequestRetryLimits()};
   Random random{0};
+  ResponseLimits response_limits;
+  size_t buffered_response_bytes = 0;
 };
 
 class ForwardRequest : public std::enable_shared_from_this<ForwardRequest> {
@@ -66,9 +75,17 @@
     kBroken,         // The connection broke or the response was invalid.
     kTimedOut,       // No response or event arrived in time.
     kErrorResponse,  // A complete response with a 5xx status.
+    kTooLarge,       // The response exceeds a limit.
   };
 
+  // Runs `step`; an exception ends this request only.
+  template <class Step>
+  void Guard(Step&& step);
+
+  static std::string_view ToString(AttemptFailure failure);
+
   // --- Admission ---
+  void Admit();
   // Sets the route, client account and service. On failure rejects the request
   // and returns false.
   bool ResolveRoute();
@@ -90,9 +107,14 @@
   void OnResponseBody(std::string_view data);
   void OnCallEnd(ForwardCallResult result);
   void ForwardEvents(std::string_view data);
+  // Reads the stream no faster than the caller does.
+  void PauseWhileCongested();
+  bool ExceedsResponseLimits(size_t more) const;
+  void DropBufferedBodies();
   // Restarts the timer. On a route that is not repeatable it only stops it.
   void StartSilenceTimer(Duration timeout);
   Duration FirstResponseTimeout() const;
+  Duration GapTimeout() const;
   void OnSilenceTimeout();
   void FailAttempt(AttemptFailure failure);
   // Takes from the retry budget of the service when it returns true, except for
@@ -159,6 +181,7 @@
     std::string body;
   };
   std::optional<ErrorResponse> error_response_;
+  size_t buffered_bytes_ = 0;  // Part of context_->buffered_response_bytes.
 
   EventStream events_;
   bool stream_started_ = false;  // The response head was sent to the caller.
--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -26,6 +26,7 @@
 
 #include "src/answer_assembler.h"
 #include "src/caller_api.h"
+#include "src/exception_guard.h"
 #include "src/log.h"
 
 namespace burdockhatch {
@@ -676,7 +677,7 @@
     }
     Accept();
     for (uint32_t i = 0; i < shared_->options.limits.traffic_threads; ++i) {
-      threads_.emplace_back([this] { io_.run(); });
+      threads_.emplace_back([this] { RunLoopGuarded(io_); });
     }
     return "";
   }
--- a/src/reservations.h
+++ b/src/reservations.h
@@ -50,15 +50,18 @@
   ReservationSet& operator=(const ReservationSet&) = delete;
 
   // Calls `done` once all engines have replied, unless the set is destroyed
-  // first. `reserved` is true if every engine accepted.
+  // first. `reserved` is true if every engine accepted and no reservation has
+  // expired since.
   void Start(std::function<void(bool reserved)> done);
 
  private:
   struct State;
 
   void Renew();
+  void ScheduleRenewal();
 
   std::shared_ptr<State> state_;
+  Time renewed_at_{};
   std::unique_ptr<Timer> renewal_;
 };
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -26,6 +26,7 @@
 constexpr Bounds kTokensPerSecondBounds{1, 1'000'000'000};
 constexpr Bounds kMsPerTokenBounds{1, 60'000};
 constexpr Bounds kBodyBytesBounds{1'024, 32 * 1024 * 1024};
+constexpr Bounds kResponseBytesBounds{1'024, 1024 * 1024 * 1024};
 constexpr Bounds kDeadlineMsBounds{1, kDayMs};
 constexpr Bounds kShutdownMsBounds{0, 600'000};
 constexpr Bounds kThreadCountBounds{1, 64};
@@ -81,6 +82,14 @@
                    &limits->traffic_threads);
   reader.ReadCount("max_connections", kConnectionCountBounds,
                    &limits->max_connections);
+  reader.ReadQuantity("max_response_bytes", kResponseBytesBounds,
+                      &limits->max_response);
+  reader.ReadQuantity("max_buffered_response_bytes", kResponseBytesBounds,
+                      &limits->max_buffered_responses);
+  if (limits->max_response > limits->max_buffered_responses) {
+    findings->Add(reader.PathOf("max_response_bytes"),
+                  "is above max_buffered_response_bytes");
+  }
   if (limits->default_deadline > limits->max_deadline) {
     findings->Add(reader.PathOf("default_deadline_ms"),
                   "is above max_deadline_ms");
--- a/src/settings.h
+++ b/src/settings.h
@@ -51,6 +51,10 @@
   std::chrono::milliseconds balancer_lag{5'000};
   uint32_t traffic_threads = 2;
   uint32_t max_connections = 4'096;  // Open connections from callers.
+  // Forwarding entries only: the body of one response that is not streamed, and
+  // all of them that are held in memory. A larger one fails its attempt.
+  Bytes max_response{2 * 1024 * 1024};
+  Bytes max_buffered_responses{32 * 1024 * 1024};
 };
 
 // An entry from which another one can fetch the configuration before it has the
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -68,10 +68,13 @@
 
 struct FakeCall : ForwardCall {
   void Stop() override { stopped = true; }
+  void PauseReading() override { paused = true; }
+  void ResumeReading() override { paused = false; }
 
   ForwardCallSpec spec;
   ForwardCallHandlers handlers;
   bool stopped = false;
+  bool paused = false;
 };
 
 class FakeConnector : public ForwardConnector {
@@ -105,6 +108,10 @@
     ++ends;
     aborted = true;
   }
+  bool IsCongested() const override { return congested; }
+  void SetDrainedHandler(std::function<void()> handler) override {
+    on_drained = std::move(handler);
+  }
   void SetDisconnectHandler(std::function<void()> handler) override {
     on_gone = std::move(handler);
   }
@@ -114,6 +121,8 @@
   HeaderList headers;
   std::string text;
   bool aborted = false;
+  bool congested = false;
+  std::function<void()> on_drained;
   std::function<void()> on_gone;
 };
 
