Keep a cold target's rate with any number of entries and leaders

Cause: an entry without an agent was free to send its first request to a cold target at once, whatever its share, so 103 entries that restart together sent 33 requests in a second where 26 are allowed; and each leader that they chose while they learnt the target list used half of the rate anew.

An entry that places work itself now shares 5% of the rate with all others and starts at a point of its interval of its own; without a reported number of entries it assumes 1,000. Leaders use 20% while the agents of an entry are not settled for 2.5 s, else half. The same phase holds for cold plain services.

Tried and dropped: no cold target at all until the agents are settled.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -302,7 +302,7 @@
   request.excluded_targets = excluded_targets_;
   request.cold_requests_per_s =
       pool_ == nullptr ? 0 : pool_->cold_requests_per_s;
-  request.entry_count = context_->placement->entry_count();
+  request.entry_count = context_->placement->reported_entry_count();
   const std::optional<TargetId> target =
       context_->balancer.BeginCall(usable, request, now);
   if (target) {
--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -96,7 +96,7 @@
 
 bool PlacementScheduler::IsAvailable(const Target& target,
                                      const PlacementAsk& ask,
-                                     Time now) const {
+                                     Time now) {
   return target.listed && now >= target.suspect_until &&
          now >= target.next_cold_request &&
          std::find(ask.excluded.begin(), ask.excluded.end(),
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "src/fleet_size.h"
 #include "src/log.h"
 #include "src/rendezvous.h"
 
@@ -15,7 +16,7 @@
 
 // Agents to which an entry stays connected: the leader and its possible
 // successors.
-constexpr size_t kConnectedAgents = 3;
+constexpr size_t kConnectedAgents = PlacementScheduler::kMaxLeaders;
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
 // Shorter interval while requests are pending at the leader, to detect its
 // silence sooner.
@@ -43,7 +44,9 @@
 PlacementClient::PlacementClient(PeerId self,
                                  Heartbeat heartbeat,
                                  PlacementBus* bus)
-    : self_(std::move(self)), heartbeat_(std::move(heartbeat)), bus_(bus) {}
+    : self_(std::move(self)), heartbeat_(std::move(heartbeat)), bus_(bus) {
+  LimitLocalColdRate(Time());
+}
 
 bool PlacementClient::IsAlive(const Agent& agent, Time now) {
   return !agent.suspect && agent.last_heard != Time() &&
@@ -55,6 +58,7 @@
     agents.resize(kConnectedAgents);
   }
   std::vector<Agent> next;
+  size_t known = 0;
   for (AgentEndpoint& it : agents) {
     const auto known_agent =
         std::find_if(agents_.begin(), agents_.end(),
@@ -62,6 +66,7 @@
     if (known_agent != agents_.end()) {
       next.push_back(std::move(*known_agent));
       agents_.erase(known_agent);
+      ++known;
       continue;
     }
     bus_->Connect(it.instance, it.bus_address);
@@ -78,8 +83,12 @@
       bus_->Disconnect(it.endpoint.instance);
     }
   }
+  const bool changed = !agents_.empty() || next.size() != known;
   agents_ = std::move(next);
   SelectLeader(now);
+  if (changed) {
+    OnAgentsChanged(now);
+  }
 }
 
 void PlacementClient::SetTargets(TargetList list, Time now) {
@@ -128,6 +137,7 @@
 void PlacementClient::SendAsk(Pending& pending, Time now) {
   pending.asked_at = now;
   pending.queued = false;
+  pending.ask.unsettled_left = UnsettledLeft(now);
   pending.ask.first_event_left = pending.first_event_by - now;
   pending.ask.time_left = std::max(pending.deadline - now, Duration(0));
   if (leader_.empty()) {
@@ -137,6 +147,29 @@
   }
 }
 
+// The limit of the local scheduler holds for any number of entries.
+Duration PlacementClient::UnsettledLeft(Time now) const {
+  return leader_.empty()
+             ? Duration(0)
+             : std::max(agents_since_ + kSettleTime - now, Duration(0));
+}
+
+// Queued requests were sent as settled.
+void PlacementClient::OnAgentsChanged(Time now) {
+  agents_since_ = now;
+  for (auto& [number, pending] : pending_) {
+    if (pending.queued && !leader_.empty()) {
+      SendAsk(pending, now);
+    }
+  }
+}
+
+void PlacementClient::LimitLocalColdRate(Time now) {
+  local_scheduler_.LimitColdRate(
+      kLocalColdRateShare / reported_entry_count_.value_or(kAssumedEntryCount),
+      StableHash(self_.instance.value()), now);
+}
+
 void PlacementClient::ReportEvent(uint64_t number,
                                   PlacementEvent event,
                                   const TargetId& failed,
@@ -162,6 +195,7 @@
   }
   const bool restarted = agent->incarnation != Incarnation() &&
                          agent->incarnation != message.sender.incarnation;
+  const bool is_new = agent->incarnation != message.sender.incarnation;
   agent->incarnation = message.sender.incarnation;
   agent->last_heard = now;
   agent->suspect = false;
@@ -169,6 +203,9 @@
     agent->suspect = true;
     agent->last_heard = Time();
   }
+  if (is_new) {
+    OnAgentsChanged(now);
+  }
   const bool is_leader = message.sender.instance == leader_;
   if (is_leader && restarted) {
     SetLeader(leader_, now);
@@ -187,6 +224,7 @@
   if (reply.entries >= entry_count_ ||
       now - leader_since_ > kLeaderSettleTime) {
     entry_count_ = std::max(reply.entries, 1U);
+    reported_entry_count_ = entry_count_;
   }
   const auto it = pending_.find(reply.number);
   if (it != pending_.end() && reply.list_fingerprint != 0) {
@@ -308,6 +346,8 @@
       bus_->Send(leader_, list_state.list);
     }
     bus_->Send(leader_, local_scheduler_.MakeSnapshot(self_));
+  } else {
+    LimitLocalColdRate(now);
   }
   for (auto& [number, pending] : pending_) {
     // Removes the request from the queue of the local scheduler.
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -40,10 +40,14 @@
 
 class PlacementClient {
  public:
-  // Share of a cold target's rate that an entry uses when it places requests
-  // itself. Such entries neither see each other's requests nor know how many
-  // they are; the share suits about 30 entries.
-  static constexpr double kLocalColdRateShare = 0.02;
+  // Share of a cold target's rate for all entries together that place requests
+  // themselves, beside the shares of the leaders.
+  static constexpr double kLocalColdRateShare = 0.05;
+  // Time for which an entry must have known the same incarnations of the agents
+  // until they are settled: the target lists of all entries agree by then, so
+  // no more than PlacementScheduler::kMaxLeaders agents place requests, and
+  // what earlier ones have placed is more than a second ago.
+  static constexpr Duration kSettleTime = std::chrono::milliseconds(2'500);
   // Number of entries assumed until an agent has reported it.
   static constexpr uint32_t kInitialEntryCount = 32;
 
@@ -82,6 +86,10 @@
 
   // Number of entries that the leader knows.
   uint32_t entry_count() const { return entry_count_; }
+  // The same, or nullopt until a leader has reported it.
+  std::optional<uint32_t> reported_entry_count() const {
+    return reported_entry_count_;
+  }
   // The agent that places requests; empty while the entry places them itself.
   const InstanceId& leader() const { return leader_; }
 
@@ -121,6 +129,9 @@
   void SelectLeader(Time now);
   void SetLeader(const InstanceId& agent, Time now);
   void SendAsk(Pending& pending, Time now);
+  Duration UnsettledLeft(Time now) const;
+  void OnAgentsChanged(Time now);
+  void LimitLocalColdRate(Time now);
   void OnReply(const PlacementReply& reply, Time now);
   void ProcessLocalDecisions(Time now);
   void SendChangedLists(Time now);
@@ -131,14 +142,16 @@
   PlacementBus* bus_;
   // Tracks the entry's own placed requests, and places requests while there is
   // no leader.
-  PlacementScheduler local_scheduler_{kLocalColdRateShare};
+  PlacementScheduler local_scheduler_;
   std::map<ServiceId, TargetListState> target_lists_;
   std::vector<Agent> agents_;  // In order of preference.
   InstanceId leader_;
   std::map<uint64_t, Pending> pending_;
   uint64_t next_number_ = 1;
   uint32_t entry_count_ = kInitialEntryCount;
+  std::optional<uint32_t> reported_entry_count_;
   Time leader_since_{};
+  Time agents_since_{};  // Of the last new agent or incarnation.
   Time next_snapshot_{};
 };
 
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -68,9 +68,13 @@
   state.fill_order.clear();
   for (const TargetDescription& it : list.targets) {
     Target& target = state.targets[it.target];
+    const bool was_cold = now < target.cold_until;
     target.description = it;
     target.listed = true;
     target.cold_until = now + it.cold_left;
+    if (!was_cold && cold_phase_seed_) {
+      target.next_cold_request = FirstColdRequest(state, target, now);
+    }
     state.fill_order.push_back(&target);
   }
   std::sort(state.fill_order.begin(), state.fill_order.end(),
@@ -88,6 +92,35 @@
   PlaceQueued(state, now);
 }
 
+void PlacementScheduler::LimitColdRate(double share,
+                                       uint64_t phase_seed,
+                                       Time now) {
+  cold_share_ = share;
+  cold_phase_seed_ = phase_seed;
+  for (auto& [service, state] : services_) {
+    for (auto& [id, target] : state.targets) {
+      target.next_cold_request = FirstColdRequest(state, target, now);
+    }
+  }
+}
+
+Duration PlacementScheduler::ColdInterval(const ServiceState& state,
+                                          double share) {
+  return FromMs(1e3 / (state.cold_requests_per_s * share));
+}
+
+Time PlacementScheduler::FirstColdRequest(const ServiceState& state,
+                                          const Target& target,
+                                          Time now) const {
+  if (now >= target.cold_until || state.cold_requests_per_s <= 0) {
+    return Time();
+  }
+  const uint64_t hash =
+      MixHash(*cold_phase_seed_, StableHash(target.description.target.value()));
+  const double phase = static_cast<double>(hash >> 11) * 0x1p-53;
+  return now + FromMs(ToMs(ColdInterval(state, cold_share_)) * phase);
+}
+
 void PlacementScheduler::RequestPlacement(const PeerId& entry,
                                           const PlacementAsk& ask,
                                           Time now) {
@@ -265,6 +298,7 @@
   placed.expected_first_event = assignment.expected_first_event;
   placed.part_prefill_ms = assignment.part_prefill_ms;
   placed.is_long = IsLongPrompt(state, ask.prompt);
+  placed.is_unsettled = now < request.asked_at + ask.unsettled_left;
   AddPlacedRequest(state, {request.entry, ask.number}, std::move(placed), now);
 
   PlacementReply reply;
@@ -293,8 +327,10 @@
   }
   ++target.gap_target_counts[placed.work.gap_target];
   if (now < target.cold_until && state.cold_requests_per_s > 0) {
-    target.next_cold_request =
-        now + FromMs(1e3 / (state.cold_requests_per_s * cold_share_));
+    const double share = placed.is_unsettled
+                             ? std::min(kUnsettledColdShare, cold_share_)
+                             : cold_share_;
+    target.next_cold_request = now + ColdInterval(state, share);
   }
   placed.placement_id = next_placement_id_++;
   target.decoding += placed.work.reading ? 0 : 1;
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -37,10 +37,22 @@
     PlacementReply reply;
   };
 
-  // `cold_share` is the share of a cold target's request rate that this
-  // scheduler may use.
-  explicit PlacementScheduler(double cold_share = 0.5)
-      : cold_share_(cold_share) {}
+  // Agents that may place requests at the same time: the leader and its
+  // possible successors, as entries may disagree on the leader.
+  static constexpr int kMaxLeaders = 3;
+  // Share of a cold target's request rate that a leader uses. The leaders
+  // together stay within the overrun of one half that targets tolerate.
+  static constexpr double kLeaderColdShare = 1.5 / kMaxLeaders;
+  // The same while entries may disagree on the agents too, for example when all
+  // have restarted and learn the target list. Suits six leaders within a
+  // second.
+  static constexpr double kUnsettledColdShare = 0.2;
+
+  // Sets the share of a cold target's request rate that this scheduler may use.
+  // `phase_seed` differs between schedulers that use the same small share at
+  // the same time: each sends its first request to a cold target at another
+  // point of its interval.
+  void LimitColdRate(double share, uint64_t phase_seed, Time now);
 
   // Replaces the target list unless the known one is newer. A list of equal
   // revision is accepted because the withdrawals of an entry may have changed.
@@ -86,6 +98,7 @@
     Duration expected_first_event{0};
     double part_prefill_ms = 0;  // Prefill time on each of its targets.
     bool is_long = false;
+    bool is_unsettled = false;  // See PlacementAsk::unsettled_left.
   };
 
   struct Target {
@@ -173,9 +186,9 @@
   static double AvailablePrefillMs(const ServiceState& state,
                                    const Target& target,
                                    Time now);
-  bool IsAvailable(const Target& target,
-                   const PlacementAsk& ask,
-                   Time now) const;
+  static bool IsAvailable(const Target& target,
+                          const PlacementAsk& ask,
+                          Time now);
   static void UpdateShortTargetCount(ServiceState& state,
                                      double long_prefill_ms,
                                      Time now);
@@ -266,8 +279,15 @@
       Time now);
   void Refuse(const QueuedRequest& request, Duration retry_after);
   void PlaceQueued(ServiceState& state, Time now);
+  // Returns the time between two requests to a cold target.
+  static Duration ColdInterval(const ServiceState& state, double share);
+  // Returns the earliest time of the first request to a target that is cold.
+  Time FirstColdRequest(const ServiceState& state,
+                        const Target& target,
+                        Time now) const;
 
-  double cold_share_;
+  double cold_share_ = kLeaderColdShare;
+  std::optional<uint64_t> cold_phase_seed_;
   std::map<ServiceId, ServiceState> services_;
   std::set<PeerId> entries_;
   uint64_t next_placement_id_ = 1;
--- a/src/service_balancer.cc
+++ b/src/service_balancer.cc
@@ -1,6 +1,9 @@
 #include "src/service_balancer.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "src/fleet_size.h"
 
 namespace burdockhatch {
 
@@ -25,6 +28,11 @@
 // Share of a cold target's rate that all entries together use.
 constexpr double kColdRateShare = 0.8;
 
+Duration Scale(Duration duration, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace
 
 double ServiceBalancer::Score(const FleetDirectory::KnownTarget& entry,
@@ -45,10 +53,49 @@
   return score + random_.UniformReal() * kRemoteDataCentrePenaltyMs / 2;
 }
 
+// Returns the time between two calls of this entry to a cold target.
+Duration ServiceBalancer::ColdCallInterval(const ChoiceParams& params) {
+  const double own_rate = params.cold_requests_per_s * kColdRateShare /
+                          params.entry_count.value_or(kAssumedEntryCount);
+  return Duration(static_cast<int64_t>(1e6 / own_rate));
+}
+
+// The first call of an entry to a cold target comes at a random point of its
+// interval. Without this, each entry would be free to call at once, and all of
+// them together would exceed the target's rate.
+void ServiceBalancer::UpdateColdCalls(
+    const std::vector<const FleetDirectory::KnownTarget*>& usable,
+    const ChoiceParams& params,
+    Time now) {
+  const bool is_limited = params.cold_requests_per_s > 0;
+  const Duration interval = is_limited ? ColdCallInterval(params) : Duration(0);
+  for (const FleetDirectory::KnownTarget* it : usable) {
+    Target& target = targets_[it->record.target];
+    const bool was_cold =
+        std::exchange(target.is_cold, is_limited && now < it->cold_until);
+    if (!target.is_cold) {
+      continue;
+    }
+    if (!was_cold) {
+      target.next_cold_call = now + Scale(interval, random_.UniformReal());
+    } else if (now < target.next_cold_call &&
+               interval != target.cold_call_interval) {
+      // The number of entries has become known or has changed.
+      target.next_cold_call =
+          now +
+          Scale(target.next_cold_call - now,
+                static_cast<double>(interval.count()) /
+                    static_cast<double>(target.cold_call_interval.count()));
+    }
+    target.cold_call_interval = interval;
+  }
+}
+
 std::optional<TargetId> ServiceBalancer::BeginCall(
     const std::vector<const FleetDirectory::KnownTarget*>& usable,
     const ChoiceParams& params,
     Time now) {
+  UpdateColdCalls(usable, params, now);
   const FleetDirectory::KnownTarget* best = nullptr;
   double best_score = 0;
   for (const FleetDirectory::KnownTarget* it : usable) {
@@ -56,7 +103,8 @@
     const bool excluded = std::find(params.excluded_targets.begin(),
                                     params.excluded_targets.end(),
                                     id) != params.excluded_targets.end();
-    if (excluded || now < targets_[id].next_cold_call) {
+    const Target& target = targets_[id];
+    if (excluded || (target.is_cold && now < target.next_cold_call)) {
       continue;
     }
     const double score = Score(*it, params, now);
@@ -70,11 +118,8 @@
   }
   Target& target = targets_[best->record.target];
   ++target.in_progress;
-  if (now < best->cold_until && params.cold_requests_per_s > 0) {
-    const double own_rate = params.cold_requests_per_s * kColdRateShare /
-                            std::max(params.entry_count, 1U);
-    target.next_cold_call =
-        now + Duration(static_cast<int64_t>(1e6 / own_rate));
+  if (target.is_cold) {
+    target.next_cold_call = now + ColdCallInterval(params);
   }
   return best->record.target;
 }
--- a/src/service_balancer.h
+++ b/src/service_balancer.h
@@ -28,7 +28,8 @@
     DataCentreId entry_data_centre;  // Its targets are preferred.
     std::vector<TargetId> excluded_targets;
     double cold_requests_per_s = 0;  // 0 means no limit.
-    uint32_t entry_count = 1;        // Entries that share a cold target's rate.
+    // Entries that share a cold target's rate; nullopt if unknown.
+    std::optional<uint32_t> entry_count;
   };
 
   explicit ServiceBalancer(uint64_t seed) : random_(seed) {}
@@ -58,9 +59,17 @@
     double call_ms = 0;
     uint32_t consecutive_failures = 0;
     Time suspect_until{};
+    bool is_cold = false;
     Time next_cold_call{};
+    Duration cold_call_interval{0};  // By which next_cold_call was set.
   };
 
+  static Duration ColdCallInterval(const ChoiceParams& params);
+  void UpdateColdCalls(
+      const std::vector<const FleetDirectory::KnownTarget*>& usable,
+      const ChoiceParams& params,
+      Time now);
+
   // Returns the cost of a call in milliseconds; the lowest cost is chosen.
   double Score(const FleetDirectory::KnownTarget& entry,
                const ChoiceParams& params,
