Relay the platform's feeds through one agent of each data centre

An agent follows the feeds while entries poll it and passes on the changes as the platform encodes them. Each poll is answered with the time since which changes may be missing; an entry that lacks a change or has no proof younger than 1.8 s (withdrawals 3.3 s) asks the store itself. Fleets with fewer than 16 entries, or 32 engines before that number is known, are not relayed.

One log line tells the changes of a list, not one for each target.

--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -57,14 +57,15 @@
 }
 
 int RunForwarding(const burdockhatch::Settings& settings) {
-  if (settings.role == burdockhatch::Role::kAgent) {
-    return burdockhatch::RunPlacementAgent(settings);
-  }
   burdockhatch::ForwardPlatform forward_platform;
   forward_platform.make_feed = burdockhatch::platform::MakeFleetFeed;
   forward_platform.protocol = burdockhatch::platform::MakeForwardProtocol();
   forward_platform.make_engine_memory =
       burdockhatch::platform::MakeEngineMemory;
+  if (settings.role == burdockhatch::Role::kAgent) {
+    return burdockhatch::RunPlacementAgent(settings,
+                                           std::move(forward_platform));
+  }
   return burdockhatch::RunForwardEntry(settings, std::move(forward_platform));
 }
 
--- a/src/fleet_feed.h
+++ b/src/fleet_feed.h
@@ -12,14 +12,12 @@
 
 #include "src/fleet_directory.h"
 #include "src/ids.h"
+#include "src/messages.h"
 #include "src/routes.h"
 #include "src/units.h"
 
 namespace burdockhatch {
 
-enum class FeedKind : uint8_t { kRoutes, kTargets, kWithdrawals };
-inline constexpr int kFeedKindCount = 3;
-
 std::string_view ToString(FeedKind kind);
 
 // An item that was removed or cannot be decoded.
@@ -44,6 +42,14 @@
   std::string reason;  // Set for kFailed, for the log.
 };
 
+// The platform's encoding of changes, for another process to decode.
+struct EncodedFeedReply {
+  FeedStatus status = FeedStatus::kFailed;
+  uint64_t revision = 0;
+  bool has_changes = false;
+  std::string body;
+};
+
 // Calls return immediately. `done` runs once, on the event loop thread.
 class FleetFeed {
  public:
@@ -60,6 +66,14 @@
                      uint64_t revision,
                      Duration wait,
                      Callback done) = 0;
+
+  // Like Watch, without decoding the changes.
+  virtual void WatchEncoded(FeedKind kind,
+                            uint64_t revision,
+                            Duration wait,
+                            std::function<void(EncodedFeedReply)> done) = 0;
+  // Decodes the body of a reply to WatchEncoded.
+  virtual FeedReply Decode(FeedKind kind, const std::string& body) const = 0;
 };
 
 }  // namespace burdockhatch
--- a/src/forward_daemon.h
+++ b/src/forward_daemon.h
@@ -30,7 +30,7 @@
 int RunForwardEntry(const Settings& settings, ForwardPlatform platform);
 // Runs the placement agent until a planned stop is complete. Returns the exit
 // status.
-int RunPlacementAgent(const Settings& settings);
+int RunPlacementAgent(const Settings& settings, ForwardPlatform platform);
 
 }  // namespace burdockhatch
 
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -9,12 +9,14 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/caller_server.h"
+#include "src/exception_guard.h"
 #include "src/feed_follower.h"
 #include "src/forward_daemon.h"
 #include "src/forward_loop_daemon.h"
 #include "src/forward_request.h"
 #include "src/log.h"
 #include "src/placement_client.h"
+#include "src/relayed_feed.h"
 #include "src/rendezvous.h"
 
 namespace burdockhatch {
@@ -35,6 +37,16 @@
 // tenth of a core.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 
+// Entries of the fleet from which on the feeds are relayed by agents. Until the
+// number of entries has been reported, the number of engines decides.
+constexpr uint32_t kMinEntriesForRelay = 16;
+constexpr size_t kMinEnginesForRelay = 32;
+// Agents of a data centre that may relay; the later ones replace silent ones.
+constexpr size_t kMaxRelays = 4;
+constexpr Duration kRelayChoiceInterval = std::chrono::seconds(1);
+// Makes the order of the relays differ from that of the leaders.
+constexpr uint64_t kRelayHashSeed = 0x72656c6179;
+
 RequestRetryLimits MakeRetryLimits(const ForwardingSettings& settings) {
   return {settings.repeat_ratio, settings.repeat_window,
           settings.repeat_allowance};
@@ -46,7 +58,8 @@
       : ForwardDaemonBase(settings),
         forwarding_settings_(*settings_.forwarding),
         protocol_(std::move(platform.protocol)),
-        feed_(platform.make_feed(io_, settings_.object_api_address)),
+        store_feed_(platform.make_feed(io_, settings_.object_api_address)),
+        feed_(store_feed_.get(), this, this),
         engine_memory_(platform.make_engine_memory(io_)),
         connector_(MakeForwardConnector(io_)),
         placement_client_(
@@ -64,14 +77,18 @@
     context_.balancer = ServiceBalancer(self_.incarnation.value());
     context_.retry_budget =
         RequestRetryBudget(MakeRetryLimits(forwarding_settings_));
+    context_.response_limits = {settings_.limits.max_response,
+                                settings_.limits.max_buffered_responses};
     context_.random =
         Random(StableHash(self_.instance.value()) ^ self_.incarnation.value());
     for (int i = 0; i < kFeedKindCount; ++i) {
       const auto kind = static_cast<FeedKind>(i);
       followers_[static_cast<size_t>(i)] = std::make_unique<FeedFollower>(
-          kind, feed_.get(), this,
+          kind, &feed_, this,
           self_.incarnation.value() + static_cast<uint64_t>(i),
-          [this, kind](FeedUpdate update) { OnFeedUpdate(kind, update); });
+          [this, kind](FeedUpdate update) {
+            RunGuarded("feed_update", [&] { OnFeedUpdate(kind, update); });
+          });
     }
   }
 
@@ -104,10 +121,12 @@
   }
 
   void OnMessage(const Message& message, Time now) override {
+    feed_.OnMessage(message, now);
     placement_client_.OnMessage(message, now);
   }
 
   void OnUnreachable(const InstanceId& peer, Time now) override {
+    feed_.OnUnreachable(peer, now);
     placement_client_.OnUnreachable(peer, now);
   }
 
@@ -117,6 +136,11 @@
       UpdatePlacementTargets(now);
     }
     placement_client_.Tick(now);
+    if (now >= next_relay_choice_at_) {
+      next_relay_choice_at_ = now + kRelayChoiceInterval;
+      UpdateFeedRelays(now);
+    }
+    feed_.Tick(now);
     if (now >= next_prune_at_) {
       next_prune_at_ = now + std::chrono::seconds(5);
       context_.balancer.RemoveUnlistedTargets(context_.directory);
@@ -178,11 +202,11 @@
     return fmt::format(
         "{{\"config_version\":{},\"routes\":{},\"requests\":{},"
         "\"connections\":{},\"feeds\":{{{}}},\"withdrawn\":[{}],"
-        "\"targets\":[{}],\"placement\":{}}}",
+        "\"targets\":[{}],\"placement\":{},\"feed_relay\":{}}}",
         context_.config ? context_.config->version : 0,
         context_.config ? context_.config->routes.size() : 0,
         caller_server_->open_exchanges(), caller_server_->connections(), feeds,
-        withdrawn, targets, placement_client_.Dump(now));
+        withdrawn, targets, placement_client_.Dump(now), feed_.Dump(now));
   }
 
  private:
@@ -191,10 +215,18 @@
   void Send(const InstanceId& to, MessageBody body) override {
     bus_->Send({to, Incarnation()}, std::move(body));
   }
+  // The placement client and the feed may use the same agent.
   void Connect(const InstanceId& peer, const std::string& address) override {
+    ++connection_users_[peer];
     bus_->Connect(peer, address);
   }
-  void Disconnect(const InstanceId& peer) override { bus_->Disconnect(peer); }
+  void Disconnect(const InstanceId& peer) override {
+    const auto it = connection_users_.find(peer);
+    if (it != connection_users_.end() && --it->second == 0) {
+      connection_users_.erase(it);
+      bus_->Disconnect(peer);
+    }
+  }
 
   // --- Feeds ---
 
@@ -245,24 +277,31 @@
            {"revision", std::to_string(update.revision)}});
       return;
     }
+    int changed = 0;
+    int leaving = 0;
+    int cold = 0;
+    int removed = 0;
     for (const FeedItem& it : update.items) {
       if (const auto* record = std::get_if<TargetRecord>(&it)) {
         context_.directory.Put(*record, update.revision, now);
-        Log(LogLevel::kInfo, "target_changed",
-            {{"target", record->target.value()},
-             {"service", record->service.value()},
-             {"address", record->address},
-             {"draining", record->draining ? "true" : "false"},
-             {"cold_ms", std::to_string(record->cold_left.count() / 1'000)}});
+        ++changed;
+        leaving += record->draining ? 1 : 0;
+        cold += record->cold_left > Duration(0) ? 1 : 0;
       } else if (const auto* removal = std::get_if<FeedRemoval>(&it)) {
         context_.directory.Remove(TargetId(removal->name), update.revision,
                                   update.store_was_unavailable, now);
-        Log(LogLevel::kInfo, "target_removed",
-            {{"target", removal->name},
-             {"store_was_away",
-              update.store_was_unavailable ? "true" : "false"}});
+        ++removed;
       }
     }
+    // One line for all changes: with hundreds of targets, a line for each would
+    // be most of what an entry logs.
+    Log(LogLevel::kInfo, "targets_changed",
+        {{"revision", std::to_string(update.revision)},
+         {"changed", std::to_string(changed)},
+         {"draining", std::to_string(leaving)},
+         {"cold", std::to_string(cold)},
+         {"removed", std::to_string(removed)},
+         {"store_was_away", update.store_was_unavailable ? "true" : "false"}});
   }
 
   void ApplyWithdrawals(const FeedUpdate& update) {
@@ -319,6 +358,47 @@
     placement_client_.SetAgents(std::move(agents), now);
   }
 
+  // Chooses the agents that may relay the feeds: those of the entry's data
+  // centre, in an order that all its entries share. Few entries cost the store
+  // less than a relay does.
+  void UpdateFeedRelays(Time now) {
+    std::vector<std::pair<uint64_t, AgentEndpoint>> agents;
+    size_t engines = 0;
+    if (context_.config) {
+      for (const auto& [service, pool] : context_.config->services) {
+        if (!pool.engine) {
+          continue;
+        }
+        for (const FleetDirectory::KnownTarget* it :
+             context_.directory.UsableTargets(service, now)) {
+          ++engines;
+          if (it->record.data_centre == settings_.data_centre) {
+            AgentEndpoint agent = AgentOnSameHost(it->record);
+            const uint64_t rank =
+                MixHash(StableHash(agent.instance.value()), kRelayHashSeed);
+            agents.emplace_back(rank, std::move(agent));
+          }
+        }
+      }
+    }
+    const std::optional<uint32_t> entries =
+        placement_client_.reported_entry_count();
+    const bool is_worthwhile = entries ? *entries >= kMinEntriesForRelay
+                                       : engines >= kMinEnginesForRelay;
+    if (!is_worthwhile) {
+      agents.clear();
+    }
+    std::sort(agents.begin(), agents.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<AgentEndpoint> relays;
+    for (auto& [rank, agent] : agents) {
+      if (relays.size() < kMaxRelays) {
+        relays.push_back(std::move(agent));
+      }
+    }
+    feed_.SetRelays(std::move(relays), now);
+  }
+
   // An agent's instance id is the address of the engine on its instance.
   AgentEndpoint AgentOnSameHost(const TargetRecord& record) const {
     const std::string host =
@@ -330,15 +410,18 @@
 
   const ForwardingSettings forwarding_settings_;
   std::unique_ptr<ForwardProtocol> protocol_;
-  std::unique_ptr<FleetFeed> feed_;
+  std::unique_ptr<FleetFeed> store_feed_;
+  RelayedFeed feed_;
   std::unique_ptr<EngineMemory> engine_memory_;
   std::unique_ptr<ForwardConnector> connector_;
   PlacementClient placement_client_;
   ForwardContext context_;
   std::unique_ptr<CallerServer> caller_server_;
   std::array<std::unique_ptr<FeedFollower>, kFeedKindCount> followers_;
+  std::map<InstanceId, int> connection_users_;
   uint64_t published_generation_ = 0;
   Time next_prune_at_{};
+  Time next_relay_choice_at_{};
 };
 
 }  // namespace
--- a/src/messages.h
+++ b/src/messages.h
@@ -262,6 +262,9 @@
   Duration gap_target{0};        // Maximum pause between events.
   Duration time_left{0};         // Time to the caller's deadline.
   std::vector<TargetId> excluded;  // Targets that failed this request.
+  // Time for which entries may disagree on the leader, so that several agents
+  // place work on the same targets.
+  Duration unsettled_left{0};
 };
 inline constexpr int kMaxExcludedTargets = 64;
 
@@ -329,6 +332,52 @@
 };
 inline constexpr int kMaxPlacedWorks = 16 * 1024;
 
+// Lists of the platform that processes follow.
+enum class FeedKind : uint8_t { kRoutes, kTargets, kWithdrawals };
+inline constexpr int kFeedKindCount = 3;
+
+// Entry to agent: asks for the changes of each feed after the revision that the
+// entry has, now and as they occur until shortly after the next poll is due.
+struct FeedPoll {
+  struct Known {
+    FeedKind feed = FeedKind::kRoutes;
+    uint64_t revision = 0;
+
+    bool operator==(const Known&) const = default;
+  };
+  uint64_t number = 0;  // Increases with each poll of the entry.
+  std::vector<Known> known;
+};
+
+// Agent to entry: reply to a poll. The deltas sent before it contain all
+// changes up to the time of the confirmation.
+struct FeedProof {
+  struct Confirmation {
+    FeedKind feed = FeedKind::kRoutes;
+    // Time since which the agent may lack changes.
+    Duration age{0};
+    // Revision of the latest change that the agent knows. An entry that lacks
+    // it has missed a delta and cannot use the confirmation.
+    uint64_t last_change = 0;
+    // No change is missing up to this revision.
+    uint64_t revision = 0;
+
+    bool operator==(const Confirmation&) const = default;
+  };
+  uint64_t poll = 0;  // Number of the poll.
+  // Without a feed whose changes after the polled revision the agent lacks.
+  std::vector<Confirmation> confirmed;
+};
+
+// Agent to entry: the changes of a feed after one revision up to another, in
+// the encoding of the platform.
+struct FeedDelta {
+  FeedKind feed = FeedKind::kRoutes;
+  uint64_t after = 0;
+  uint64_t revision = 0;
+  std::string body;
+};
+
 using MessageBody = std::variant<Offer,
                                  Cancel,
                                  Resume,
@@ -350,7 +399,10 @@
                                  PlacementAsk,
                                  PlacementReply,
                                  PlacementChange,
-                                 PlacementSnapshot>;
+                                 PlacementSnapshot,
+                                 FeedPoll,
+                                 FeedProof,
+                                 FeedDelta>;
 
 // Unit of transfer on the bus.
 struct Message {
--- a/src/placement_agent_daemon.cc
+++ b/src/placement_agent_daemon.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include "src/feed_relay.h"
 #include "src/forward_daemon.h"
 #include "src/forward_loop_daemon.h"
 #include "src/log.h"
@@ -19,7 +20,14 @@
 
 class PlacementAgent : public ForwardDaemonBase {
  public:
-  using ForwardDaemonBase::ForwardDaemonBase;
+  PlacementAgent(const Settings& settings, const ForwardPlatform& platform)
+      : ForwardDaemonBase(settings),
+        feed_(platform.make_feed(io_, settings_.object_api_address)),
+        feed_relay_(feed_.get(),
+                    this,
+                    [this](const PeerId& entry, MessageBody body) {
+                      bus_->Send(entry, std::move(body));
+                    }) {}
 
  protected:
   std::string OnStart() override { return ""; }
@@ -42,6 +50,8 @@
       scheduler_.RestoreSnapshot(entry, *it, now);
     } else if (const auto* it = std::get_if<TargetList>(&message.body)) {
       scheduler_.SetTargets(*it, now);
+    } else if (const auto* it = std::get_if<FeedPoll>(&message.body)) {
+      feed_relay_.OnPoll(entry, *it, now);
     } else if (std::holds_alternative<Heartbeat>(message.body)) {
       bus_->Send(entry, Heartbeat{Role::kAgent, settings_.data_centre,
                                   settings_.bus_address, false});
@@ -83,8 +93,9 @@
   bool CanExit(Duration) override { return true; }
 
   std::string Dump(Time now) const override {
-    return fmt::format("{{\"entries\":{},\"placement\":{}}}",
-                       last_heard_.size(), scheduler_.Dump(now));
+    return fmt::format("{{\"entries\":{},\"placement\":{},\"feed_relay\":{}}}",
+                       last_heard_.size(), scheduler_.Dump(now),
+                       feed_relay_.Dump(now));
   }
 
  private:
@@ -123,6 +134,8 @@
     }
   }
 
+  std::unique_ptr<FleetFeed> feed_;
+  FeedRelay feed_relay_;
   PlacementScheduler scheduler_;
   std::map<PeerId, Time> last_heard_;
   std::unique_ptr<Timer> wait_timer_;
@@ -130,8 +143,8 @@
 
 }  // namespace
 
-int RunPlacementAgent(const Settings& settings) {
-  return PlacementAgent(settings).Run();
+int RunPlacementAgent(const Settings& settings, ForwardPlatform platform) {
+  return PlacementAgent(settings, platform).Run();
 }
 
 }  // namespace burdockhatch
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -239,6 +239,37 @@
   for (const TargetId& it : from.excluded) {
     to->add_excluded(it.value());
   }
+  to->set_unsettled_left_us(from.unsettled_left.count());
+}
+
+void EncodeBody(const FeedPoll& from, wire::Envelope* envelope) {
+  wire::FeedPoll* to = envelope->mutable_feed_poll();
+  to->set_number(from.number);
+  for (const FeedPoll::Known& it : from.known) {
+    wire::FeedRevision* known = to->add_known();
+    known->set_feed(static_cast<uint32_t>(it.feed));
+    known->set_revision(it.revision);
+  }
+}
+
+void EncodeBody(const FeedProof& from, wire::Envelope* envelope) {
+  wire::FeedProof* to = envelope->mutable_feed_proof();
+  to->set_poll(from.poll);
+  for (const FeedProof::Confirmation& it : from.confirmed) {
+    wire::FeedConfirmation* confirmed = to->add_confirmed();
+    confirmed->set_feed(static_cast<uint32_t>(it.feed));
+    confirmed->set_age_us(it.age.count());
+    confirmed->set_last_change(it.last_change);
+    confirmed->set_revision(it.revision);
+  }
+}
+
+void EncodeBody(const FeedDelta& from, wire::Envelope* envelope) {
+  wire::FeedDelta* to = envelope->mutable_feed_delta();
+  to->set_feed(static_cast<uint32_t>(from.feed));
+  to->set_after(from.after);
+  to->set_revision(from.revision);
+  to->set_body(from.body);
 }
 
 template <class Holder>
@@ -452,9 +483,40 @@
     to.gap_target = ReadDuration(from.gap_target_us());
     to.time_left = ReadDuration(from.time_left_us());
     to.excluded = ReadTargets(from.excluded(), kMaxExcludedTargets);
+    to.unsettled_left = ReadDuration(from.unsettled_left_us());
+    return to;
+  }
+
+  FeedKind ReadFeed(uint32_t feed) {
+    return ReadEnum(feed, FeedKind::kWithdrawals);
+  }
+
+  FeedPoll ReadBody(const wire::FeedPoll& from) {
+    CheckCount(from.known_size(), kFeedKindCount);
+    FeedPoll to;
+    to.number = from.number();
+    for (const wire::FeedRevision& it : from.known()) {
+      to.known.push_back({ReadFeed(it.feed()), it.revision()});
+    }
     return to;
   }
 
+  FeedProof ReadBody(const wire::FeedProof& from) {
+    CheckCount(from.confirmed_size(), kFeedKindCount);
+    FeedProof to;
+    to.poll = from.poll();
+    for (const wire::FeedConfirmation& it : from.confirmed()) {
+      to.confirmed.push_back({ReadFeed(it.feed()), ReadDuration(it.age_us()),
+                              it.last_change(), it.revision()});
+    }
+    return to;
+  }
+
+  FeedDelta ReadBody(const wire::FeedDelta& from) {
+    return {ReadFeed(from.feed()), from.after(), from.revision(),
+            ReadString(from.body(), kMaxWireBodyBytes)};
+  }
+
   template <class Holds>
   std::vector<MemoryHold> ReadHolds(const Holds& from) {
     CheckCount(from.size(), kMaxHelpers);
@@ -664,6 +726,12 @@
         return ReadBody(from.placement_change());
       case wire::Envelope::kPlacementSnapshot:
         return ReadBody(from.placement_snapshot());
+      case wire::Envelope::kFeedPoll:
+        return ReadBody(from.feed_poll());
+      case wire::Envelope::kFeedProof:
+        return ReadBody(from.feed_proof());
+      case wire::Envelope::kFeedDelta:
+        return ReadBody(from.feed_delta());
       case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/tests/feed_follower_test.cc
+++ b/tests/feed_follower_test.cc
@@ -32,6 +32,12 @@
     calls.push_back({false, "", revision, wait, std::move(done)});
   }
 
+  void WatchEncoded(FeedKind,
+                    uint64_t,
+                    Duration,
+                    std::function<void(EncodedFeedReply)>) override {}
+  FeedReply Decode(FeedKind, const std::string&) const override { return {}; }
+
   FeedCall Take() {
     FeedCall call = std::move(calls.front());
     calls.pop_front();
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -105,7 +105,8 @@
                    Duration(-5),
                    Duration(200'000),
                    Duration(9'000'000),
-                   {TargetId("t1"), TargetId("t2")}},
+                   {TargetId("t1"), TargetId("t2")},
+                   Duration(3)},
       PlacementReply{22,
                      PlacementVerdict::kPlaced,
                      TargetId("t1"),
@@ -124,7 +125,10 @@
                           Tokens(5),
                           Tokens(6),
                           Duration(7),
-                          true}}}};
+                          true}}},
+      FeedPoll{25, {{FeedKind::kRoutes, 7}, {FeedKind::kWithdrawals, 8}}},
+      FeedProof{26, {{FeedKind::kTargets, Duration(9), 10, 11}}},
+      FeedDelta{FeedKind::kTargets, 12, 13, "{}"}};
 }
 
 Message Wrap(MessageBody body) {
