--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -184,6 +184,19 @@
     AddTargets("orders", 3);
   }
 
+  // Requests that have not ended are owned by the handlers of their exchanges
+  // and calls, and by their timers.
+  ~ForwardRequestTest() override {
+    for (const auto& it : connector_.calls) {
+      it->handlers = {};
+    }
+    for (const auto& it : exchanges_) {
+      it->on_gone = nullptr;
+      it->on_drained = nullptr;
+    }
+    timers_.CancelAll();
+  }
+
   static void AddRoute(RouteConfig& config,
                        std::string prefix,
                        std::string service,
@@ -234,6 +247,7 @@
     request.headers = std::move(headers);
     request.body = std::make_shared<const std::string>("body");
     exchange_ = std::make_shared<FakeExchange>();
+    exchanges_.push_back(exchange_);
     std::make_shared<ForwardRequest>(&context_, exchange_, std::move(request))
         ->Start();
   }
@@ -266,7 +280,8 @@
   Metrics metrics_;
   PlacementClient placement_{{InstanceId("entry"), Incarnation(1)}, {}, &bus_};
   ForwardContext context_;
-  std::shared_ptr<FakeExchange> exchange_;
+  std::shared_ptr<FakeExchange> exchange_;  // Of the latest request.
+  std::vector<std::shared_ptr<FakeExchange>> exchanges_;
 };
 
 // Guards against leaking the caller's API key to a target, and against a
--- a/tests/manual_timers.h
+++ b/tests/manual_timers.h
@@ -13,6 +13,15 @@
 
 class ManualTimers : public Timers {
  public:
+  ~ManualTimers() override { CancelAll(); }
+
+  // Destroys the pending callbacks, which may own the objects that own their
+  // timers.
+  void CancelAll() {
+    Events pending;
+    pending.swap(*events_);
+  }
+
   Time Now() const override { return now_; }
 
   std::unique_ptr<Timer> Schedule(Duration delay,
