--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -39,8 +39,8 @@
 
 // Entries of the fleet from which on the feeds are relayed by agents. Until the
 // number of entries has been reported, the number of engines decides.
-constexpr uint32_t kMinEntriesForRelay = 16;
-constexpr size_t kMinEnginesForRelay = 32;
+constexpr uint32_t kMinEntriesForRelay = 64;
+constexpr size_t kMinEnginesForRelay = 100;
 // Agents of a data centre that may relay; the later ones replace silent ones.
 constexpr size_t kMaxRelays = 4;
 constexpr Duration kRelayChoiceInterval = std::chrono::seconds(1);
