Test lapsed reservations, the accept retry, the guarded loop and the limits' findings

A rejected limit of responses no longer causes a second finding about the other one, which compared it with a default. Whether a relay is worthwhile is decided in relayed_feed, without a network.

--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -37,10 +37,6 @@
 // tenth of a core.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
 
-// Entries of the fleet from which on the feeds are relayed by agents. Until the
-// number of entries has been reported, the number of engines decides.
-constexpr uint32_t kMinEntriesForRelay = 64;
-constexpr size_t kMinEnginesForRelay = 100;
 // Agents of a data centre that may relay; the later ones replace silent ones.
 constexpr size_t kMaxRelays = 4;
 constexpr Duration kRelayChoiceInterval = std::chrono::seconds(1);
@@ -360,8 +356,7 @@
   }
 
   // Chooses the agents that may relay the feeds: those of the entry's data
-  // centre, in an order that all its entries share. Few entries cost the store
-  // less than a relay does.
+  // centre, in an order that all its entries share.
   void UpdateFeedRelays(Time now) {
     std::vector<std::pair<uint64_t, AgentEndpoint>> agents;
     size_t engines = 0;
@@ -382,11 +377,7 @@
         }
       }
     }
-    const std::optional<uint32_t> entries =
-        placement_client_.reported_entry_count();
-    const bool is_worthwhile = entries ? *entries >= kMinEntriesForRelay
-                                       : engines >= kMinEnginesForRelay;
-    if (!is_worthwhile) {
+    if (!IsRelayWorthwhile(placement_client_.reported_entry_count(), engines)) {
       agents.clear();
     }
     std::sort(agents.begin(), agents.end(),
--- a/src/relayed_feed.cc
+++ b/src/relayed_feed.cc
@@ -19,8 +19,18 @@
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(1'500);
 constexpr Duration kAvoidTime = std::chrono::seconds(10);
 
+// Least number of entries, or of engines, of a fleet whose feeds are relayed.
+constexpr uint32_t kMinEntriesForRelay = 64;
+constexpr size_t kMinEnginesForRelay = 100;
+
 }  // namespace
 
+bool IsRelayWorthwhile(std::optional<uint32_t> reported_entries,
+                       size_t engines) {
+  return reported_entries ? *reported_entries >= kMinEntriesForRelay
+                          : engines >= kMinEnginesForRelay;
+}
+
 void RelayedFeed::SetRelays(std::vector<AgentEndpoint> relays, Time now) {
   relays_ = std::move(relays);
   const bool is_listed = std::any_of(
--- a/src/relayed_feed.h
+++ b/src/relayed_feed.h
@@ -22,6 +22,12 @@
 
 namespace burdockhatch {
 
+// Returns whether a relay costs less than it saves: few entries cost the store
+// little. Until the number of entries has been reported, the number of engines
+// decides.
+bool IsRelayWorthwhile(std::optional<uint32_t> reported_entries,
+                       size_t engines);
+
 class RelayedFeed : public FleetFeed {
  public:
   // Age up to which a confirmation of the relay is relied on. It bounds the
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -82,11 +82,14 @@
                    &limits->traffic_threads);
   reader.ReadCount("max_connections", kConnectionCountBounds,
                    &limits->max_connections);
+  const size_t findings_before = findings->list.size();
   reader.ReadQuantity("max_response_bytes", kResponseBytesBounds,
                       &limits->max_response);
   reader.ReadQuantity("max_buffered_response_bytes", kResponseBytesBounds,
                       &limits->max_buffered_responses);
-  if (limits->max_response > limits->max_buffered_responses) {
+  // A rejected value leaves its default, which says nothing about the other.
+  if (findings->list.size() == findings_before &&
+      limits->max_response > limits->max_buffered_responses) {
     findings->Add(reader.PathOf("max_response_bytes"),
                   "is above max_buffered_response_bytes");
   }
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -1,8 +1,12 @@
 // The callers' HTTP server during a planned stop and with a slow caller, over
 // loopback.
+#include <unistd.h>
+
+#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
@@ -159,5 +163,32 @@
   EXPECT_GT(received, static_cast<size_t>(parts) * part.size());
 }
 
+// Guards against an entry that has no descriptor left and tries to accept the
+// same connection without a pause, or never again.
+TEST_F(CallerServerHttpTest, AcceptIsRetriedWhenDescriptorsAreFree) {
+  client_.open(tcp::v4());
+  std::vector<int> taken;
+  for (int fd = dup(0); fd >= 0; fd = dup(0)) {
+    taken.push_back(fd);
+  }
+  ASSERT_EQ(errno, EMFILE);
+  client_.connect(endpoint_);
+  Send(kRequest);
+  io_.restart();
+  size_t handlers = 0;
+  const auto end = std::chrono::steady_clock::now() + milliseconds(120);
+  while (std::chrono::steady_clock::now() < end) {
+    handlers += io_.run_for(milliseconds(5));
+    io_.restart();
+  }
+  for (const int fd : taken) {
+    close(fd);
+  }
+  // At most one attempt and one timer in 50 ms.
+  EXPECT_LE(handlers, 10u);
+  Run(milliseconds(100));
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
 }  // namespace
 }  // namespace burdockhatch
--- a/tests/feed_relay_test.cc
+++ b/tests/feed_relay_test.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -326,5 +327,14 @@
   EXPECT_EQ(entry.seen, (std::vector<std::string>{"dc-1", "dc-2"}));
 }
 
+// Guards against relays in a small fleet, where they cost more than they save.
+TEST(RelayedFeedTest, SmallFleetsAreNotRelayed) {
+  EXPECT_FALSE(IsRelayWorthwhile(4, 18));
+  EXPECT_FALSE(IsRelayWorthwhile(25, 135));
+  EXPECT_TRUE(IsRelayWorthwhile(103, 135));
+  EXPECT_FALSE(IsRelayWorthwhile(std::nullopt, 54));
+  EXPECT_TRUE(IsRelayWorthwhile(std::nullopt, 135));
+}
+
 }  // namespace
 }  // namespace burdockhatch
--- a/tests/loop_timers_test.cc
+++ b/tests/loop_timers_test.cc
@@ -2,11 +2,14 @@
 
 #include <chrono>
 #include <memory>
+#include <new>
+#include <string>
 #include <thread>
 
 #include <gtest/gtest.h>
 #include <boost/asio/post.hpp>
 
+#include "src/exception_guard.h"
 #include "src/reservations.h"
 #include "tests/manual_timers.h"
 
@@ -127,5 +130,35 @@
   EXPECT_EQ(memory.released, 1);
 }
 
+// Guards against a process that was paused beyond the term of its reservations
+// and reserves memory anew, which no request uses.
+TEST(ReservationSetTest, LapsedReservationsAreNotRenewed) {
+  ManualTimers timers;
+  CountingMemory memory;
+  ReservationSet reservations(
+      &memory, &timers,
+      std::vector<Reservation>{{"10.0.0.1:80", "r1", Tokens(1'000)}});
+  reservations.Start([](bool) {});
+  timers.Advance(ReservationSet::kRenewInterval);
+  EXPECT_EQ(memory.reserved, 2);
+  timers.SkipTo(timers.Now() + ReservationSet::kReservationTtl);
+  timers.Advance(ReservationSet::kRenewInterval);
+  EXPECT_EQ(memory.reserved, 2);
+}
+
+// Guards against an exception of one handler that ends the event loop with all
+// requests of the process.
+TEST(ExceptionGuardTest, LoopRunsOnAfterAnException) {
+  boost::asio::io_context io;
+  const uint64_t caught = CaughtExceptions();
+  int later = 0;
+  boost::asio::post(io, [] { throw std::bad_alloc(); });
+  boost::asio::post(io, [] { throw std::string("not an std::exception"); });
+  boost::asio::post(io, [&later] { ++later; });
+  RunLoopGuarded(io);
+  EXPECT_EQ(later, 1);
+  EXPECT_EQ(CaughtExceptions(), caught + 2);
+}
+
 }  // namespace
 }  // namespace burdockhatch
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -160,5 +160,23 @@
       "/forwarding/agent_bus_port");
 }
 
+// Guards against limits of responses that are ignored, absurd or contradictory.
+TEST(SettingsTest, ChecksResponseLimits) {
+  Findings findings;
+  const std::string text = Replace(kAgentSettings, "\"traffic_threads\": 3",
+                                   "\"max_response_bytes\": 4096, "
+                                   "\"max_buffered_response_bytes\": 8192");
+  const auto settings = ParseSettings(text, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  EXPECT_EQ(settings->limits.max_response, Bytes(4'096));
+  EXPECT_EQ(settings->limits.max_buffered_responses, Bytes(8'192));
+  EXPECT_EQ(ListPaths(Replace(text, "4096", "9000")),
+            std::vector<std::string>{"/limits/max_response_bytes"});
+  EXPECT_EQ(ListPaths(Replace(text, "8192", "0")),
+            std::vector<std::string>{"/limits/max_buffered_response_bytes"});
+  EXPECT_EQ(ListPaths(Replace(text, "4096", "1")),
+            std::vector<std::string>{"/limits/max_response_bytes"});
+}
+
 }  // namespace
 }  // namespace burdockhatch
