--- a/src/forward_protocol.h
+++ b/src/forward_protocol.h
@@ -23,7 +23,13 @@
   Tokens max_output;
   std::optional<Tokens> expected_output;  // As estimated by the caller.
   std::optional<uint64_t> last_event_id;  // Set when a stream resumes.
+  std::string model;                      // Empty if the caller names none.
+  // Ids of the prompt's parts that other prompts may share, in order. The last
+  // part of a prompt belongs to the request itself and is left out.
+  std::vector<std::string> shared_parts;
 };
+// Further parts of a prompt are ignored.
+inline constexpr size_t kMaxSharedParts = 32;
 
 // A target that prefills a part of the prompt.
 struct ForwardHelper {
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "src/exception_guard.h"
 #include "src/log.h"
@@ -54,6 +55,14 @@
   return status >= 200 && status < 300;
 }
 
+// Parts of a prompt that a log line names.
+constexpr size_t kMaxLoggedParts = 8;
+
+std::string FormatParts(const std::vector<std::string>& parts) {
+  const size_t n = std::min(parts.size(), kMaxLoggedParts);
+  return fmt::format("{}", fmt::join(parts.begin(), parts.begin() + n, ","));
+}
+
 std::string FormatMs(Duration duration) {
   return fmt::format("{:.1f}", static_cast<double>(duration.count()) / 1e3);
 }
@@ -344,6 +353,7 @@
   response_headers_.clear();
   DropBufferedBodies();
   is_streaming_ = false;
+  attempt_has_events_ = false;
   ++attempt_count_;
   ++send_count_;
 
@@ -467,6 +477,7 @@
   if (complete_events.empty()) {
     return;
   }
+  attempt_has_events_ = true;
   if (!stream_started_) {
     stream_started_ = true;
     first_event_at_ = context_->timers->Now();
@@ -562,6 +573,13 @@
   return "unknown";
 }
 
+std::string_view ForwardRequest::AttemptProgress() const {
+  if (attempt_has_events_) {
+    return "events";
+  }
+  return IsSuccess(response_status_) ? "head" : "none";
+}
+
 TargetId ForwardRequest::FindFailedTarget(AttemptFailure failure) const {
   if (failure != AttemptFailure::kNotExecuted ||
       response_fields_.failed_helper.empty()) {
@@ -585,7 +603,13 @@
        {"after_ms", FormatMs(now - sent_at_)},
        {"helpers", std::to_string(helpers_.size())},
        {"last_event",
-        events_.last_id() ? std::to_string(*events_.last_id()) : "none"}});
+        events_.last_id() ? std::to_string(*events_.last_id()) : "none"},
+       {"progress", std::string(AttemptProgress())},
+       {"parts", FormatParts(caller_fields_.shared_parts)}});
+  context_->metrics->IncrementCounter(
+      "burdockhatch_attempt_failures_total",
+      fmt::format("why=\"{}\",progress=\"{}\"", ToString(failure),
+                  AttemptProgress()));
   if (failure == AttemptFailure::kNotExecuted &&
       response_fields_.is_wrong_target) {
     context_->directory.MarkReplaced(target_);
@@ -754,6 +778,7 @@
        {"config", config_ ? std::to_string(config_->version) : "none"},
        {"target", target_.value()},
        {"prompt", std::to_string(caller_fields_.prompt.value())},
+       {"parts", FormatParts(caller_fields_.shared_parts)},
        {"sends", std::to_string(send_count_)},
        {"helpers", std::to_string(helpers_.size())},
        {"waited_ms", FormatMs(send_count_ > 0 ? sent_at_ - received_at_
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -83,6 +83,9 @@
   void Guard(Step&& step);
 
   static std::string_view ToString(AttemptFailure failure);
+  // How far the attempt in progress has come: "none", "head" after the head of
+  // a successful response, or "events".
+  std::string_view AttemptProgress() const;
 
   // --- Admission ---
   void Admit();
@@ -171,7 +174,8 @@
   HeaderList response_headers_;
   TargetFields response_fields_;
   std::string response_body_;
-  bool is_streaming_ = false;  // Events are forwarded as they arrive.
+  bool is_streaming_ = false;        // Events are forwarded as they arrive.
+  bool attempt_has_events_ = false;  // This attempt has delivered an event.
 
   // The last error response of a target. Returned to the caller if no later
   // attempt succeeds.
