Reproduce a prompt part that crashes target after target (known red)

Callers saw answers of sound requests cut off and late while one part of other prompts took down a target every quarter of a second.

--- a/tests/entry_driver.cc
+++ b/tests/entry_driver.cc
@@ -505,6 +505,13 @@
     SendFinish(agent, id, it);
     return;
   }
+  const bool crashes = std::any_of(
+      it.offer.prefix_hashes.begin(), it.offer.prefix_hashes.end(),
+      [&](uint64_t hash) { return agent.crashing_prefixes.contains(hash); });
+  if (crashes) {
+    CrashEngine(agent);
+    return;
+  }
   if (it.next_chunk_index < it.chunks) {
     const uint32_t index = it.next_chunk_index++;
     if (!agent.odd_chunks_lost || index % 2 == 0) {
@@ -516,6 +523,17 @@
   SendFinish(agent, id, it);
 }
 
+void EntryDriver::CrashEngine(FakeAgent& agent) {
+  ++agent.crashes;
+  for (auto& [id, it] : agent.attempts) {
+    if (!it.ended) {
+      it.ended = true;
+      it.failure = {ErrorCode::kTargetFailed, Outcome::kUnknown, {}};
+      SendFinish(agent, id, it);
+    }
+  }
+}
+
 void EntryDriver::StepAgent(FakeAgent& agent) {
   if (!agent.alive || agent.paused_until > Now()) {
     return;
--- a/tests/entry_driver.h
+++ b/tests/entry_driver.h
@@ -76,6 +76,10 @@
   bool streams_survive = true;  // Streams keep running across a restart.
   Duration chunk_interval = std::chrono::milliseconds(20);
   uint32_t chunks_per_answer = 5;
+  // The engine crashes when it begins an answer to a prompt with one of these
+  // prefix hashes. All its attempts fail.
+  std::set<uint64_t> crashing_prefixes;
+  uint32_t crashes = 0;
 };
 
 struct RequestEnd {
@@ -194,6 +198,7 @@
   void OnChunk(const Chunk& chunk);
   void StepAgent(FakeAgent& agent);
   void StepAttempt(FakeAgent& agent, const AttemptId& id, FakeAttempt& it);
+  void CrashEngine(FakeAgent& agent);
   void StepFaults(FakeAgent& agent);
   void SendFinish(FakeAgent& agent, const AttemptId& id, const FakeAttempt& it);
   bool KnownUnusable(const InstanceId& instance) const;
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -558,5 +558,41 @@
   EXPECT_NE(dump.find("\"phase\":\"offered\""), std::string::npos);
 }
 
+// Guards against one prefix of prompts that crashes engine after engine: each
+// request with it, new or repeated, was offered to another one.
+TEST(EntryCrashBlameTest, StopsOfferingPrefixThatCrashesEngines) {
+  constexpr uint64_t kDeadly = 66;
+  constexpr uint32_t kMaxCrashes = 5;
+  constexpr uint32_t kMaxOffersAfterThem = 3;
+  EntryDriver driver(1);
+  std::vector<std::string> names;
+  for (int i = 0; i < 30; ++i) {
+    names.push_back("engine-" + std::to_string(i));
+    driver.AddAgent(names.back(), "dc-a", "model", "").crashing_prefixes = {
+        kDeadly};
+  }
+  driver.Start();
+  std::vector<RequestId> sound;
+  for (uint64_t i = 0; i < 40; ++i) {
+    RequestSpec deadly = driver.Completion();
+    deadly.prefix_hashes = {1, kDeadly, 1'000 + i};
+    driver.Submit(deadly);
+    RequestSpec other = driver.Completion();
+    other.prefix_hashes = {1, 2, 2'000 + i};
+    sound.push_back(driver.Submit(other));
+    driver.Run(milliseconds(250));
+  }
+  uint32_t crashes = 0;
+  for (const std::string& it : names) {
+    crashes += driver.agent(it).crashes;
+  }
+  EXPECT_LE(crashes, kMaxCrashes + kMaxOffersAfterThem);
+  for (const RequestId& it : sound) {
+    const RequestEnd* end = driver.FirstEnd(it);
+    ASSERT_NE(end, nullptr);
+    EXPECT_TRUE(end->completed);
+  }
+}
+
 }  // namespace
 }  // namespace burdockhatch
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -25,6 +25,11 @@
     fields.time_left = milliseconds(Number(headers, "time-left", 10'000));
     fields.prompt = Tokens(Number(headers, "prompt", 5'000));
     fields.max_output = Tokens(Number(headers, "output", 1'000));
+    fields.model = "m";
+    const std::string part = Text(headers, "part");
+    if (!part.empty()) {
+      fields.shared_parts = {"first", part};
+    }
     return fields;
   }
   HeaderList BuildForwardHeaders(const HeaderList&,
@@ -743,5 +748,31 @@
   EXPECT_TRUE(connector_.calls.empty());
 }
 
+// Guards against one part of prompts that crashes target after target: each
+// request with it, new or repeated, was sent to another one.
+TEST_F(ForwardRequestTest, StopsSendingPartThatCrashesTargets) {
+  AddTargets("llm", 60);
+  constexpr size_t kMaxCrashes = 5;
+  constexpr size_t kMaxSendsAfterThem = 3;
+  size_t crashes = 0;
+  for (int i = 0; i < 20; ++i) {
+    timers_.Advance(milliseconds(500));
+    size_t sent = connector_.calls.size();
+    Send("/stream/", {{"part", "deadly"}});
+    for (; sent < connector_.calls.size(); ++sent) {
+      Head(sent);
+      End(sent, ForwardCallResult::kBroken);
+      ++crashes;
+    }
+    Send("/stream/", {{"part", "sound"}});
+    ASSERT_EQ(connector_.calls.size(), sent + 1);
+    Head(sent);
+    Body(sent, "id: 0\ndata: a\n\n");
+    End(sent);
+    EXPECT_EQ(exchange_->text, "id: 0\ndata: a\n\n");
+  }
+  EXPECT_LE(crashes, kMaxCrashes + kMaxSendsAfterThem);
+}
+
 }  // namespace
 }  // namespace burdockhatch
