--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -178,6 +178,9 @@
   request->spec.model = found->model;
   request->spec.max_output_tokens = found->max_output;
   request->payload = found->prompt_prefix;
+  if (!found->prompt_prefix.empty()) {
+    request->spec.template_prefix_hash = StableHash(found->prompt_prefix);
+  }
   if (!has_deadline) {
     request->timeout = std::min<Duration>(found->deadline, limits.max_deadline);
   }
@@ -484,6 +487,9 @@
       return "not found";
     case ErrorCode::kInternal:
       return "internal error";
+    case ErrorCode::kPartBlocked:
+      return "a part of the prompt has crashed several targets, so the request "
+             "is not sent to another one for now";
   }
   return "internal error";
 }
--- a/src/config_distributor.cc
+++ b/src/config_distributor.cc
@@ -523,6 +523,14 @@
   tables_->is_draining = true;
 }
 
+std::vector<InstanceId> ConfigDistributor::heartbeat_peers() const {
+  std::vector<InstanceId> peers;
+  for (const auto& [instance, address] : tables_->heartbeat_peers) {
+    peers.push_back(instance);
+  }
+  return peers;
+}
+
 std::vector<ConfigDistributorAction> ConfigDistributor::TakeActions() {
   return std::exchange(tables_->actions, {});
 }
--- a/src/config_distributor.h
+++ b/src/config_distributor.h
@@ -110,6 +110,10 @@
   // Returns the version that is sent along with every message.
   ConfigVersion version() const;
 
+  // Entries to which this one sends heartbeats. Over all entries they form a
+  // connected graph.
+  std::vector<InstanceId> heartbeat_peers() const;
+
   const ConfigDistributorTables& tables() const { return *tables_; }
   // Returns the state as JSON for diagnosis.
   std::string Dump(Time now) const;
--- /dev/null
+++ b/src/crash_blame.cc
@@ -0,0 +1,587 @@
+#include "src/crash_blame.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "src/log.h"
+#include "src/random.h"
+#include "src/rendezvous.h"
+
+namespace burdockhatch {
+
+namespace {
+
+constexpr uint32_t kFullWeight = static_cast<uint32_t>(CrashEvidence::kAtStart);
+// A trial whose end was not reported is given up after this time.
+constexpr Duration kTrialTimeout = std::chrono::seconds(5);
+constexpr Duration kPruneInterval = std::chrono::seconds(1);
+constexpr size_t kMaxSightings = kMaxBlameSightings;
+
+bool Contains(const PartKeys& parts, PartKey part) {
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+// Whether all of `subset` is in `parts`.
+bool ContainsAll(const PartKeys& parts, const PartKeys& subset) {
+  return std::all_of(subset.begin(), subset.end(),
+                     [&](PartKey it) { return Contains(parts, it); });
+}
+
+PartKeys Intersect(const PartKeys& a, const PartKeys& b) {
+  PartKeys common;
+  std::copy_if(a.begin(), a.end(), std::back_inserter(common),
+               [&](PartKey it) { return Contains(b, it); });
+  return common;
+}
+
+PartKeys Sorted(PartKeys parts) {
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  return parts;
+}
+
+std::string FormatKeys(const PartKeys& parts) {
+  std::string text;
+  for (const PartKey it : parts) {
+    text += fmt::format("{}{:016x}", text.empty() ? "" : ",", it.value());
+  }
+  return text;
+}
+
+std::string FormatSeconds(Duration duration) {
+  return fmt::format("{:.1f}", ToMs(duration) / 1e3);
+}
+
+}  // namespace
+
+PartKey MakePartKey(std::string_view model, std::string_view part) {
+  return MakePartKey(model, StableHash(part));
+}
+
+PartKey MakePartKey(std::string_view model, uint64_t prefix_hash) {
+  return PartKey(MixHash(StableHash(model), prefix_hash));
+}
+
+// --- Requests ---------------------------------------------------------------
+
+uint32_t CrashBlame::WeightOf(const Suspect& suspect) {
+  uint32_t weight = 0;
+  for (const Sighting& it : suspect.sightings) {
+    weight += it.weight;
+  }
+  return weight;
+}
+
+// A part that requests were answered with gets its first trial one crash later,
+// as many requests may share it and most crashes have another cause.
+bool CrashBlame::NeedsTrial(const Suspect& suspect, Time now) const {
+  if (suspect.blocks > 0) {
+    return !suspect.IsBlocked(now);
+  }
+  const uint32_t crashes = suspect.was_answered ? 2 : 1;
+  return WeightOf(suspect) >= crashes * kFullWeight;
+}
+
+CrashBlame::Decision CrashBlame::Check(const PartKeys& parts,
+                                       uint64_t trial,
+                                       Time now) const {
+  Decision decision;
+  if (parts.empty()) {
+    return decision;
+  }
+  for (const Suspect& it : suspects_) {
+    if (!ContainsAll(parts, it.parts)) {
+      continue;
+    }
+    if (it.IsBlocked(now)) {
+      decision.verdict = Verdict::kBlocked;
+      decision.blocked_left =
+          std::max(decision.blocked_left, it.blocked_until - now);
+    } else if (decision.verdict == Verdict::kSend && NeedsTrial(it, now)) {
+      decision.is_trial = true;
+      if (it.trial && *it.trial != trial &&
+          now - it.trial_since < kTrialTimeout) {
+        decision.verdict = Verdict::kWait;
+      }
+    }
+  }
+  return decision;
+}
+
+void CrashBlame::OnSent(const PartKeys& parts, uint64_t trial, Time now) {
+  for (Suspect& it : suspects_) {
+    if (!it.IsBlocked(now) && ContainsAll(parts, it.parts)) {
+      it.trial = trial;
+      it.trial_since = now;
+    }
+  }
+}
+
+void CrashBlame::EndTrial(uint64_t trial) {
+  for (Suspect& it : suspects_) {
+    if (it.trial == trial) {
+      it.trial.reset();
+    }
+  }
+}
+
+// --- Answers ----------------------------------------------------------------
+
+bool CrashBlame::IsAnswered(PartKey part, Time now) const {
+  const auto it = answered_.find(part);
+  return it != answered_.end() && now - it->second <= limits_.memory;
+}
+
+void CrashBlame::RememberAnswer(PartKey part, Time at, Time now) {
+  Time& last = answered_[part];
+  last = std::max(last, at);
+  // Removing the older half at once makes the cost of an answer constant on
+  // average.
+  if (answered_.size() > limits_.max_answered_parts) {
+    std::vector<Time> times;
+    for (const auto& [key, time] : answered_) {
+      times.push_back(time);
+    }
+    const auto middle =
+        times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    const Time oldest_kept = std::max(*middle, now - limits_.memory);
+    absl::erase_if(answered_,
+                   [&](const auto& it) { return it.second <= oldest_kept; });
+  }
+}
+
+bool CrashBlame::ClearPart(PartKey part, Time answered_at, Time now) {
+  bool had = false;
+  for (Suspect& it : suspects_) {
+    const auto found = std::find(it.parts.begin(), it.parts.end(), part);
+    if (found == it.parts.end() ||
+        (!it.sightings.empty() && answered_at < it.sightings.back().at)) {
+      continue;
+    }
+    it.parts.erase(found);
+    it.changed = true;
+    had = true;
+    if (it.parts.empty()) {
+      ++counters_.cleared;
+    }
+    Log(LogLevel::kInfo, "part_cleared",
+        {{"part", FormatKeys({part})},
+         {"left", FormatKeys(it.parts)},
+         {"crash_weight", std::to_string(WeightOf(it))},
+         {"was_blocked", it.IsBlocked(now) ? "true" : "false"}});
+  }
+  std::erase_if(suspects_, [](const Suspect& it) { return it.parts.empty(); });
+  MergeEqualSuspects();
+  return had;
+}
+
+void CrashBlame::OnAnswer(const PartKeys& parts, Time now) {
+  if (!limits_.enabled) {
+    return;
+  }
+  for (const PartKey it : parts) {
+    RememberAnswer(it, now, now);
+    if (!suspects_.empty() && ClearPart(it, now, now)) {
+      changed_answers_.emplace_back(it, now);
+    }
+  }
+}
+
+bool CrashBlame::Lift(PartKey part, Time now) {
+  const bool had = ClearPart(part, now, now);
+  if (had) {
+    changed_answers_.emplace_back(part, now);
+  }
+  return had;
+}
+
+// --- Crashes ----------------------------------------------------------------
+
+PartKeys CrashBlame::Candidates(const PartKeys& parts, Time now) const {
+  PartKeys candidates;
+  std::copy_if(parts.begin(), parts.end(), std::back_inserter(candidates),
+               [&](PartKey it) { return !IsAnswered(it, now); });
+  return Sorted(candidates.empty() ? parts : std::move(candidates));
+}
+
+void CrashBlame::ReduceSuspects(const PartKeys& parts,
+                                const PartKeys& candidates) {
+  for (Suspect& it : suspects_) {
+    PartKeys common = Intersect(it.parts, candidates);
+    if (!common.empty() && !ContainsAll(parts, it.parts)) {
+      it.parts = std::move(common);
+      it.changed = true;
+    }
+  }
+  MergeEqualSuspects();
+}
+
+std::vector<size_t> CrashBlame::FindSuspectsIn(const PartKeys& parts) const {
+  std::vector<size_t> found;
+  for (size_t i = 0; i < suspects_.size(); ++i) {
+    if (ContainsAll(parts, suspects_[i].parts)) {
+      found.push_back(i);
+    }
+  }
+  return found;
+}
+
+size_t CrashBlame::AddSuspect(PartKeys parts, bool was_answered) {
+  if (suspects_.size() >= std::max(limits_.max_suspects, 1U)) {
+    // The least incriminated one gives way.
+    const auto least =
+        std::min_element(suspects_.begin(), suspects_.end(),
+                         [](const Suspect& a, const Suspect& b) {
+                           return std::pair(a.blocks, WeightOf(a)) <
+                                  std::pair(b.blocks, WeightOf(b));
+                         });
+    Log(LogLevel::kWarning, "suspect_part_dropped",
+        {{"parts", FormatKeys(least->parts)},
+         {"blocks", std::to_string(least->blocks)}});
+    suspects_.erase(least);
+  }
+  Suspect& added = suspects_.emplace_back();
+  added.parts = std::move(parts);
+  added.was_answered = was_answered;
+  return suspects_.size() - 1;
+}
+
+bool CrashBlame::AddSighting(Suspect& suspect, const Sighting& sighting) {
+  const auto coincides = [&](const Sighting& it) {
+    return sighting.sent_at < it.at && it.sent_at < sighting.at;
+  };
+  const bool has_as_heavy =
+      std::any_of(suspect.sightings.begin(), suspect.sightings.end(),
+                  [&](const Sighting& it) {
+                    return coincides(it) && it.weight >= sighting.weight;
+                  });
+  if (has_as_heavy) {
+    return false;
+  }
+  std::erase_if(suspect.sightings, coincides);
+  if (suspect.sightings.size() >= kMaxSightings) {
+    suspect.sightings.erase(suspect.sightings.begin());
+  }
+  const auto later = std::upper_bound(
+      suspect.sightings.begin(), suspect.sightings.end(), sighting.at,
+      [](Time at, const Sighting& it) { return at < it.at; });
+  suspect.sightings.insert(later, sighting);
+  suspect.changed = true;
+  return true;
+}
+
+bool CrashBlame::IsBlockDue(const Suspect& suspect, Time now) const {
+  if (suspect.IsBlocked(now)) {
+    return false;
+  }
+  if (suspect.blocks > 0) {
+    return !suspect.sightings.empty() &&
+           suspect.sightings.back().at >= suspect.blocked_until;
+  }
+  const uint32_t crashes =
+      suspect.was_answered ? limits_.answered_crashes : limits_.crashes;
+  return WeightOf(suspect) >= crashes * kFullWeight;
+}
+
+void CrashBlame::Block(Suspect& suspect, Time now) {
+  Duration length = limits_.block;
+  for (uint32_t i = 0; i < suspect.blocks && length < limits_.max_block; ++i) {
+    length *= CrashBlameLimits::kBlockGrowth;
+  }
+  length = std::min(length, limits_.max_block);
+  ++suspect.blocks;
+  suspect.blocked_until = now + length;
+  suspect.changed = true;
+  ++counters_.blocks;
+  Log(LogLevel::kWarning, "part_blocked",
+      {{"parts", FormatKeys(suspect.parts)},
+       {"crashes", std::to_string(suspect.sightings.size())},
+       {"crash_weight", std::to_string(WeightOf(suspect))},
+       {"first_crash_s_ago", FormatSeconds(now - suspect.sightings.front().at)},
+       {"blocks", std::to_string(suspect.blocks)},
+       {"block_s", FormatSeconds(length)}});
+}
+
+void CrashBlame::BlockLargestDue(const std::vector<size_t>& matching,
+                                 Time now) {
+  std::vector<size_t> due;
+  std::copy_if(matching.begin(), matching.end(), std::back_inserter(due),
+               [&](size_t i) { return IsBlockDue(suspects_[i], now); });
+  for (const size_t i : due) {
+    const PartKeys& parts = suspects_[i].parts;
+    const bool is_largest = std::none_of(due.begin(), due.end(), [&](size_t j) {
+      return suspects_[j].parts.size() > parts.size() &&
+             ContainsAll(suspects_[j].parts, parts);
+    });
+    if (is_largest) {
+      Block(suspects_[i], now);
+    }
+  }
+}
+
+void CrashBlame::OnCrash(const PartKeys& parts,
+                         std::string_view target,
+                         Time sent_at,
+                         CrashEvidence evidence,
+                         Time now) {
+  if (!limits_.enabled || parts.empty()) {
+    return;
+  }
+  const PartKeys candidates = Candidates(parts, now);
+  const bool was_answered = IsAnswered(candidates.front(), now);
+  const bool is_full = evidence == CrashEvidence::kAtStart;
+  // A crash cuts off sound requests too, before they are answered.
+  if (was_answered && !is_full) {
+    return;
+  }
+  if (is_full) {
+    ReduceSuspects(parts, candidates);
+  }
+  std::vector<size_t> found = FindSuspectsIn(parts);
+  const bool explained = std::any_of(found.begin(), found.end(), [&](size_t i) {
+    const Suspect& it = suspects_[i];
+    return it.parts == candidates || it.blocks > 0 ||
+           WeightOf(it) >= kFullWeight;
+  });
+  if (!explained) {
+    AddSuspect(candidates, was_answered);
+    found = FindSuspectsIn(parts);
+  }
+  const Sighting sighting{StableHash(target), static_cast<uint32_t>(evidence),
+                          sent_at, now};
+  for (const size_t i : found) {
+    Suspect& suspect = suspects_[i];
+    if (suspect.IsBlocked(now) || !AddSighting(suspect, sighting)) {
+      continue;
+    }
+    ++counters_.crashes;
+    Log(LogLevel::kWarning, "part_suspected",
+        {{"parts", FormatKeys(suspect.parts)},
+         {"target", std::string(target)},
+         {"evidence", is_full ? "at_start" : "unanswered"},
+         {"crash_weight", std::to_string(WeightOf(suspect))},
+         {"answered_before", suspect.was_answered ? "true" : "false"}});
+  }
+  BlockLargestDue(found, now);
+}
+
+// Suspects become equal when their parts are reduced.
+void CrashBlame::MergeEqualSuspects() {
+  for (size_t i = 0; i < suspects_.size(); ++i) {
+    for (size_t j = suspects_.size() - 1; j > i; --j) {
+      Suspect& kept = suspects_[i];
+      const Suspect& other = suspects_[j];
+      if (kept.parts != other.parts) {
+        continue;
+      }
+      for (const Sighting& it : other.sightings) {
+        AddSighting(kept, it);
+      }
+      if (other.blocks > kept.blocks) {
+        kept.blocks = other.blocks;
+        kept.blocked_until = other.blocked_until;
+      }
+      kept.was_answered = kept.was_answered && other.was_answered;
+      kept.changed = true;
+      suspects_.erase(suspects_.begin() + static_cast<std::ptrdiff_t>(j));
+    }
+  }
+}
+
+void CrashBlame::Prune(Time now) {
+  if (now < next_prune_) {
+    return;
+  }
+  next_prune_ = now + kPruneInterval;
+  for (Suspect& it : suspects_) {
+    if (it.blocks == 0) {
+      std::erase_if(it.sightings, [&](const Sighting& sighting) {
+        return now - sighting.at > limits_.memory;
+      });
+    }
+  }
+  std::erase_if(suspects_, [&](const Suspect& it) {
+    // The next block of the same parts is longer only while they are
+    // remembered, so they are kept for as long again as they were blocked.
+    const Duration block = it.blocks > 0 && !it.sightings.empty()
+                               ? it.blocked_until - it.sightings.back().at
+                               : Duration(0);
+    const Time last_crash =
+        it.sightings.empty() ? Time() : it.sightings.back().at;
+    const Time expiry =
+        std::max(last_crash + limits_.memory,
+                 it.blocks > 0 ? it.blocked_until + block : Time());
+    if (now < expiry) {
+      return false;
+    }
+    Log(LogLevel::kInfo, "suspect_part_expired",
+        {{"parts", FormatKeys(it.parts)},
+         {"crash_weight", std::to_string(WeightOf(it))},
+         {"blocks", std::to_string(it.blocks)}});
+    return true;
+  });
+  absl::erase_if(answered_, [&](const auto& it) {
+    return now - it.second > limits_.memory;
+  });
+}
+
+// --- Exchange with other processes ------------------------------------------
+
+BlameRecord CrashBlame::MakeRecord(const Suspect& suspect, Time now) const {
+  BlameRecord record;
+  record.parts = suspect.parts;
+  record.was_answered = suspect.was_answered;
+  for (const Sighting& it : suspect.sightings) {
+    record.sightings.push_back({it.target, it.weight, it.at - it.sent_at,
+                                std::max(now - it.at, Duration(0))});
+  }
+  record.blocks = suspect.blocks;
+  record.blocked_left = std::max(suspect.blocked_until - now, Duration(0));
+  return record;
+}
+
+BlameReport CrashBlame::Export(Time now) const {
+  BlameReport report;
+  for (const Suspect& it : suspects_) {
+    if (report.records.size() < kMaxBlameRecords) {
+      report.records.push_back(MakeRecord(it, now));
+    }
+  }
+  std::vector<std::pair<Time, PartKey>> recent;
+  for (const auto& [part, at] : answered_) {
+    recent.emplace_back(at, part);
+  }
+  const size_t n = std::min(recent.size(), kMaxAnsweredInReport);
+  std::partial_sort(recent.begin(),
+                    recent.begin() + static_cast<std::ptrdiff_t>(n),
+                    recent.end(), std::greater<>());
+  for (size_t i = 0; i < n; ++i) {
+    report.answered.push_back(
+        {recent[i].second, std::max(now - recent[i].first, Duration(0))});
+  }
+  return report;
+}
+
+BlameReport CrashBlame::TakeChanges(bool blocked_only, Time now) {
+  BlameReport report;
+  for (Suspect& it : suspects_) {
+    const bool changed = std::exchange(it.changed, false);
+    if (changed && (it.blocks > 0 || !blocked_only) &&
+        report.records.size() < kMaxBlameRecords) {
+      report.records.push_back(MakeRecord(it, now));
+    }
+  }
+  for (const auto& [part, at] : std::exchange(changed_answers_, {})) {
+    if (report.answered.size() < kMaxAnsweredInReport) {
+      report.answered.push_back({part, std::max(now - at, Duration(0))});
+    }
+  }
+  return report;
+}
+
+void CrashBlame::Merge(const BlameReport& report, Time now) {
+  if (!limits_.enabled) {
+    return;
+  }
+  for (const BlameReport::Answered& it : report.answered) {
+    RememberAnswer(it.part, now - it.age, now);
+    if (ClearPart(it.part, now - it.age, now)) {
+      changed_answers_.emplace_back(it.part, now - it.age);
+    }
+  }
+  for (const BlameRecord& it : report.records) {
+    MergeRecord(it, now);
+  }
+}
+
+void CrashBlame::MergeRecord(const BlameRecord& record, Time now) {
+  if (record.sightings.empty()) {
+    return;
+  }
+  Duration last_age = record.sightings.front().age;
+  for (const BlameRecord::Sighting& it : record.sightings) {
+    last_age = std::min(last_age, it.age);
+  }
+  // A part that was answered after the last of these crashes is not to blame.
+  PartKeys parts = Sorted(record.parts);
+  std::erase_if(parts, [&](PartKey part) {
+    const auto it = answered_.find(part);
+    return it != answered_.end() && it->second > now - last_age;
+  });
+  if (parts.empty()) {
+    return;
+  }
+  const PartKeys unanswered = Candidates(parts, now);
+  if (!record.was_answered && record.blocks == 0) {
+    parts = unanswered;
+  }
+  const auto known =
+      std::find_if(suspects_.begin(), suspects_.end(),
+                   [&](const Suspect& it) { return it.parts == parts; });
+  const size_t index =
+      known != suspects_.end()
+          ? static_cast<size_t>(known - suspects_.begin())
+          : AddSuspect(parts,
+                       record.was_answered || (record.blocks == 0 &&
+                                               IsAnswered(parts.front(), now)));
+  Suspect& suspect = suspects_[index];
+  for (const BlameRecord::Sighting& it : record.sightings) {
+    AddSighting(suspect, {it.target, std::min(it.weight, kFullWeight),
+                          now - it.age - it.request_age, now - it.age});
+  }
+  if (record.blocks > suspect.blocks) {
+    suspect.blocks = record.blocks;
+    suspect.blocked_until =
+        now + std::min(record.blocked_left, limits_.max_block);
+    suspect.changed = true;
+    Log(LogLevel::kWarning, "part_block_learned",
+        {{"parts", FormatKeys(suspect.parts)},
+         {"blocks", std::to_string(suspect.blocks)},
+         {"left_s", FormatSeconds(record.blocked_left)}});
+  }
+  BlockLargestDue({index}, now);
+}
+
+// --- Diagnosis --------------------------------------------------------------
+
+uint32_t CrashBlame::CountBlocked(Time now) const {
+  return static_cast<uint32_t>(
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [&](const Suspect& it) { return it.IsBlocked(now); }));
+}
+
+std::string CrashBlame::Dump(Time now) const {
+  std::string suspects;
+  for (const Suspect& it : suspects_) {
+    const std::string_view state = it.IsBlocked(now)     ? "blocked"
+                                   : NeedsTrial(it, now) ? "trial"
+                                                         : "suspect";
+    std::string parts;
+    for (const PartKey part : it.parts) {
+      parts +=
+          fmt::format("{}\"{:016x}\"", parts.empty() ? "" : ",", part.value());
+    }
+    const Duration since =
+        it.sightings.empty() ? Duration(0) : now - it.sightings.back().at;
+    suspects += fmt::format(
+        "{}{{\"parts\":[{}],\"state\":\"{}\",\"crashes\":{},"
+        "\"crash_weight\":{},\"last_crash_s_ago\":{},\"blocks\":{},"
+        "\"blocked_left_s\":{},\"answered_before\":{}}}",
+        suspects.empty() ? "" : ",", parts, state, it.sightings.size(),
+        WeightOf(it), FormatSeconds(since), it.blocks,
+        FormatSeconds(std::max(it.blocked_until - now, Duration(0))),
+        it.was_answered);
+  }
+  return fmt::format(
+      "{{\"enabled\":{},\"crashes\":{},\"blocks\":{},\"cleared\":{},"
+      "\"refused\":{},\"waits\":{},\"answered_parts\":{},\"suspects\":[{}]}}",
+      limits_.enabled, counters_.crashes, counters_.blocks, counters_.cleared,
+      counters_.refused, counters_.waits, answered_.size(), suspects);
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/crash_blame.h
@@ -0,0 +1,187 @@
+// Finds the prompt parts that crash model engines, and decides which requests
+// are no longer sent because of them.
+//
+// A request is evidence when its engine breaks off before the first event of
+// the answer. Its parts that no request has been answered with are suspects, as
+// one set: each further crash reduces the set to the parts in common, and each
+// answer removes the parts of its prompt. While a set is suspect, requests that
+// contain all of it are tried one at a time, and after enough crashes they are
+// blocked for a limited time. The module knows no clock, network or store: its
+// state can be exported, merged and rebuilt.
+#ifndef SRC_CRASH_BLAME_H_
+#define SRC_CRASH_BLAME_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "src/clock.h"
+#include "src/messages.h"
+#include "src/units.h"
+
+namespace burdockhatch {
+
+// Returns the key of a part of a prompt for `model`. What crashes the engines
+// of one model may be sound for another.
+PartKey MakePartKey(std::string_view model, std::string_view part);
+PartKey MakePartKey(std::string_view model, uint64_t prefix_hash);
+
+struct CrashBlameLimits {
+  bool enabled = true;
+  // Crashes, one after the other and without an answer between them, after
+  // which requests with the suspect parts are blocked.
+  uint32_t crashes = 2;
+  // The same for parts that requests were answered with within `memory`.
+  uint32_t answered_crashes = 4;
+  // Time for which a crash or an answer counts.
+  Duration memory = std::chrono::seconds(60);
+  // Duration of the first block. Each further block of the same parts is
+  // kBlockGrowth times as long, up to `max_block`.
+  Duration block = std::chrono::minutes(2);
+  Duration max_block = std::chrono::hours(24);
+  uint32_t max_suspects = 256;  // Sets of suspect parts.
+  uint32_t max_answered_parts =
+      4096;  // Parts that requests were answered with.
+
+  static constexpr int kBlockGrowth = 4;
+};
+
+// How much the end of an attempt says about the request's parts. The values are
+// weights: a crash that counts in full has the weight kAtStart.
+enum class CrashEvidence : uint8_t {
+  kUnanswered = 1,  // The engine broke off without a response head.
+  kAtStart = 2,     // It broke off between the head and the first event.
+};
+
+class CrashBlame {
+ public:
+  enum class Verdict : uint8_t {
+    kSend,
+    kWait,  // Another request with suspect parts is being tried.
+    kBlocked,
+  };
+  struct Decision {
+    Verdict verdict = Verdict::kSend;
+    // With kSend: the request has suspect parts, so its engine may crash.
+    bool is_trial = false;
+    Duration blocked_left{0};  // With kBlocked.
+  };
+  struct Counters {
+    uint64_t crashes = 0;  // Crashes that count against a part.
+    uint64_t blocks = 0;
+    uint64_t cleared = 0;  // Suspect sets cleared by answers.
+    uint64_t refused = 0;  // Requests refused, as counted by CountRefusal().
+    uint64_t waits = 0;    // Requests that waited for a trial.
+  };
+
+  explicit CrashBlame(CrashBlameLimits limits = {}) : limits_(limits) {}
+
+  // Returns whether a request with these parts may be sent now. `trial` is
+  // unique to the attempt.
+  Decision Check(const PartKeys& parts, uint64_t trial, Time now) const;
+  // Records that the attempt is sent. If a part is suspect, other requests with
+  // the same suspect parts wait until EndTrial().
+  void OnSent(const PartKeys& parts, uint64_t trial, Time now);
+  void EndTrial(uint64_t trial);
+
+  // Records that an attempt with these parts has delivered its first event.
+  void OnAnswer(const PartKeys& parts, Time now);
+  // Records that `target` broke off an attempt, sent at `sent_at`, before its
+  // first event.
+  void OnCrash(const PartKeys& parts,
+               std::string_view target,
+               Time sent_at,
+               CrashEvidence evidence,
+               Time now);
+  // Ends the suspicion and the block of a part, as an operator may. Returns
+  // whether the part was suspect.
+  bool Lift(PartKey part, Time now);
+
+  // Adds what another process knows. Idempotent: a crash that is known already
+  // does not count again.
+  void Merge(const BlameReport& report, Time now);
+  // Returns all suspects, and the parts answered most recently.
+  BlameReport Export(Time now) const;
+  // Returns what has changed since the last call, for other processes.
+  // `blocked_only` leaves out suspects that have never been blocked.
+  BlameReport TakeChanges(bool blocked_only, Time now);
+
+  // Forgets what has expired, at most once a second.
+  void Prune(Time now);
+
+  void CountRefusal() { ++counters_.refused; }
+  void CountWait() { ++counters_.waits; }
+  const Counters& counters() const { return counters_; }
+  size_t suspect_count() const { return suspects_.size(); }
+  uint32_t CountBlocked(Time now) const;
+
+  // Returns the limits, counters and suspects as JSON.
+  std::string Dump(Time now) const;
+
+ private:
+  // A crash under a request with the suspect parts.
+  struct Sighting {
+    uint64_t target = 0;  // Hash of the target's id.
+    uint32_t weight = 0;
+    Time sent_at{};  // Of the request.
+    Time at{};       // Of the crash.
+  };
+  struct Suspect {
+    PartKeys parts;  // Sorted.
+    // Requests with these parts were answered before the crashes.
+    bool was_answered = false;
+    // By time. No request was sent before the crash that precedes its own, so
+    // that a loss of many targets at one moment counts as one crash.
+    std::vector<Sighting> sightings;
+    uint32_t blocks = 0;  // Times blocked.
+    Time blocked_until{};
+    std::optional<uint64_t> trial;  // The attempt that is being tried.
+    Time trial_since{};
+    bool changed = false;  // Since the last TakeChanges().
+
+    bool IsBlocked(Time now) const { return now < blocked_until; }
+  };
+
+  bool IsAnswered(PartKey part, Time now) const;
+  static uint32_t WeightOf(const Suspect& suspect);
+  bool NeedsTrial(const Suspect& suspect, Time now) const;
+  // Returns the parts that a crash of a request may be due to: those that no
+  // request was answered with, or all of them if there is none.
+  PartKeys Candidates(const PartKeys& parts, Time now) const;
+  // Reduces suspects that share only some of their parts with the candidates to
+  // these.
+  void ReduceSuspects(const PartKeys& parts, const PartKeys& candidates);
+  std::vector<size_t> FindSuspectsIn(const PartKeys& parts) const;
+  size_t AddSuspect(PartKeys parts, bool was_answered);
+  // Returns false if the crash is known or coincides with one that is.
+  static bool AddSighting(Suspect& suspect, const Sighting& sighting);
+  bool IsBlockDue(const Suspect& suspect, Time now) const;
+  void Block(Suspect& suspect, Time now);
+  // Blocks those of `matching` that are due and not contained in another one
+  // that is due: the larger set explains the same crash and blocks fewer
+  // requests.
+  void BlockLargestDue(const std::vector<size_t>& matching, Time now);
+  void MergeEqualSuspects();
+  void MergeRecord(const BlameRecord& record, Time now);
+  // Removes the part from suspects whose last crash is before `answered_at`.
+  // Returns whether any had it.
+  bool ClearPart(PartKey part, Time answered_at, Time now);
+  void RememberAnswer(PartKey part, Time at, Time now);
+  BlameRecord MakeRecord(const Suspect& suspect, Time now) const;
+
+  CrashBlameLimits limits_;
+  std::vector<Suspect> suspects_;
+  absl::flat_hash_map<PartKey, Time> answered_;  // Time of the last answer.
+  // Answers to be told to others, because they have cleared a suspect.
+  std::vector<std::pair<PartKey, Time>> changed_answers_;
+  Time next_prune_{};
+  Counters counters_;
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_CRASH_BLAME_H_
--- a/src/daemon_common.cc
+++ b/src/daemon_common.cc
@@ -21,4 +21,16 @@
   metrics->SetCounter("burdockhatch_bus_rejected_total", "", bus.rejected);
 }
 
+void ExportBlameCounters(const CrashBlame& blame, Time now, Metrics* metrics) {
+  const CrashBlame::Counters& counters = blame.counters();
+  metrics->SetCounter("burdockhatch_part_crashes_total", "", counters.crashes);
+  metrics->SetCounter("burdockhatch_part_blocks_total", "", counters.blocks);
+  metrics->SetCounter("burdockhatch_part_cleared_total", "", counters.cleared);
+  metrics->SetCounter("burdockhatch_part_refusals_total", "", counters.refused);
+  metrics->SetCounter("burdockhatch_part_waits_total", "", counters.waits);
+  metrics->SetGauge("burdockhatch_suspect_parts", "",
+                    static_cast<int64_t>(blame.suspect_count()));
+  metrics->SetGauge("burdockhatch_blocked_parts", "", blame.CountBlocked(now));
+}
+
 }  // namespace burdockhatch
--- a/src/daemon_common.h
+++ b/src/daemon_common.h
@@ -3,6 +3,7 @@
 #define SRC_DAEMON_COMMON_H_
 
 #include "src/bus.h"
+#include "src/crash_blame.h"
 #include "src/ids.h"
 #include "src/metrics.h"
 
@@ -15,6 +16,9 @@
 // Copies the bus counters to the metrics.
 void ExportBusCounters(const BusStats& bus, Metrics* metrics);
 
+// Copies the counters of prompt parts that crash targets to the metrics.
+void ExportBlameCounters(const CrashBlame& blame, Time now, Metrics* metrics);
+
 }  // namespace burdockhatch
 
 #endif  // SRC_DAEMON_COMMON_H_
--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -192,6 +192,10 @@
   });
 }
 
+std::vector<InstanceId> DaemonLoop::HeartbeatPeers() const {
+  return internals_->config_spread.heartbeat_peers();
+}
+
 void DaemonLoop::ExecutePendingActions() {
   ExecuteConfigActions();
   ExecuteActions(Now());
--- a/src/daemon_loop.h
+++ b/src/daemon_loop.h
@@ -73,6 +73,9 @@
   // callback of an adapter that delivers an event to the core must call it.
   void ExecutePendingActions();
 
+  // Returns the entries with which this one exchanges heartbeats.
+  std::vector<InstanceId> HeartbeatPeers() const;
+
   // Components that request connections to peers.
   enum class ConnectionUser : uint8_t { kCore, kConfig };
 
--- /dev/null
+++ b/src/entry_blame.cc
@@ -0,0 +1,102 @@
+#include "src/entry_blame.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/random.h"
+#include "src/request_end.h"
+
+namespace burdockhatch {
+
+namespace {
+
+// Interval at which a request looks whether the trial of another one has ended.
+constexpr Duration kTrialCheckInterval = std::chrono::milliseconds(20);
+// Every block up to this depth is a part; beyond it, each depth is
+// kDepthGrowth times the one before, as a prompt may have thousands of blocks.
+constexpr size_t kDenseDepth = 16;
+constexpr double kDepthGrowth = 1.5;
+
+uint64_t TrialOf(const RequestRow& row) {
+  return MixHash(row.spec.request.high, row.spec.request.low);
+}
+
+}  // namespace
+
+PartKeys SharedPartsOf(const RequestSpec& spec) {
+  PartKeys parts;
+  const std::string& model = spec.model.value();
+  if (spec.template_prefix_hash) {
+    parts.push_back(MakePartKey(model, *spec.template_prefix_hash));
+  }
+  const std::vector<uint64_t>& blocks = spec.prefix_hashes;
+  double depth = 0;
+  while (depth + 1 < static_cast<double>(blocks.size()) &&
+         parts.size() < kMaxPartsOfPrompt) {
+    parts.push_back(MakePartKey(model, blocks[static_cast<size_t>(depth)]));
+    depth = depth < kDenseDepth ? depth + 1 : depth * kDepthGrowth;
+  }
+  return parts;
+}
+
+bool CheckPartsBeforeOffer(EntryTables& tables, RequestRow& row, Time now) {
+  const CrashBlame::Decision decision =
+      tables.blame.Check(row.parts, TrialOf(row), now);
+  switch (decision.verdict) {
+    case CrashBlame::Verdict::kSend:
+      return true;
+    case CrashBlame::Verdict::kWait:
+      if (row.phase != RequestPhase::kWaiting || row.next_placement == Time()) {
+        tables.blame.CountWait();
+      }
+      row.phase = RequestPhase::kWaiting;
+      row.next_placement = now + kTrialCheckInterval;
+      return false;
+    case CrashBlame::Verdict::kBlocked:
+      tables.blame.CountRefusal();
+      FailRow(tables, row, ErrorCode::kPartBlocked, decision.blocked_left, now);
+      return false;
+  }
+  return true;
+}
+
+void RecordOfferForBlame(EntryTables& tables, const RequestRow& row, Time now) {
+  tables.blame.OnSent(row.parts, TrialOf(row), now);
+}
+
+void EndTrialOf(EntryTables& tables, const RequestRow& row) {
+  tables.blame.EndTrial(TrialOf(row));
+}
+
+void RecordAnswerForBlame(EntryTables& tables, RequestRow& row, Time now) {
+  EntryAttempt& attempt = *row.attempt;
+  if (!attempt.has_output && row.next_chunk > attempt.first_chunk) {
+    attempt.has_output = true;
+    tables.blame.OnAnswer(row.parts, now);
+    EndTrialOf(tables, row);
+  }
+}
+
+// An agent reports the failure of its engine for all attempts there, without
+// the moment at which each of them began, so the evidence is the weaker one.
+void RecordFailureForBlame(EntryTables& tables,
+                           const RequestRow& row,
+                           const Failure& failure,
+                           Time now) {
+  const EntryAttempt& attempt = *row.attempt;
+  if (failure.code != ErrorCode::kTargetFailed || attempt.has_output) {
+    return;
+  }
+  const InstanceId& agent = tables.fleet.rows[attempt.slot].info.instance;
+  tables.blame.OnCrash(row.parts, agent.value(), attempt.offered_at,
+                       CrashEvidence::kUnanswered, now);
+}
+
+void SpreadBlame(EntryTables& tables, Time now) {
+  BlameReport news = tables.blame.TakeChanges(false, now);
+  if (!news.empty()) {
+    tables.actions.push_back(SpreadReport{std::move(news)});
+  }
+}
+
+}  // namespace burdockhatch
--- a/src/entry_core.cc
+++ b/src/entry_core.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "src/account_limits.h"
+#include "src/entry_blame.h"
 #include "src/entry_dump.h"
 #include "src/entry_tables.h"
 #include "src/fleet_table.h"
@@ -55,6 +56,17 @@
   RefreshAvailability(tables.fleet, slot->second, now);
 }
 
+// An entry that has just started knows of no blame.
+void SendBlameToEntry(EntryTables& tables, const PeerId& peer, Time now) {
+  if (!tables.entries.contains(peer.instance)) {
+    return;
+  }
+  BlameReport known = tables.blame.Export(now);
+  if (!known.records.empty()) {
+    tables.actions.push_back(SendMessage{peer, std::move(known)});
+  }
+}
+
 // Passes each message type to its handler. Types that do not affect an entry's
 // decisions are ignored.
 struct MessageHandler {
@@ -83,6 +95,9 @@
       OnHeartbeat(tables, sender, body, now);
     }
   }
+  void operator()(const BlameReport& body) const {
+    tables.blame.Merge(body, now);
+  }
   void operator()(const Goodbye&) const {
     if (sender_incarnation != SenderIncarnation::kStale) {
       OnGoodbye(tables, sender, now);
@@ -97,6 +112,7 @@
 EntryCore::EntryCore(EntryOptions options)
     : tables_(std::make_unique<EntryTables>()) {
   tables_->random = Random(options.seed);
+  tables_->blame = CrashBlame(options.crash_blame);
   tables_->options = std::move(options);
 }
 
@@ -110,6 +126,8 @@
   UpdateAccountLimits(*tables_, now);
   UpdateRequests(*tables_, now);
   ResendCancels(*tables_, now);
+  tables_->blame.Prune(now);
+  SpreadBlame(*tables_, now);
 }
 
 void EntryCore::OnRequest(RequestSpec spec, Time now) {
@@ -130,14 +148,23 @@
   std::visit(MessageHandler{*tables_, message.sender, sender_incarnation, now},
              message.body);
   if (sender_incarnation == SenderIncarnation::kNew) {
+    SendBlameToEntry(*tables_, message.sender, now);
     UpdateRequests(*tables_, now);
   }
+  SpreadBlame(*tables_, now);
 }
 
 void EntryCore::OnProgress(const AttemptId& attempt,
                            uint32_t next_chunk,
                            Time now) {
   RecordProgress(*tables_, attempt, next_chunk, now);
+  SpreadBlame(*tables_, now);
+}
+
+bool EntryCore::LiftPart(PartKey part, Time now) {
+  const bool had = tables_->blame.Lift(part, now);
+  SpreadBlame(*tables_, now);
+  return had;
 }
 
 void EntryCore::OnSendFailed(const AttemptId& attempt, Time now) {
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/clock.h"
+#include "src/crash_blame.h"
 #include "src/errors.h"
 #include "src/fleet_config.h"
 #include "src/ids.h"
@@ -30,6 +31,7 @@
   uint64_t seed = 1;
   // Approximate number of agents in the subset, over all models and services.
   uint32_t subset_size = 48;
+  CrashBlameLimits crash_blame;
 };
 
 // A caller's request after its session has parsed it and counted its tokens.
@@ -42,6 +44,8 @@
   Tokens prompt_tokens;
   Tokens max_output_tokens;
   std::vector<uint64_t> prefix_hashes;
+  // Of the text that the client account's template puts before the prompt.
+  std::optional<uint64_t> template_prefix_hash;
   Time deadline;
   bool repeatable = true;
   std::optional<IdempotencyKey> key;
@@ -86,12 +90,18 @@
   InstanceId instance;
 };
 
+// Sends the report to the entries that this one exchanges heartbeats with.
+struct SpreadReport {
+  BlameReport report;
+};
+
 using EntryAction = std::variant<SendOffer,
                                  SendMessage,
                                  CompleteRequest,
                                  FailRequest,
                                  ConnectPeer,
-                                 DisconnectPeer>;
+                                 DisconnectPeer,
+                                 SpreadReport>;
 
 struct EntryTables;
 
@@ -124,6 +134,10 @@
   void OnPeerUnreachable(const InstanceId& instance, Time now);
   void OnConfig(FleetConfigPtr config, Time now);
 
+  // Ends the suspicion and the block of a part of prompts, at all entries.
+  // Returns whether the part was suspect here.
+  bool LiftPart(PartKey part, Time now);
+
   void BeginDrain(Time now);
   bool IsDrained() const;
 
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -5,13 +5,17 @@
 #include <utility>
 #include <variant>
 
+#include "src/daemon_common.h"
 #include "src/daemon_loop.h"
 #include "src/entry_core.h"
+#include "src/entry_tables.h"
 
 namespace burdockhatch {
 
 namespace {
 
+constexpr Duration kCounterInterval = std::chrono::seconds(1);
+
 EntryOptions MakeEntryOptions(const Settings& settings, const PeerId& self) {
   EntryOptions options;
   options.self = self;
@@ -19,6 +23,7 @@
   options.region = settings.region;
   options.seed = self.incarnation.value();
   options.subset_size = settings.subset_size;
+  options.crash_blame = settings.crash_blame;
   return options;
 }
 
@@ -65,7 +70,13 @@
  protected:
   void OnStart() override {}
 
-  void OnTick(Time now) override { core_.Tick(now); }
+  void OnTick(Time now) override {
+    core_.Tick(now);
+    if (now >= next_counters_at_) {
+      next_counters_at_ = now + kCounterInterval;
+      ExportBlameCounters(core_.tables().blame, now, &metrics_);
+    }
+  }
 
   void OnConfig(FleetConfigPtr config, Time now) override {
     core_.OnConfig(std::move(config), now);
@@ -146,6 +157,12 @@
     bus_->Send(action.to, std::move(action.body));
   }
 
+  void Execute(const SpreadReport& action) {
+    for (const InstanceId& it : HeartbeatPeers()) {
+      bus_->Send({it, Incarnation()}, action.report);
+    }
+  }
+
   void Execute(const CompleteRequest& action) {
     http_server_->Complete(action);
   }
@@ -162,6 +179,7 @@
 
   EntryCore core_;
   bool instances_known_ = false;
+  Time next_counters_at_{};
 
   std::mutex progress_mutex_;  // Protects the two members below.
   std::map<RequestId, ChunkProgress> pending_progress_;
--- a/src/entry_dump.cc
+++ b/src/entry_dump.cc
@@ -152,6 +152,7 @@
   out["abandoned_attempts"] = tables.abandoned_attempts.size();
   out["accounts"] = DumpAccounts(tables, now);
   out["granted"] = DumpGranted(tables, now);
+  out["crash_blame"] = json::parse(tables.blame.Dump(now));
   return json::serialize(out);
 }
 
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -13,6 +13,7 @@
 #include <absl/container/inlined_vector.h>
 
 #include "src/clock.h"
+#include "src/crash_blame.h"
 #include "src/entry_core.h"
 #include "src/fleet_config.h"
 #include "src/ids.h"
@@ -211,6 +212,8 @@
   Incarnation serving_incarnation;
   int64_t tokens = 0;  // Tokens counted as load of the target.
   bool offer_unanswered = true;
+  uint32_t first_chunk = 0;  // Of the offer.
+  bool has_output = false;   // A chunk of this attempt has arrived.
   Time offered_at;
   // Start of the time without progress: when resuming started or, in kFinished,
   // when Finish or the last new chunk arrived.
@@ -241,6 +244,7 @@
 
 struct RequestRow {
   RequestSpec spec;
+  PartKeys parts;  // See SharedPartsOf().
   RequestPhase phase = RequestPhase::kWaiting;
   AttemptNumber last_attempt_number;
   std::optional<EntryAttempt> attempt;
@@ -277,6 +281,7 @@
   uint64_t entries_version = 1;
   AccountLimits limits;
   RetryBudgets retries;
+  CrashBlame blame;
   std::map<RequestId, RequestRow> requests;
   std::map<AttemptId, AbandonedAttempt> abandoned_attempts;
   Time next_membership_update;
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -35,6 +35,7 @@
     {ErrorCode::kNotReady, "not_ready", 503},
     {ErrorCode::kNotFound, "not_found", 404},
     {ErrorCode::kInternal, "internal", 500},
+    {ErrorCode::kPartBlocked, "part_blocked", 503},
 }};
 
 // The table is indexed by code. A misplaced row would report the wrong error to
--- a/src/errors.h
+++ b/src/errors.h
@@ -41,10 +41,11 @@
   kNotReady,
   kNotFound,
   kInternal,
+  kPartBlocked,  // A part of the prompt has crashed several engines.
 };
 
 inline constexpr int kErrorCodeCount =
-    static_cast<int>(ErrorCode::kInternal) + 1;
+    static_cast<int>(ErrorCode::kPartBlocked) + 1;
 
 // Returns the stable name of `code` used in the JSON error body, e.g.
 // "rate_limited".
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -9,6 +9,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/caller_server.h"
+#include "src/daemon_common.h"
 #include "src/exception_guard.h"
 #include "src/feed_follower.h"
 #include "src/forward_daemon.h"
@@ -26,6 +27,7 @@
 namespace {
 
 constexpr Duration kIdleTickInterval = std::chrono::milliseconds(50);
+constexpr Duration kCounterInterval = std::chrono::seconds(1);
 // How long the load balancer keeps sending after readiness turns false: it
 // checks every second and stops after two failures, and a connection opened
 // just before that may still carry a request.
@@ -61,7 +63,8 @@
         placement_client_(
             self_,
             {Role::kEntry, settings_.data_centre, settings_.bus_address, false},
-            this) {
+            this,
+            settings_.crash_blame) {
     context_.timers = this;
     context_.protocol = protocol_.get();
     context_.connector = connector_.get();
@@ -141,6 +144,10 @@
       next_prune_at_ = now + std::chrono::seconds(5);
       context_.balancer.RemoveUnlistedTargets(context_.directory);
     }
+    if (now >= next_counters_at_) {
+      next_counters_at_ = now + kCounterInterval;
+      ExportBlameCounters(placement_client_.blame(), now, &metrics_);
+    }
     return caller_server_->open_exchanges() > 0 ? kPlacementTickInterval
                                                 : kIdleTickInterval;
   }
@@ -199,11 +206,13 @@
     return fmt::format(
         "{{\"config_version\":{},\"routes\":{},\"requests\":{},"
         "\"connections\":{},\"feeds\":{{{}}},\"withdrawn\":[{}],"
-        "\"targets\":[{}],\"placement\":{},\"feed_relay\":{}}}",
+        "\"targets\":[{}],\"placement\":{},\"crash_blame\":{},"
+        "\"feed_relay\":{}}}",
         context_.config ? context_.config->version : 0,
         context_.config ? context_.config->routes.size() : 0,
         caller_server_->open_exchanges(), caller_server_->connections(), feeds,
-        withdrawn, targets, placement_client_.Dump(now), feed_.Dump(now));
+        withdrawn, targets, placement_client_.Dump(now),
+        placement_client_.blame().Dump(now), feed_.Dump(now));
   }
 
  private:
@@ -413,6 +422,7 @@
   std::map<InstanceId, int> connection_users_;
   uint64_t published_generation_ = 0;
   Time next_prune_at_{};
+  Time next_counters_at_{};
   Time next_relay_choice_at_{};
 };
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -6,6 +6,9 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include "src/caller_api.h"
+#include "src/crash_blame.h"
+#include "src/errors.h"
 #include "src/exception_guard.h"
 #include "src/log.h"
 
@@ -198,6 +201,7 @@
   ask.gap_target = route_->gap_target;
   ask.time_left = std::max(deadline_ - now, Duration(0));
   ask.excluded = excluded_targets_;
+  ask.parts = MakePartKeys();
   ask.number = context_->placement->NextNumber();
   placement_number_ = ask.number;
   context_->placement->RequestPlacement(
@@ -219,6 +223,11 @@
     FinishWithFailure("refused_by_placement");
     return;
   }
+  if (reply.verdict == PlacementVerdict::kBlocked) {
+    placement_number_.reset();
+    FinishAsBlocked(reply.retry_after);
+    return;
+  }
   const FleetDirectory::KnownTarget* entry =
       context_->directory.Find(reply.target);
   if (entry == nullptr || !context_->directory.IsUsable(*entry, now)) {
@@ -432,7 +441,7 @@
   if (!response_fields_.is_signed ||
       (!response_fields_.attempt_id.empty() &&
        response_fields_.attempt_id != caller_fields_.attempt_id)) {
-    FailAttempt(AttemptFailure::kBroken);
+    FailAttempt(AttemptFailure::kInvalid);
     return;
   }
   is_streaming_ = route_->is_streaming;
@@ -471,7 +480,7 @@
 void ForwardRequest::ForwardEvents(std::string_view data) {
   std::string complete_events = events_.Feed(data);
   if (events_.is_invalid()) {
-    FailAttempt(AttemptFailure::kBroken);
+    FailAttempt(AttemptFailure::kInvalid);
     return;
   }
   if (complete_events.empty()) {
@@ -563,6 +572,8 @@
       return "not_run";
     case AttemptFailure::kBroken:
       return "broken";
+    case AttemptFailure::kInvalid:
+      return "invalid";
     case AttemptFailure::kTimedOut:
       return "silent";
     case AttemptFailure::kErrorResponse:
@@ -636,13 +647,7 @@
   reservations_.reset();
   events_.DropPartialEvent();
   if (placement) {
-    PlacementEvent event = PlacementEvent::kTargetFailed;
-    if (!is_fault) {
-      event = PlacementEvent::kEnded;
-    } else if (not_executed && response_fields_.is_wrong_target) {
-      event = PlacementEvent::kTargetReplaced;
-    }
-    context_->placement->ReportEvent(*placement, event,
+    context_->placement->ReportEvent(*placement, FailureEvent(failure),
                                      is_fault ? failed : TargetId(), now);
   } else {
     context_->balancer.EndCall(target_,
@@ -672,6 +677,32 @@
       });
 }
 
+PlacementEvent ForwardRequest::FailureEvent(AttemptFailure failure) const {
+  if (failure == AttemptFailure::kErrorResponse) {
+    return PlacementEvent::kEnded;
+  }
+  if (failure == AttemptFailure::kNotExecuted &&
+      response_fields_.is_wrong_target) {
+    return PlacementEvent::kTargetReplaced;
+  }
+  if (failure != AttemptFailure::kBroken) {
+    return PlacementEvent::kTargetFailed;
+  }
+  if (attempt_has_events_) {
+    return PlacementEvent::kBrokenAfterStart;
+  }
+  return IsSuccess(response_status_) ? PlacementEvent::kBrokenAtStart
+                                     : PlacementEvent::kBrokenUnanswered;
+}
+
+PartKeys ForwardRequest::MakePartKeys() const {
+  PartKeys keys;
+  for (const std::string& it : caller_fields_.shared_parts) {
+    keys.push_back(MakePartKey(caller_fields_.model, it));
+  }
+  return keys;
+}
+
 uint32_t ForwardRequest::RejectedSends() const {
   return send_count_ - failed_connection_count_ - attempt_count_;
 }
@@ -728,7 +759,17 @@
   FinishWithFailure("deadline");
 }
 
-void ForwardRequest::FinishWithFailure(std::string_view reason) {
+void ForwardRequest::FinishAsBlocked(Duration blocked_left) {
+  retry_after_ = blocked_left;
+  const Failure failure{
+      ErrorCode::kPartBlocked,
+      may_have_executed_ ? Outcome::kUnknown : Outcome::kNotRun, blocked_left};
+  FinishWithFailure("part_blocked",
+                    ErrorResponseBody(failure, ErrorMessageFor(failure.code)));
+}
+
+void ForwardRequest::FinishWithFailure(std::string_view reason,
+                                       std::string body) {
   if (stream_started_) {
     exchange_->Abort();
     Finish(0, reason);
@@ -754,7 +795,10 @@
         {"Retry-After",
          fmt::format("{:.2f}", static_cast<double>(wait.count()) / 1e6)});
   }
-  exchange_->SendResponse(status, headers, "");
+  if (!body.empty()) {
+    headers.push_back({"Content-Type", "application/json"});
+  }
+  exchange_->SendResponse(status, headers, body);
   Finish(status, reason);
 }
 
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -72,7 +72,8 @@
   enum class AttemptFailure : uint8_t {
     kNotSent,        // The connection failed before a byte was written.
     kNotExecuted,    // The target stated that it did not execute the request.
-    kBroken,         // The connection broke or the response was invalid.
+    kBroken,         // The connection broke, or ended inside the response.
+    kInvalid,        // The response belongs to no target or request.
     kTimedOut,       // No response or event arrived in time.
     kErrorResponse,  // A complete response with a 5xx status.
     kTooLarge,       // The response exceeds a limit.
@@ -129,12 +130,17 @@
   // the request was sent to.
   TargetId FindFailedTarget(AttemptFailure failure) const;
   void CloseAttempt(PlacementEvent event, CallOutcome outcome);
+  PartKeys MakePartKeys() const;
+  // The event that tells placement about the failure of a target.
+  PlacementEvent FailureEvent(AttemptFailure failure) const;
 
   // --- Completion ---
   void OnDeadline();
   void OnCallerGone();
   void SendBufferedResponse();
-  void FinishWithFailure(std::string_view reason);
+  void FinishWithFailure(std::string_view reason, std::string body = "");
+  // Rejects the request because of a part of its prompt that crashes targets.
+  void FinishAsBlocked(Duration blocked_left);
   void Finish(uint32_t status, std::string_view outcome);
   Duration TimeLeft() const;
 
--- a/src/ids.h
+++ b/src/ids.h
@@ -73,6 +73,8 @@
 // from its predecessor.
 using Incarnation = NumericId<struct IncarnationTag>;
 // Increases each time a model engine starts.
+// A part of prompts for one model, see MakePartKey() in crash_blame.h.
+using PartKey = NumericId<struct PartKeyTag>;
 using EngineIncarnation = NumericId<struct EngineIncarnationTag>;
 // Number of an attempt within its request, starting at 1.
 using AttemptNumber = NumericId<struct AttemptNumberTag, uint32_t>;
--- a/src/messages.h
+++ b/src/messages.h
@@ -226,6 +226,51 @@
   std::vector<AccountShare> shares;
 };
 
+// --- Prompt parts that crash engines ----------------------------------------
+
+// The parts of a prompt that other prompts may share.
+using PartKeys = std::vector<PartKey>;
+inline constexpr size_t kMaxPartsOfPrompt = 32;
+
+// Prompt parts that are suspected of crashing engines, see crash_blame.h. Ages
+// are as of the time of sending.
+struct BlameRecord {
+  struct Sighting {
+    uint64_t target = 0;      // Hash of the id of the target that crashed.
+    uint32_t weight = 0;      // See CrashEvidence.
+    Duration request_age{0};  // Time from the sending of the request.
+    Duration age{0};          // Time since the crash.
+
+    bool operator==(const Sighting&) const = default;
+  };
+  PartKeys parts;
+  bool was_answered = false;
+  std::vector<Sighting> sightings;
+  uint32_t blocks = 0;  // Times that the parts have been blocked.
+  Duration blocked_left{0};
+
+  bool operator==(const BlameRecord&) const = default;
+};
+inline constexpr size_t kMaxBlameSightings = 8;
+
+// Any process to any other: what it knows of parts that crash engines.
+struct BlameReport {
+  // A request with the part has been answered.
+  struct Answered {
+    PartKey part;
+    Duration age{0};
+
+    bool operator==(const Answered&) const = default;
+  };
+  std::vector<BlameRecord> records;
+  std::vector<Answered> answered;
+
+  bool empty() const { return records.empty() && answered.empty(); }
+  bool operator==(const BlameReport&) const = default;
+};
+inline constexpr size_t kMaxBlameRecords = 1'024;
+inline constexpr size_t kMaxAnsweredInReport = 256;
+
 // --- Placement of forwarded requests ---------------------------------------
 
 // Description of a target that an entry sends to the agent that places work,
@@ -265,6 +310,7 @@
   // Time for which entries may disagree on the leader, so that several agents
   // place work on the same targets.
   Duration unsettled_left{0};
+  PartKeys parts;
 };
 inline constexpr int kMaxExcludedTargets = 64;
 
@@ -273,6 +319,7 @@
   kQueued,       // Queued; another reply follows.
   kRefused,      // No target can answer in time.
   kUnknownList,  // The agent has no list of the service's targets.
+  kBlocked,      // A part of the prompt has crashed engines.
 };
 
 // Limit of helpers: further targets that process a part of one prompt.
@@ -304,6 +351,11 @@
   kEnded,           // The request no longer uses its targets.
   kTargetFailed,    // Ended: a target broke the answer off or was silent.
   kTargetReplaced,  // Ended: another target now has the address.
+  // As kTargetFailed: the connection broke before the response head.
+  kBrokenUnanswered,
+  // As kTargetFailed: it broke between the head and the first event.
+  kBrokenAtStart,
+  kBrokenAfterStart,  // As kTargetFailed: it broke after the first event.
 };
 
 // Entry to agent: progress or end of a placed request.
@@ -323,6 +375,7 @@
   Tokens output;
   Duration gap_target{0};
   bool reading = true;  // The prompt is still being processed.
+  PartKeys parts;
 };
 
 // Entry to agent: all placed work of the entry that has not ended. It is the
@@ -402,7 +455,8 @@
                                  PlacementSnapshot,
                                  FeedPoll,
                                  FeedProof,
-                                 FeedDelta>;
+                                 FeedDelta,
+                                 BlameReport>;
 
 // Unit of transfer on the bus.
 struct Message {
--- a/src/placement_agent_daemon.cc
+++ b/src/placement_agent_daemon.cc
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include "src/daemon_common.h"
 #include "src/feed_relay.h"
 #include "src/forward_daemon.h"
 #include "src/forward_loop_daemon.h"
@@ -27,7 +28,8 @@
                     this,
                     [this](const PeerId& entry, MessageBody body) {
                       bus_->Send(entry, std::move(body));
-                    }) {}
+                    }),
+        scheduler_(settings_.crash_blame) {}
 
  protected:
   std::string OnStart() override { return ""; }
@@ -50,6 +52,8 @@
       scheduler_.RestoreSnapshot(entry, *it, now);
     } else if (const auto* it = std::get_if<TargetList>(&message.body)) {
       scheduler_.SetTargets(*it, now);
+    } else if (const auto* it = std::get_if<BlameReport>(&message.body)) {
+      scheduler_.blame().Merge(*it, now);
     } else if (const auto* it = std::get_if<FeedPoll>(&message.body)) {
       feed_relay_.OnPoll(entry, *it, now);
     } else if (std::holds_alternative<Heartbeat>(message.body)) {
@@ -59,6 +63,7 @@
       RemoveEntry(entry, now);
     }
     SendDecisions();
+    SpreadBlame(now);
     if (scheduler_.HasQueuedRequests() && !wait_timer_) {
       StartWaitTimer();
     }
@@ -77,7 +82,10 @@
       Log(LogLevel::kInfo, "entry_silent", {{"entry", it.instance.value()}});
       RemoveEntry(it, now);
     }
+    scheduler_.blame().Prune(now);
     SendDecisions();
+    SpreadBlame(now);
+    ExportBlameCounters(scheduler_.blame(), now, &metrics_);
     return kIdleTickInterval;
   }
 
@@ -93,9 +101,11 @@
   bool CanExit(Duration) override { return true; }
 
   std::string Dump(Time now) const override {
-    return fmt::format("{{\"entries\":{},\"placement\":{},\"feed_relay\":{}}}",
-                       last_heard_.size(), scheduler_.Dump(now),
-                       feed_relay_.Dump(now));
+    return fmt::format(
+        "{{\"entries\":{},\"placement\":{},\"crash_blame\":{},\"feed_relay\":{}"
+        "}}",
+        last_heard_.size(), scheduler_.Dump(now), scheduler_.blame().Dump(now),
+        feed_relay_.Dump(now));
   }
 
  private:
@@ -134,6 +144,18 @@
     }
   }
 
+  // The entries keep the blocks for the case that this agent stops, and refuse
+  // blocked requests without asking.
+  void SpreadBlame(Time now) {
+    const BlameReport news = scheduler_.blame().TakeChanges(true, now);
+    if (news.empty()) {
+      return;
+    }
+    for (const auto& [entry, heard] : last_heard_) {
+      bus_->Send(entry, news);
+    }
+  }
+
   std::unique_ptr<FleetFeed> feed_;
   FeedRelay feed_relay_;
   PlacementScheduler scheduler_;
--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -58,6 +58,9 @@
 // target for a short prompt.
 constexpr double kAnswerPenaltyMs = 3;
 constexpr double kColdPenaltyMs = 200;
+// Replaces kAnswerPenaltyMs for a request whose engine may crash, so that few
+// answers are lost.
+constexpr double kTrialAnswerPenaltyMs = 1'000;
 constexpr Duration kShortTargetShrinkInterval = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -173,6 +176,10 @@
   double best_score = 0;
   bool best_keeps_limits = false;
   size_t seen = 0;
+  const bool is_trial =
+      blame_.Check(ask.parts, TrialOf(request.entry, ask.number), now).is_trial;
+  const double answer_penalty_ms =
+      is_trial ? kTrialAnswerPenaltyMs : kAnswerPenaltyMs;
   for (Target* it : state.fill_order) {
     Target& target = *it;
     if (!IsAvailable(target, ask, now)) {
@@ -182,7 +189,7 @@
     // full, have so much pending prefill that answers would stall too long, or
     // would let the prompt wait longer than kMaxShortWaitMs.
     if (seen++ >= state.short_target_count && best != nullptr &&
-        best_keeps_limits) {
+        best_keeps_limits && !is_trial) {
       break;
     }
     if (target.answers() >= state.cost.slots ||
@@ -191,7 +198,7 @@
     }
     const double score = target.pass_predictor.WaitMs(now) + prefill_ms +
                          TargetDecodePassMs(state, target) +
-                         target.answers() * kAnswerPenaltyMs +
+                         target.answers() * answer_penalty_ms +
                          (now < target.cold_until ? kColdPenaltyMs : 0);
     const bool keeps_limits =
         AvailablePrefillMs(state, target, now) >= prefill_ms &&
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -43,8 +43,12 @@
 
 PlacementClient::PlacementClient(PeerId self,
                                  Heartbeat heartbeat,
-                                 PlacementBus* bus)
-    : self_(std::move(self)), heartbeat_(std::move(heartbeat)), bus_(bus) {
+                                 PlacementBus* bus,
+                                 const CrashBlameLimits& blame_limits)
+    : self_(std::move(self)),
+      heartbeat_(std::move(heartbeat)),
+      bus_(bus),
+      local_scheduler_(blame_limits) {
   LimitLocalColdRate(Time());
 }
 
@@ -125,6 +129,18 @@
     PlacementAsk ask,
     std::function<void(const PlacementReply&)> done,
     Time now) {
+  // A leader that has just started may not know of the block yet.
+  const CrashBlame::Decision decision =
+      local_scheduler_.blame().Check(ask.parts, ask.number, now);
+  if (decision.verdict == CrashBlame::Verdict::kBlocked) {
+    local_scheduler_.blame().CountRefusal();
+    PlacementReply reply;
+    reply.number = ask.number;
+    reply.verdict = PlacementVerdict::kBlocked;
+    reply.retry_after = decision.blocked_left;
+    done(reply);
+    return;
+  }
   Pending& pending = pending_[ask.number];
   pending.first_event_by = now + ask.first_event_left;
   pending.deadline = now + ask.time_left;
@@ -214,10 +230,37 @@
       reply != nullptr && is_leader) {
     OnReply(*reply, now);
   }
+  if (const auto* report = std::get_if<BlameReport>(&message.body)) {
+    OnBlameReport(*report, is_leader, now);
+  }
   SelectLeader(now);
   ProcessLocalDecisions(now);
 }
 
+// Entries that follow another leader learn of a block through the entries that
+// hear both.
+void PlacementClient::OnBlameReport(const BlameReport& report,
+                                    bool from_leader,
+                                    Time now) {
+  CrashBlame& blame = local_scheduler_.blame();
+  blame.TakeChanges(false, now);  // The leader knows them as events.
+  blame.Merge(report, now);
+  BlameReport news = blame.TakeChanges(true, now);
+  if (!from_leader && !leader_.empty() && !news.empty()) {
+    bus_->Send(leader_, std::move(news));
+  }
+}
+
+bool PlacementClient::LiftPart(PartKey part, Time now) {
+  const bool had = local_scheduler_.blame().Lift(part, now);
+  if (!leader_.empty()) {
+    BlameReport report;
+    report.answered.push_back({part, Duration(0)});
+    bus_->Send(leader_, std::move(report));
+  }
+  return had;
+}
+
 void PlacementClient::OnReply(const PlacementReply& reply, Time now) {
   // A new leader has not heard from all entries yet, so its count may be too
   // low.
@@ -266,6 +309,7 @@
     }
     case PlacementVerdict::kPlaced:
     case PlacementVerdict::kRefused:
+    case PlacementVerdict::kBlocked:
       Complete(reply.number, reply, now);
   }
 }
@@ -288,6 +332,7 @@
     work.prompt = pending.ask.prompt;
     work.output = pending.ask.output;
     work.gap_target = pending.ask.gap_target;
+    work.parts = pending.ask.parts;
     local_scheduler_.ImportRequest(self_, work, now);
   }
   pending.done(reply);
@@ -345,6 +390,10 @@
       list_state.send_due_at.reset();
       bus_->Send(leader_, list_state.list);
     }
+    BlameReport blame = local_scheduler_.blame().Export(now);
+    if (!blame.empty()) {
+      bus_->Send(leader_, std::move(blame));
+    }
     bus_->Send(leader_, local_scheduler_.MakeSnapshot(self_));
   } else {
     LimitLocalColdRate(now);
@@ -388,6 +437,7 @@
     }
   }
   SelectLeader(now);
+  local_scheduler_.blame().Prune(now);
   SendChangedLists(now);
   if (!leader_.empty() && now >= next_snapshot_) {
     next_snapshot_ = now + kSnapshotInterval;
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -53,7 +53,10 @@
 
   // `heartbeat` is the message that the entry sends to agents. `bus` must
   // outlive the client.
-  PlacementClient(PeerId self, Heartbeat heartbeat, PlacementBus* bus);
+  PlacementClient(PeerId self,
+                  Heartbeat heartbeat,
+                  PlacementBus* bus,
+                  const CrashBlameLimits& blame_limits = {});
 
   // Sets the agents in order of preference, which is the same at all entries.
   // The first live agent is the leader, which places the requests.
@@ -93,6 +96,13 @@
   // The agent that places requests; empty while the entry places them itself.
   const InstanceId& leader() const { return leader_; }
 
+  // What the entry itself knows of prompt parts that crash targets: its own
+  // requests, and the blocks that leaders have reported.
+  const CrashBlame& blame() const { return local_scheduler_.blame(); }
+  // Ends the suspicion of a part, here and at the leader. Returns whether the
+  // part was suspect here.
+  bool LiftPart(PartKey part, Time now);
+
   // Returns the client's state as JSON.
   std::string Dump(Time now) const;
 
@@ -133,6 +143,7 @@
   void OnAgentsChanged(Time now);
   void LimitLocalColdRate(Time now);
   void OnReply(const PlacementReply& reply, Time now);
+  void OnBlameReport(const BlameReport& report, bool from_leader, Time now);
   void ProcessLocalDecisions(Time now);
   void SendChangedLists(Time now);
   void Complete(uint64_t number, const PlacementReply& reply, Time now);
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -37,6 +37,17 @@
 // A snapshot may miss requests placed within this time, as their replies may
 // still be in flight.
 constexpr Duration kSnapshotDelay = std::chrono::milliseconds(500);
+// A target that breaks off answers within this time after a request was left
+// may have crashed under it: a pass and the way of the news.
+constexpr Duration kLeftRequestWindow = std::chrono::milliseconds(300);
+constexpr size_t kMaxLeftRequests = 8;
+
+bool IsTargetFailure(PlacementEvent event) {
+  return event == PlacementEvent::kTargetFailed ||
+         event == PlacementEvent::kBrokenUnanswered ||
+         event == PlacementEvent::kBrokenAtStart ||
+         event == PlacementEvent::kBrokenAfterStart;
+}
 
 }  // namespace
 
@@ -150,7 +161,14 @@
     Refuse(request, Duration(0));
     return;
   }
-  if (std::optional<Assignment> assignment = Choose(state, request, now)) {
+  const CrashBlame::Verdict verdict = CheckParts(request, now);
+  if (verdict == CrashBlame::Verdict::kBlocked) {
+    return;
+  }
+  if (verdict == CrashBlame::Verdict::kWait) {
+    blame_.CountWait();
+  } else if (std::optional<Assignment> assignment =
+                 Choose(state, request, now)) {
     Place(state, request, std::move(*assignment), now);
     return;
   }
@@ -176,7 +194,7 @@
         // The entries' target lists still contain the replaced target for a few
         // seconds.
         failed.suspect_until = now + kMaxSuspectTime;
-      } else if (change.event == PlacementEvent::kTargetFailed) {
+      } else if (IsTargetFailure(change.event)) {
         failed.suspect_duration = std::clamp(
             failed.suspect_duration * 2, kInitialSuspectTime, kMaxSuspectTime);
         failed.suspect_until = now + failed.suspect_duration;
@@ -186,6 +204,8 @@
     if (placed == state.placed_requests.end()) {
       continue;
     }
+    ReportToBlame(state, placed->second, change, TrialOf(entry, change.number),
+                  now);
     if (ended) {
       RemovePlacedRequest(state, placed, now);
     } else {
@@ -196,6 +216,76 @@
   }
 }
 
+uint64_t PlacementScheduler::TrialOf(const PeerId& entry, uint64_t number) {
+  return MixHash(
+      MixHash(StableHash(entry.instance.value()), entry.incarnation.value()),
+      number);
+}
+
+CrashBlame::Verdict PlacementScheduler::CheckParts(const QueuedRequest& request,
+                                                   Time now) {
+  const CrashBlame::Decision decision = blame_.Check(
+      request.ask.parts, TrialOf(request.entry, request.ask.number), now);
+  if (decision.verdict == CrashBlame::Verdict::kBlocked) {
+    blame_.CountRefusal();
+    PlacementReply reply;
+    reply.number = request.ask.number;
+    reply.verdict = PlacementVerdict::kBlocked;
+    reply.retry_after = decision.blocked_left;
+    decisions_.push_back({request.entry, std::move(reply)});
+  }
+  return decision.verdict;
+}
+
+void PlacementScheduler::ReportToBlame(ServiceState& state,
+                                       const PlacedRequest& placed,
+                                       const PlacementChange& change,
+                                       uint64_t trial,
+                                       Time now) {
+  const PlacedWork& work = placed.work;
+  Target& target = state.targets[work.target];
+  switch (change.event) {
+    case PlacementEvent::kFirstEvent:
+      if (work.reading) {
+        blame_.OnAnswer(work.parts, now);
+      }
+      break;
+    case PlacementEvent::kEnded:
+      if (work.reading && !work.parts.empty()) {
+        target.left_requests.push_back({work.parts, placed.placed_at, now});
+        if (target.left_requests.size() > kMaxLeftRequests) {
+          target.left_requests.pop_front();
+        }
+      }
+      break;
+    case PlacementEvent::kBrokenUnanswered:
+    case PlacementEvent::kBrokenAtStart:
+      blame_.OnCrash(work.parts, work.target.value(), placed.placed_at,
+                     change.event == PlacementEvent::kBrokenAtStart
+                         ? CrashEvidence::kAtStart
+                         : CrashEvidence::kUnanswered,
+                     now);
+      BlameLeftRequests(target, now);
+      break;
+    case PlacementEvent::kBrokenAfterStart:
+      BlameLeftRequests(target, now);
+      break;
+    case PlacementEvent::kTargetFailed:
+    case PlacementEvent::kTargetReplaced:
+      break;
+  }
+  blame_.EndTrial(trial);
+}
+
+void PlacementScheduler::BlameLeftRequests(Target& target, Time now) {
+  for (const LeftRequest& it : std::exchange(target.left_requests, {})) {
+    if (now - it.left_at <= kLeftRequestWindow) {
+      blame_.OnCrash(it.parts, target.description.target.value(), it.sent_at,
+                     CrashEvidence::kUnanswered, now);
+    }
+  }
+}
+
 void PlacementScheduler::ImportRequest(const PeerId& entry,
                                        const PlacedWork& work,
                                        Time now) {
@@ -258,6 +348,7 @@
 }
 
 void PlacementScheduler::Tick(Time now) {
+  blame_.Prune(now);
   for (auto& [service, state] : services_) {
     PlaceQueued(state, now);
   }
@@ -293,7 +384,9 @@
   PlacedRequest placed;
   placed.work = {ask.number,         ask.service,      assignment.target,
                  assignment.helpers, assignment.holds, ask.prompt,
-                 ask.output,         ask.gap_target,   true};
+                 ask.output,         ask.gap_target,   true,
+                 ask.parts};
+  blame_.OnSent(ask.parts, TrialOf(request.entry, ask.number), now);
   placed.placed_at = now;
   placed.expected_first_event = assignment.expected_first_event;
   placed.part_prefill_ms = assignment.part_prefill_ms;
@@ -384,6 +477,7 @@
     std::map<RequestKey, PlacedRequest>::iterator placed,
     Time now) {
   EndPrefill(state, placed->second, false, now);
+  blame_.EndTrial(TrialOf(placed->first.first, placed->first.second));
   const PlacedWork& work = placed->second.work;
   Target& target = state.targets[work.target];
   --(placed->second.is_long ? target.long_answers : target.short_answers);
@@ -491,15 +585,20 @@
       Refuse(it, Duration(0));
       continue;
     }
+    const CrashBlame::Verdict verdict = CheckParts(it, now);
+    if (verdict == CrashBlame::Verdict::kBlocked) {
+      continue;
+    }
     const bool is_long = IsLongPrompt(state, it.ask.prompt);
     std::optional<Assignment> assignment;
-    if (!is_long || failed < kMaxFailedLongPlacements) {
+    if (verdict == CrashBlame::Verdict::kSend &&
+        (!is_long || failed < kMaxFailedLongPlacements)) {
       assignment = Choose(state, it, now);
     }
     if (assignment) {
       Place(state, it, std::move(*assignment), now);
     } else {
-      failed += is_long ? 1 : 0;
+      failed += is_long && verdict == CrashBlame::Verdict::kSend ? 1 : 0;
       left.push_back(std::move(it));
     }
   }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -11,6 +11,7 @@
 #define SRC_PLACEMENT_SCHEDULER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,6 +20,7 @@
 #include <vector>
 
 #include "src/clock.h"
+#include "src/crash_blame.h"
 #include "src/ids.h"
 #include "src/messages.h"
 #include "src/pass_predictor.h"
@@ -48,6 +50,9 @@
   // second.
   static constexpr double kUnsettledColdShare = 0.35;
 
+  explicit PlacementScheduler(const CrashBlameLimits& limits = {})
+      : blame_(limits) {}
+
   // Sets the share of a cold target's request rate that this scheduler may use.
   // `phase_seed` differs between schedulers that use the same small share at
   // the same time: each sends its first request to a cold target at another
@@ -85,6 +90,10 @@
   std::vector<Decision> TakeDecisions();
   PlacementSnapshot MakeSnapshot(const PeerId& entry) const;
 
+  // What the scheduler knows of prompt parts that crash targets.
+  CrashBlame& blame() { return blame_; }
+  const CrashBlame& blame() const { return blame_; }
+
   // Returns the scheduler's state as JSON.
   std::string Dump(Time now) const;
 
@@ -101,6 +110,14 @@
     bool is_unsettled = false;  // See PlacementAsk::unsettled_left.
   };
 
+  // A request that ended before its first event, for example because its caller
+  // left. The target may still crash under it.
+  struct LeftRequest {
+    PartKeys parts;
+    Time sent_at{};
+    Time left_at{};
+  };
+
   struct Target {
     TargetDescription description;
     bool listed = false;
@@ -115,6 +132,7 @@
     PassPredictor pass_predictor;
     Time suspect_until{};
     Duration suspect_duration{0};
+    std::deque<LeftRequest> left_requests;  // The latest ones.
 
     uint32_t answers() const { return short_answers + long_answers; }
   };
@@ -273,11 +291,21 @@
                          PlacedRequest& placed,
                          bool prefill_done,
                          Time now);
-  static void RemovePlacedRequest(
-      ServiceState& state,
-      std::map<RequestKey, PlacedRequest>::iterator placed,
-      Time now);
+  void RemovePlacedRequest(ServiceState& state,
+                           std::map<RequestKey, PlacedRequest>::iterator placed,
+                           Time now);
   void Refuse(const QueuedRequest& request, Duration retry_after);
+  // Whether the parts of the prompt allow the request to be placed now. Refuses
+  // it if they are blocked.
+  CrashBlame::Verdict CheckParts(const QueuedRequest& request, Time now);
+  // Tells the blame what the event says about the parts of the request.
+  void ReportToBlame(ServiceState& state,
+                     const PlacedRequest& placed,
+                     const PlacementChange& change,
+                     uint64_t trial,
+                     Time now);
+  void BlameLeftRequests(Target& target, Time now);
+  static uint64_t TrialOf(const PeerId& entry, uint64_t number);
   void PlaceQueued(ServiceState& state, Time now);
   // Returns the time between two requests to a cold target.
   static Duration ColdInterval(const ServiceState& state, double share);
@@ -286,6 +314,7 @@
                         const Target& target,
                         Time now) const;
 
+  CrashBlame blame_;
   double cold_share_ = kLeaderColdShare;
   std::optional<uint64_t> cold_phase_seed_;
   std::map<ServiceId, ServiceState> services_;
--- a/src/request_end.cc
+++ b/src/request_end.cc
@@ -1,5 +1,6 @@
 #include "src/request_end.h"
 
+#include "src/entry_blame.h"
 #include "src/fleet_table.h"
 #include "src/gang.h"
 
@@ -54,6 +55,7 @@
     const EntryAttempt& attempt = *row.attempt;
     RemoveOwnLoad(tables.fleet, attempt.slot, attempt.tokens,
                   attempt.offer_unanswered);
+    EndTrialOf(tables, row);
     row.attempt.reset();
   }
   if (row.gang) {
--- a/src/request_placing.cc
+++ b/src/request_placing.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "src/entry_blame.h"
 #include "src/fleet_table.h"
 #include "src/gang.h"
 #include "src/membership.h"
@@ -67,6 +68,7 @@
     {ErrorCode::kNotReady, RetryRule::kUncharged},
     {ErrorCode::kNotFound, RetryRule::kCharged},
     {ErrorCode::kInternal, RetryRule::kCharged},
+    {ErrorCode::kPartBlocked, RetryRule::kNoRetry},
 }};
 
 constexpr bool RetryRulesMatchErrorCodes() {
@@ -120,10 +122,12 @@
   attempt.slot = slot;
   attempt.offered_incarnation = target.incarnation;
   attempt.tokens = tokens;
+  attempt.first_chunk = row.next_chunk;
   attempt.offered_at = now;
   row.attempt = attempt;
   row.phase = RequestPhase::kOffered;
   AddOwnLoad(tables.fleet, slot, tokens);
+  RecordOfferForBlame(tables, row, now);
   tables.actions.push_back(SendOffer{{target.info.instance, target.incarnation},
                                      MakeOffer(row, now)});
 }
@@ -310,6 +314,9 @@
 }  // namespace
 
 void TryPlaceRequest(EntryTables& tables, RequestRow& row, Time now) {
+  if (!CheckPartsBeforeOffer(tables, row, now)) {
+    return;
+  }
   if (NeedsGang(tables.fleet, row.spec)) {
     StartGang(tables, row, now);
     return;
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/entry_blame.h"
 #include "src/fleet_table.h"
 #include "src/gang.h"
 #include "src/membership.h"
@@ -281,6 +282,7 @@
                    failure)) {
     RetryAfterRefusal(tables, *row, failure, now);
   } else {
+    RecordFailureForBlame(tables, *row, failure, now);
     RetryAfterFailure(tables, *row, failure, now);
   }
 }
@@ -322,6 +324,7 @@
   AddRetryCredit(tables.retries, spec.account);
   RequestRow& row = tables.requests[spec.request];
   row.spec = std::move(spec);
+  row.parts = SharedPartsOf(row.spec);
   TryPlaceRequest(tables, row, now);
 }
 
@@ -395,6 +398,7 @@
   if (!row->attempt || attempt != row->attempt->id) {
     return;
   }
+  RecordAnswerForBlame(tables, *row, now);
   if (row->attempt->finish) {
     row->attempt->no_progress_since = now;
     CompleteIfAllChunksReceived(tables, *row);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -34,6 +34,11 @@
 constexpr Bounds kSubsetSizeBounds{1, 10'000};
 constexpr Bounds kCallCountBounds{1, 100'000};
 constexpr Bounds kPortBounds{1, 65'535};
+constexpr Bounds kBlameCrashesBounds{1, 100};
+constexpr Bounds kBlameMsBounds{1'000, 7 * kDayMs};
+constexpr Bounds kBlameMemoryMsBounds{1'000, 3'600'000};
+constexpr Bounds kSuspectCountBounds{1, static_cast<int64_t>(kMaxBlameRecords)};
+constexpr Bounds kAnsweredPartsBounds{1, 1'000'000};
 
 // Returns whether `text` is "<IP address>:<port>". Host names are rejected,
 // because the platform gives IP addresses and resolving a name could block.
@@ -203,6 +208,35 @@
   reader.ReportUnknownKeys();
 }
 
+void ReadCrashBlameSettings(const json::value& value,
+                            std::string path,
+                            CrashBlameLimits* limits,
+                            Findings* findings) {
+  using std::chrono::milliseconds;
+  ObjectReader reader(value, std::move(path), findings);
+  reader.ReadBool("enabled", &limits->enabled);
+  reader.ReadCount("crashes", kBlameCrashesBounds, &limits->crashes);
+  reader.ReadCount("answered_crashes", kBlameCrashesBounds,
+                   &limits->answered_crashes);
+  reader.ReadDuration<milliseconds>("memory_ms", kBlameMemoryMsBounds,
+                                    &limits->memory);
+  const size_t findings_before = findings->list.size();
+  reader.ReadDuration<milliseconds>("block_ms", kBlameMsBounds, &limits->block);
+  reader.ReadDuration<milliseconds>("max_block_ms", kBlameMsBounds,
+                                    &limits->max_block);
+  if (findings->list.size() == findings_before &&
+      limits->block > limits->max_block) {
+    findings->Add(reader.PathOf("block_ms"), "is above max_block_ms");
+  }
+  reader.ReadCount("max_suspects", kSuspectCountBounds, &limits->max_suspects);
+  reader.ReadCount("max_answered_parts", kAnsweredPartsBounds,
+                   &limits->max_answered_parts);
+  if (limits->crashes > limits->answered_crashes) {
+    findings->Add(reader.PathOf("crashes"), "is above answered_crashes");
+  }
+  reader.ReportUnknownKeys();
+}
+
 void ReadRoleSettings(ObjectReader* reader,
                       Settings* settings,
                       Findings* findings) {
@@ -278,6 +312,10 @@
     ReadLimitSettings(*limits, reader.PathOf("limits"), &settings.limits,
                       findings);
   }
+  if (const json::value* crash_blame = reader.Find("crash_blame")) {
+    ReadCrashBlameSettings(*crash_blame, reader.PathOf("crash_blame"),
+                           &settings.crash_blame, findings);
+  }
   reader.ReportUnknownKeys();
   if (findings->list.size() != findings_before) {
     return std::nullopt;
--- a/src/settings.h
+++ b/src/settings.h
@@ -13,6 +13,7 @@
 
 #include <boost/leaf/result.hpp>
 
+#include "src/crash_blame.h"
 #include "src/findings.h"
 #include "src/ids.h"
 #include "src/messages.h"
@@ -96,6 +97,7 @@
   std::vector<PeerSettings> seed_peers;  // Entries only.
   TargetSettings target;                 // Agents only.
   LimitSettings limits;
+  CrashBlameLimits crash_blame;
   std::optional<ForwardingSettings> forwarding;
 };
 
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -227,6 +227,36 @@
   }
 }
 
+template <class Repeated>
+void EncodeParts(const PartKeys& from, Repeated* to) {
+  for (const PartKey it : from) {
+    to->Add(it.value());
+  }
+}
+
+void EncodeBody(const BlameReport& from, wire::Envelope* envelope) {
+  wire::BlameReport* to = envelope->mutable_blame_report();
+  for (const BlameRecord& it : from.records) {
+    wire::BlameRecord* record = to->add_records();
+    EncodeParts(it.parts, record->mutable_parts());
+    record->set_was_answered(it.was_answered);
+    for (const BlameRecord::Sighting& each : it.sightings) {
+      wire::CrashSighting* sighting = record->add_sightings();
+      sighting->set_target(each.target);
+      sighting->set_weight(each.weight);
+      sighting->set_request_age_us(each.request_age.count());
+      sighting->set_age_us(each.age.count());
+    }
+    record->set_blocks(it.blocks);
+    record->set_blocked_left_us(it.blocked_left.count());
+  }
+  for (const BlameReport::Answered& it : from.answered) {
+    wire::AnsweredPart* answered = to->add_answered();
+    answered->set_part(it.part.value());
+    answered->set_age_us(it.age.count());
+  }
+}
+
 void EncodeBody(const PlacementAsk& from, wire::Envelope* envelope) {
   wire::PlacementAsk* to = envelope->mutable_placement_ask();
   to->set_number(from.number);
@@ -240,6 +270,7 @@
     to->add_excluded(it.value());
   }
   to->set_unsettled_left_us(from.unsettled_left.count());
+  EncodeParts(from.parts, to->mutable_parts());
 }
 
 void EncodeBody(const FeedPoll& from, wire::Envelope* envelope) {
@@ -318,6 +349,7 @@
     work->set_gap_target_us(it.gap_target.count());
     work->set_reading(it.reading);
     EncodeHolds(it.holds, work);
+    EncodeParts(it.parts, work->mutable_parts());
   }
 }
 
@@ -391,7 +423,7 @@
 
   Failure ReadFailure(const wire::Failure& from) {
     Failure to;
-    to.code = ReadEnum(from.code(), ErrorCode::kInternal);
+    to.code = ReadEnum(from.code(), ErrorCode::kPartBlocked);
     to.outcome = ReadEnum(from.outcome(), Outcome::kUnknown);
     to.retry_after = ReadDuration(from.retry_after_us());
     return to;
@@ -471,6 +503,44 @@
     return to;
   }
 
+  PartKeys ReadParts(const google::protobuf::RepeatedField<uint64_t>& from) {
+    PartKeys to;
+    for (const uint64_t it :
+         ReadHashes(from, static_cast<int>(kMaxPartsOfPrompt))) {
+      to.emplace_back(it);
+    }
+    return to;
+  }
+
+  BlameRecord ReadRecord(const wire::BlameRecord& from) {
+    BlameRecord to;
+    to.parts = ReadParts(from.parts());
+    Check(!to.parts.empty(), WireError::kMissingId);
+    to.was_answered = from.was_answered();
+    CheckCount(from.sightings_size(), static_cast<int>(kMaxBlameSightings));
+    for (const wire::CrashSighting& it : from.sightings()) {
+      to.sightings.push_back({it.target(), it.weight(),
+                              ReadDuration(it.request_age_us()),
+                              ReadDuration(it.age_us())});
+    }
+    to.blocks = from.blocks();
+    to.blocked_left = ReadDuration(from.blocked_left_us());
+    return to;
+  }
+
+  BlameReport ReadBody(const wire::BlameReport& from) {
+    CheckCount(from.records_size(), static_cast<int>(kMaxBlameRecords));
+    CheckCount(from.answered_size(), static_cast<int>(kMaxAnsweredInReport));
+    BlameReport to;
+    for (const wire::BlameRecord& it : from.records()) {
+      to.records.push_back(ReadRecord(it));
+    }
+    for (const wire::AnsweredPart& it : from.answered()) {
+      to.answered.push_back({PartKey(it.part()), ReadDuration(it.age_us())});
+    }
+    return to;
+  }
+
   PlacementAsk ReadBody(const wire::PlacementAsk& from) {
     PlacementAsk to;
     to.number = from.number();
@@ -484,6 +554,7 @@
     to.time_left = ReadDuration(from.time_left_us());
     to.excluded = ReadTargets(from.excluded(), kMaxExcludedTargets);
     to.unsettled_left = ReadDuration(from.unsettled_left_us());
+    to.parts = ReadParts(from.parts());
     return to;
   }
 
@@ -531,7 +602,7 @@
   PlacementReply ReadBody(const wire::PlacementReply& from) {
     PlacementReply to;
     to.number = from.number();
-    to.verdict = ReadEnum(from.verdict(), PlacementVerdict::kUnknownList);
+    to.verdict = ReadEnum(from.verdict(), PlacementVerdict::kBlocked);
     to.target = ReadOptionalId<TargetId>(from.target());
     Check(to.verdict != PlacementVerdict::kPlaced || !to.target.empty(),
           WireError::kMissingId);
@@ -547,7 +618,7 @@
   PlacementChange ReadBody(const wire::PlacementChange& from) {
     PlacementChange to;
     to.number = from.number();
-    to.event = ReadEnum(from.event(), PlacementEvent::kTargetReplaced);
+    to.event = ReadEnum(from.event(), PlacementEvent::kBrokenAfterStart);
     to.failed = ReadOptionalId<TargetId>(from.failed());
     return to;
   }
@@ -566,6 +637,7 @@
       work.gap_target = ReadDuration(it.gap_target_us());
       work.reading = it.reading();
       work.holds = ReadHolds(it.holds());
+      work.parts = ReadParts(it.parts());
       to.works.push_back(std::move(work));
     }
     return to;
@@ -732,6 +804,8 @@
         return ReadBody(from.feed_proof());
       case wire::Envelope::kFeedDelta:
         return ReadBody(from.feed_delta());
+      case wire::Envelope::kBlameReport:
+        return ReadBody(from.blame_report());
       case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- /dev/null
+++ b/tests/crash_blame_test.cc
@@ -0,0 +1,344 @@
+#include "src/crash_blame.h"
+
+#include <gtest/gtest.h>
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using Verdict = CrashBlame::Verdict;
+
+constexpr PartKey kFirst{1};
+constexpr PartKey kDeadly{2};
+constexpr PartKey kSession{3};
+constexpr PartKey kOtherSession{4};
+
+// Sends requests one after the other, each to a target of its own.
+class CrashBlameTest : public testing::Test {
+ protected:
+  Verdict Check(const PartKeys& parts) {
+    return blame_.Check(parts, next_trial_, now_).verdict;
+  }
+  bool IsBlocked(const PartKeys& parts) {
+    return Check(parts) == Verdict::kBlocked;
+  }
+
+  void Answer(const PartKeys& parts) {
+    now_ += milliseconds(100);
+    blame_.OnSent(parts, next_trial_, now_);
+    now_ += milliseconds(100);
+    blame_.OnAnswer(parts, now_);
+    blame_.EndTrial(next_trial_++);
+  }
+  void Crash(const PartKeys& parts,
+             CrashEvidence evidence = CrashEvidence::kAtStart) {
+    now_ += milliseconds(100);
+    blame_.OnSent(parts, next_trial_, now_);
+    const Time sent = now_;
+    now_ += milliseconds(100);
+    blame_.OnCrash(parts, NextTarget(), sent, evidence, now_);
+    blame_.EndTrial(next_trial_++);
+  }
+  std::string NextTarget() { return "t" + std::to_string(next_target_++); }
+
+  // A request that is sent now, for crashes that coincide.
+  Time SentNow() { return now_; }
+
+  CrashBlame blame_;
+  Time now_{seconds(1'000)};
+  uint64_t next_trial_ = 1;
+  int next_target_ = 0;
+};
+
+// Guards against more crashes than needed to tell a part that crashes targets.
+TEST_F(CrashBlameTest, BlocksPartAfterTwoCrashes) {
+  Answer({kFirst, kSession});
+  Crash({kFirst, kDeadly});
+  EXPECT_EQ(Check({kFirst, kDeadly}), Verdict::kSend);
+  Crash({kFirst, kDeadly});
+  EXPECT_TRUE(IsBlocked({kFirst, kDeadly}));
+  EXPECT_TRUE(IsBlocked({kDeadly, kOtherSession}));
+  EXPECT_EQ(Check({kFirst, kSession}), Verdict::kSend);
+  EXPECT_EQ(Check({kFirst}), Verdict::kSend);
+  EXPECT_EQ(Check({}), Verdict::kSend);
+  EXPECT_EQ(blame_.counters().blocks, 1u);
+}
+
+// Guards against several requests with a suspect part that crash targets at the
+// same time.
+TEST_F(CrashBlameTest, SuspectPartIsTriedOneRequestAtATime) {
+  Answer({kFirst});
+  Crash({kFirst, kDeadly});
+  const CrashBlame::Decision first = blame_.Check({kFirst, kDeadly}, 100, now_);
+  EXPECT_EQ(first.verdict, Verdict::kSend);
+  EXPECT_TRUE(first.is_trial);
+  blame_.OnSent({kFirst, kDeadly}, 100, now_);
+  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 101, now_).verdict, Verdict::kWait);
+  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 100, now_).verdict, Verdict::kSend);
+  EXPECT_EQ(blame_.Check({kFirst}, 102, now_).verdict, Verdict::kSend);
+  blame_.EndTrial(100);
+  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 101, now_).verdict, Verdict::kSend);
+  // The end of a trial may be lost with the process that was to report it.
+  blame_.OnSent({kFirst, kDeadly}, 101, now_);
+  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 103, now_ + seconds(6)).verdict,
+            Verdict::kSend);
+}
+
+// Guards against blaming a part because many targets were lost at one moment.
+TEST_F(CrashBlameTest, CrashesAtOneMomentCountAsOne) {
+  const Time sent = SentNow();
+  for (int i = 0; i < 20; ++i) {
+    now_ += milliseconds(1);
+    blame_.OnCrash({kFirst, kSession}, NextTarget(), sent,
+                   CrashEvidence::kAtStart, now_);
+  }
+  EXPECT_FALSE(IsBlocked({kFirst, kSession}));
+}
+
+// Guards against blaming a hot part, or the first part that all requests of a
+// route share, for crashes with another cause.
+TEST_F(CrashBlameTest, AnsweredPartsAreNotBlamed) {
+  for (int i = 0; i < 200; ++i) {
+    Crash({kFirst, kSession});
+    Answer({kFirst, kSession});
+    EXPECT_FALSE(IsBlocked({kFirst, kSession}));
+    EXPECT_FALSE(IsBlocked({kFirst}));
+  }
+  EXPECT_EQ(blame_.counters().blocks, 0u);
+}
+
+// Guards against blaming a part of requests that other crashes cut off while
+// they were being read.
+TEST_F(CrashBlameTest, UnansweredRequestsCountHalf) {
+  Crash({kSession}, CrashEvidence::kUnanswered);
+  Crash({kSession}, CrashEvidence::kUnanswered);
+  Crash({kSession}, CrashEvidence::kUnanswered);
+  EXPECT_FALSE(IsBlocked({kSession}));
+  Crash({kSession}, CrashEvidence::kUnanswered);
+  EXPECT_TRUE(IsBlocked({kSession}));
+  Answer({kFirst});
+  for (int i = 0; i < 20; ++i) {
+    Crash({kFirst}, CrashEvidence::kUnanswered);
+  }
+  EXPECT_FALSE(IsBlocked({kFirst}));
+}
+
+// Guards against a block of sound requests that share a session with requests
+// that crash targets.
+TEST_F(CrashBlameTest, BlocksOnlyTheCombinationWhileTheCulpritIsUnclear) {
+  Crash({kFirst, kSession, kDeadly});
+  Crash({kFirst, kSession, kDeadly});
+  EXPECT_TRUE(IsBlocked({kFirst, kSession, kDeadly}));
+  EXPECT_FALSE(IsBlocked({kFirst, kSession}));
+  Answer({kFirst, kSession});
+  EXPECT_TRUE(IsBlocked({kFirst, kDeadly}));
+  EXPECT_TRUE(IsBlocked({kDeadly}));
+  EXPECT_FALSE(IsBlocked({kFirst, kSession}));
+}
+
+// Guards against a part that is never blocked because it always comes with
+// another session.
+TEST_F(CrashBlameTest, CrashesReduceTheSuspectsToThePartsInCommon) {
+  Crash({kSession, kDeadly});
+  Crash({kOtherSession, kDeadly});
+  EXPECT_TRUE(IsBlocked({kDeadly, PartKey(9)}));
+  EXPECT_FALSE(IsBlocked({kSession}));
+  EXPECT_FALSE(IsBlocked({kOtherSession}));
+}
+
+// Guards against requests that a crash cut off early, which hide the culprit.
+TEST_F(CrashBlameTest, CutOffRequestsDoNotReduceTheSuspects) {
+  Crash({kSession, kDeadly});
+  Crash({kSession}, CrashEvidence::kUnanswered);
+  Answer({kSession});
+  Crash({kSession, kDeadly});
+  EXPECT_TRUE(IsBlocked({kDeadly}));
+  EXPECT_FALSE(IsBlocked({kSession}));
+}
+
+// Guards against two deadly parts behind one first part that make it suspect.
+TEST_F(CrashBlameTest, SeveralDeadlyPartsAreBlockedOneByOne) {
+  Answer({kFirst});
+  for (uint64_t i = 10; i < 14; ++i) {
+    Crash({kFirst, PartKey(i)});
+    Crash({kFirst, PartKey(i)});
+    EXPECT_TRUE(IsBlocked({kFirst, PartKey(i)}));
+    EXPECT_FALSE(IsBlocked({kFirst}));
+  }
+}
+
+// Guards against a part that was sound before and is never blamed since.
+TEST_F(CrashBlameTest, PartThatWasAnsweredBeforeIsBlockedAfterMoreCrashes) {
+  Answer({kFirst});
+  for (int i = 0; i < 3; ++i) {
+    Crash({kFirst});
+    EXPECT_FALSE(IsBlocked({kFirst}));
+  }
+  Crash({kFirst});
+  EXPECT_TRUE(IsBlocked({kFirst}));
+}
+
+// Guards against a block without end, and against one that ends so often that a
+// part takes down targets all day.
+TEST_F(CrashBlameTest, BlockEndsWithOneTrialAndGrows) {
+  Crash({kDeadly});
+  Crash({kDeadly});
+  EXPECT_EQ(blame_.Check({kDeadly}, 1, now_).blocked_left, minutes(2));
+  uint32_t crashes = 2;
+  const Time end = now_ + std::chrono::hours(24);
+  while (now_ < end) {
+    now_ += seconds(10);
+    blame_.Prune(now_);
+    if (Check({kDeadly}) == Verdict::kSend) {
+      Crash({kDeadly});
+      ++crashes;
+      EXPECT_TRUE(IsBlocked({kDeadly}));
+    }
+  }
+  EXPECT_LE(crashes, 8u);
+  EXPECT_GE(crashes, 4u);
+}
+
+// Guards against a block that goes on after the cause is gone.
+TEST_F(CrashBlameTest, AnswerAfterTheBlockClearsThePart) {
+  Crash({kDeadly});
+  Crash({kDeadly});
+  now_ += minutes(2);
+  EXPECT_EQ(Check({kDeadly}), Verdict::kSend);
+  Answer({kDeadly});
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+  Crash({kDeadly});
+  EXPECT_FALSE(IsBlocked({kDeadly}));
+}
+
+// Guards against suspicions and blocks that stay in memory for ever.
+TEST_F(CrashBlameTest, BlameIsForgottenAndBounded) {
+  Crash({kSession});
+  Crash({kDeadly});
+  Crash({kDeadly});
+  now_ += minutes(3);
+  blame_.Prune(now_);
+  EXPECT_EQ(blame_.suspect_count(), 1u);
+  now_ += minutes(3);
+  blame_.Prune(now_);
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+  CrashBlameLimits limits;
+  limits.max_suspects = 16;
+  limits.max_answered_parts = 64;
+  blame_ = CrashBlame(limits);
+  Crash({kDeadly});
+  Crash({kDeadly});
+  for (uint64_t i = 100; i < 10'100; ++i) {
+    Answer({PartKey(i)});
+    Crash({PartKey(i + 100'000)});
+  }
+  EXPECT_LE(blame_.suspect_count(), 16u);
+  EXPECT_LE(blame_.Export(now_).answered.size(), 64u);
+  // What is blocked stays rather than what is suspect.
+  now_ = Time(seconds(1'000)) + seconds(30);
+  EXPECT_TRUE(IsBlocked({kDeadly}));
+}
+
+// Guards against a process that takes over and starts without the evidence, or
+// counts it twice.
+TEST_F(CrashBlameTest, MergeIsIdempotentAndKeepsBlocks) {
+  Answer({kFirst});
+  Crash({kFirst, kDeadly});
+  CrashBlame other;
+  for (int i = 0; i < 5; ++i) {
+    other.Merge(blame_.Export(now_), now_ + milliseconds(i));
+  }
+  EXPECT_EQ(other.Check({kFirst, kDeadly}, 1, now_).verdict, Verdict::kSend);
+  EXPECT_TRUE(other.Check({kFirst, kDeadly}, 1, now_).is_trial);
+  Crash({kFirst, kDeadly});
+  other.Merge(blame_.Export(now_), now_);
+  EXPECT_EQ(other.Check({kFirst, kDeadly}, 1, now_).verdict, Verdict::kBlocked);
+  EXPECT_EQ(other.Check({kFirst}, 1, now_).verdict, Verdict::kSend);
+  // The block does not grow as it goes round.
+  const Duration left = other.Check({kDeadly}, 1, now_).blocked_left;
+  for (int i = 0; i < 10; ++i) {
+    blame_.Merge(other.Export(now_), now_ + seconds(1));
+    other.Merge(blame_.Export(now_), now_ + seconds(1));
+  }
+  EXPECT_EQ(other.Check({kDeadly}, 1, now_).blocked_left, left);
+}
+
+// Guards against crashes seen by different entries that never add up.
+TEST_F(CrashBlameTest, EvidenceOfSeveralProcessesAddsUp) {
+  CrashBlame other;
+  Crash({kDeadly});
+  const Time sent = now_ + milliseconds(10);
+  now_ += milliseconds(100);
+  other.OnCrash({kDeadly}, "elsewhere", sent, CrashEvidence::kAtStart, now_);
+  other.Merge(blame_.Export(now_), now_);
+  EXPECT_EQ(other.Check({kDeadly}, 1, now_).verdict, Verdict::kBlocked);
+}
+
+// Guards against a report that goes round among processes without end.
+TEST_F(CrashBlameTest, OnlyNewsAreSpread) {
+  Crash({kDeadly});
+  const BlameReport news = blame_.TakeChanges(false, now_);
+  EXPECT_EQ(news.records.size(), 1u);
+  EXPECT_TRUE(blame_.TakeChanges(false, now_).empty());
+  CrashBlame other;
+  other.Merge(news, now_ + milliseconds(3));
+  EXPECT_FALSE(other.TakeChanges(false, now_).empty());
+  blame_.Merge(other.Export(now_ + milliseconds(3)), now_ + milliseconds(6));
+  EXPECT_TRUE(blame_.TakeChanges(false, now_).empty());
+  blame_.OnAnswer({kDeadly}, now_ + seconds(1));
+  const BlameReport cleared = blame_.TakeChanges(false, now_ + seconds(1));
+  ASSERT_EQ(cleared.answered.size(), 1u);
+  other.Merge(cleared, now_ + seconds(1));
+  EXPECT_EQ(other.suspect_count(), 0u);
+}
+
+// Guards against an old answer, or a stale report, that decides against later
+// evidence.
+TEST_F(CrashBlameTest, EvidenceIsOrderedByAge) {
+  Answer({kDeadly});
+  BlameReport old;
+  old.answered.push_back({kDeadly, seconds(30)});
+  Crash({kDeadly});
+  blame_.Merge(old, now_);
+  EXPECT_EQ(blame_.suspect_count(), 1u);
+  const BlameReport stale = blame_.Export(now_);
+  Answer({kDeadly});
+  now_ += seconds(5);
+  BlameReport late = stale;
+  late.records[0].sightings[0].age += seconds(5);
+  blame_.Merge(late, now_);
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+}
+
+// Guards against an operator who cannot end a block.
+TEST_F(CrashBlameTest, LiftEndsABlock) {
+  Crash({kDeadly});
+  Crash({kDeadly});
+  EXPECT_TRUE(blame_.Lift(kDeadly, now_));
+  EXPECT_FALSE(blame_.Lift(kDeadly, now_));
+  EXPECT_FALSE(IsBlocked({kDeadly}));
+  EXPECT_EQ(blame_.TakeChanges(true, now_).answered.size(), 1u);
+}
+
+// Guards against a switch that does not switch off.
+TEST_F(CrashBlameTest, DisabledBlameBlocksNothing) {
+  CrashBlameLimits limits;
+  limits.enabled = false;
+  blame_ = CrashBlame(limits);
+  for (int i = 0; i < 10; ++i) {
+    Crash({kDeadly});
+  }
+  EXPECT_EQ(Check({kDeadly}), Verdict::kSend);
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+}
+
+// Guards against blame that crosses from one model to another.
+TEST_F(CrashBlameTest, KeysDifferByModel) {
+  EXPECT_NE(MakePartKey("a", "part"), MakePartKey("b", "part"));
+  EXPECT_NE(MakePartKey("a", uint64_t{1}), MakePartKey("b", uint64_t{1}));
+}
+
+}  // namespace
+}  // namespace burdockhatch
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -73,7 +73,7 @@
 // Guards against admitting requests before the limits and withdrawals are
 // known.
 TEST(EntryRequestsWithoutConfigTest, AnswersNotReady) {
-  EntryCore core({{InstanceId("entry"), Incarnation(1)}, {}, {}, 1, 48});
+  EntryCore core({{InstanceId("entry"), Incarnation(1)}, {}, {}, 1, 48, {}});
   RequestSpec spec;
   spec.request = {1, 1};
   spec.deadline = Time(seconds(5));
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -56,6 +56,16 @@
   return list;
 }
 
+BlameReport SampleBlameReport() {
+  BlameRecord record;
+  record.parts = {PartKey(41), PartKey(42)};
+  record.was_answered = true;
+  record.sightings = {{43, 2, Duration(44), Duration(45)}};
+  record.blocks = 3;
+  record.blocked_left = Duration(46);
+  return {{record}, {{PartKey(47), Duration(48)}}};
+}
+
 std::vector<MessageBody> SampleBodies() {
   Offer offer;
   offer.attempt = kAttempt;
@@ -106,7 +116,8 @@
                    Duration(200'000),
                    Duration(9'000'000),
                    {TargetId("t1"), TargetId("t2")},
-                   Duration(3)},
+                   Duration(3),
+                   {PartKey(31), PartKey(32)}},
       PlacementReply{22,
                      PlacementVerdict::kPlaced,
                      TargetId("t1"),
@@ -125,10 +136,12 @@
                           Tokens(5),
                           Tokens(6),
                           Duration(7),
-                          true}}},
+                          true,
+                          {PartKey(33)}}}},
       FeedPoll{25, {{FeedKind::kRoutes, 7}, {FeedKind::kWithdrawals, 8}}},
       FeedProof{26, {{FeedKind::kTargets, Duration(9), 10, 11}}},
-      FeedDelta{FeedKind::kTargets, 12, 13, "{}"}};
+      FeedDelta{FeedKind::kTargets, 12, 13, "{}"},
+      SampleBlameReport()};
 }
 
 Message Wrap(MessageBody body) {
@@ -174,6 +187,30 @@
             static_cast<int64_t>(seen.size()));
 }
 
+// Guards against parts of a prompt, or evidence against them, that the codec
+// drops or accepts without limit.
+TEST(WireTest, PartsAndBlameAreKeptAndBounded) {
+  const auto round_trip = [](MessageBody body) {
+    const leaf::result<Message> decoded = Decode(Encode(Wrap(std::move(body))));
+    EXPECT_TRUE(decoded);
+    return decoded->body;
+  };
+  EXPECT_EQ(std::get<BlameReport>(round_trip(SampleBlameReport())),
+            SampleBlameReport());
+  PlacementAsk ask;
+  ask.service = ServiceId("llm");
+  ask.parts = {PartKey(1), PartKey(2)};
+  EXPECT_EQ(std::get<PlacementAsk>(round_trip(ask)).parts, ask.parts);
+  ask.parts.assign(kMaxPartsOfPrompt + 1, PartKey(1));
+  EXPECT_EQ(ErrorOf(Decode, Encode(Wrap(ask))), WireError::kBadCount);
+  BlameReport report = SampleBlameReport();
+  report.records.assign(kMaxBlameRecords + 1, report.records[0]);
+  EXPECT_EQ(ErrorOf(Decode, Encode(Wrap(report))), WireError::kBadCount);
+  report = SampleBlameReport();
+  report.records[0].parts.clear();
+  EXPECT_EQ(ErrorOf(Decode, Encode(Wrap(report))), WireError::kMissingId);
+}
+
 // Guards against fields that both directions of the codec omit.
 TEST(WireTest, OfferKeepsEachField) {
   const leaf::result<Message> decoded = Decode(Encode(Wrap(SampleBodies()[0])));
