--- a/src/agent_tables.h
+++ b/src/agent_tables.h
@@ -69,7 +69,14 @@
   uint32_t chunk_count = 0;
   uint32_t http_status = 0;
   std::string content_type;
-  uint64_t answer = 0;  // Number in AnswerStore; 0 for none.
+  uint64_t answer = 0;           // Number in AnswerStore; 0 for none.
+  bool failed_at_start = false;  // See Finish::failed_at_start.
+};
+
+// A failure of the engine that ended several streams.
+struct EngineFailure {
+  Time at;
+  AttemptId began_answer;  // See Finish::failed_at_start.
 };
 
 // Record of an attempt that has ended or was refused. While the record exists,
@@ -265,6 +272,7 @@
   ThroughputMeter throughput;
   Tokens prompt_tokens_dispatched;  // Total since the start of the process.
 
+  std::optional<EngineFailure> last_engine_failure;
   bool listed = false;  // The first engine list was received.
   EngineIncarnation engine;
   // Consecutive requests without an answer.
--- a/src/attempts.cc
+++ b/src/attempts.cc
@@ -172,6 +172,7 @@
   finish.http_status = closed_attempt.result.http_status;
   finish.content_type = closed_attempt.result.content_type;
   finish.state = BuildAgentState(tables);
+  finish.failed_at_start = closed_attempt.result.failed_at_start;
   SendToEntry(tables, closed_attempt.entry, std::move(finish));
 }
 
--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -16,8 +16,13 @@
 namespace {
 
 constexpr uint32_t kFullWeight = static_cast<uint32_t>(CrashEvidence::kAtStart);
+// Reports of one target within this time are about the same crash. The time of
+// a crash shifts by the delay of each message that tells of it.
+constexpr Duration kSameCrashWindow = std::chrono::seconds(2);
 // A trial whose end was not reported is given up after this time.
 constexpr Duration kTrialTimeout = std::chrono::seconds(5);
+// Many processes may pass on the same wrong block at once.
+constexpr Duration kCorrectionInterval = std::chrono::seconds(1);
 constexpr Duration kPruneInterval = std::chrono::seconds(1);
 constexpr size_t kMaxSightings = kMaxBlameSightings;
 
@@ -86,6 +91,10 @@
   return WeightOf(suspect) >= crashes * kFullWeight;
 }
 
+bool CrashBlame::IsShared(const Suspect& suspect, Time now) const {
+  return suspect.blocks > 0 || NeedsTrial(suspect, now);
+}
+
 CrashBlame::Decision CrashBlame::Check(const PartKeys& parts,
                                        uint64_t trial,
                                        Time now) const {
@@ -112,7 +121,28 @@
   return decision;
 }
 
+bool CrashBlame::IsCrowded(const PartKeys& parts, Time now) const {
+  return limits_.enabled &&
+         std::any_of(parts.begin(), parts.end(), [&](PartKey part) {
+           const auto it = unanswered_counts_.find(part);
+           return it != unanswered_counts_.end() &&
+                  it->second >= limits_.max_unanswered &&
+                  !IsAnswered(part, now);
+         });
+}
+
 void CrashBlame::OnSent(const PartKeys& parts, uint64_t trial, Time now) {
+  RemoveUnansweredAttempt(trial);
+  UnansweredAttempt attempt{{}, now};
+  for (const PartKey it : Sorted(parts)) {
+    if (!IsAnswered(it, now)) {
+      attempt.parts.push_back(it);
+      ++unanswered_counts_[it];
+    }
+  }
+  if (!attempt.parts.empty()) {
+    unanswered_attempts_[trial] = std::move(attempt);
+  }
   for (Suspect& it : suspects_) {
     if (!it.IsBlocked(now) && ContainsAll(parts, it.parts)) {
       it.trial = trial;
@@ -121,7 +151,22 @@
   }
 }
 
+void CrashBlame::RemoveUnansweredAttempt(uint64_t trial) {
+  const auto attempt = unanswered_attempts_.find(trial);
+  if (attempt == unanswered_attempts_.end()) {
+    return;
+  }
+  for (const PartKey it : attempt->second.parts) {
+    const auto count = unanswered_counts_.find(it);
+    if (--count->second == 0) {
+      unanswered_counts_.erase(count);
+    }
+  }
+  unanswered_attempts_.erase(attempt);
+}
+
 void CrashBlame::EndTrial(uint64_t trial) {
+  RemoveUnansweredAttempt(trial);
   for (Suspect& it : suspects_) {
     if (it.trial == trial) {
       it.trial.reset();
@@ -156,16 +201,16 @@
 }
 
 bool CrashBlame::ClearPart(PartKey part, Time answered_at, Time now) {
-  bool had = false;
+  bool was_shared = false;
   for (Suspect& it : suspects_) {
     const auto found = std::find(it.parts.begin(), it.parts.end(), part);
     if (found == it.parts.end() ||
         (!it.sightings.empty() && answered_at < it.sightings.back().at)) {
       continue;
     }
+    was_shared = was_shared || IsShared(it, now);
     it.parts.erase(found);
     it.changed = true;
-    had = true;
     if (it.parts.empty()) {
       ++counters_.cleared;
     }
@@ -177,7 +222,7 @@
   }
   std::erase_if(suspects_, [](const Suspect& it) { return it.parts.empty(); });
   MergeEqualSuspects();
-  return had;
+  return was_shared;
 }
 
 void CrashBlame::OnAnswer(const PartKeys& parts, Time now) {
@@ -193,11 +238,13 @@
 }
 
 bool CrashBlame::Lift(PartKey part, Time now) {
-  const bool had = ClearPart(part, now, now);
-  if (had) {
-    changed_answers_.emplace_back(part, now);
-  }
-  return had;
+  const bool was_suspect =
+      std::any_of(suspects_.begin(), suspects_.end(),
+                  [&](const Suspect& it) { return Contains(it.parts, part); });
+  RememberAnswer(part, now, now);
+  ClearPart(part, now, now);
+  changed_answers_.emplace_back(part, now);
+  return was_suspect;
 }
 
 // --- Crashes ----------------------------------------------------------------
@@ -253,7 +300,10 @@
 
 bool CrashBlame::AddSighting(Suspect& suspect, const Sighting& sighting) {
   const auto coincides = [&](const Sighting& it) {
-    return sighting.sent_at < it.at && it.sent_at < sighting.at;
+    const Duration apart =
+        it.at > sighting.at ? it.at - sighting.at : sighting.at - it.at;
+    return (sighting.sent_at < it.at && it.sent_at < sighting.at) ||
+           (sighting.target == it.target && apart < kSameCrashWindow);
   };
   const bool has_as_heavy =
       std::any_of(suspect.sightings.begin(), suspect.sightings.end(),
@@ -276,7 +326,7 @@
 }
 
 bool CrashBlame::IsBlockDue(const Suspect& suspect, Time now) const {
-  if (suspect.IsBlocked(now)) {
+  if (suspect.IsBlocked(now) || !is_judging_) {
     return false;
   }
   if (suspect.blocks > 0) {
@@ -428,6 +478,18 @@
   absl::erase_if(answered_, [&](const auto& it) {
     return now - it.second > limits_.memory;
   });
+  absl::erase_if(corrected_, [&](const auto& it) {
+    return now - it.second >= kCorrectionInterval;
+  });
+  std::vector<uint64_t> lost;
+  for (const auto& [trial, attempt] : unanswered_attempts_) {
+    if (now - attempt.sent_at >= kTrialTimeout) {
+      lost.push_back(trial);
+    }
+  }
+  for (const uint64_t it : lost) {
+    RemoveUnansweredAttempt(it);
+  }
 }
 
 // --- Exchange with other processes ------------------------------------------
@@ -467,11 +529,11 @@
   return report;
 }
 
-BlameReport CrashBlame::TakeChanges(bool blocked_only, Time now) {
+BlameReport CrashBlame::TakeChanges(Time now) {
   BlameReport report;
   for (Suspect& it : suspects_) {
     const bool changed = std::exchange(it.changed, false);
-    if (changed && (it.blocks > 0 || !blocked_only) &&
+    if (changed && IsShared(it, now) &&
         report.records.size() < kMaxBlameRecords) {
       report.records.push_back(MakeRecord(it, now));
     }
@@ -493,12 +555,56 @@
     if (ClearPart(it.part, now - it.age, now)) {
       changed_answers_.emplace_back(it.part, now - it.age);
     }
+    ApplyEarlierAnswer(it.part, now);
   }
   for (const BlameRecord& it : report.records) {
     MergeRecord(it, now);
   }
 }
 
+void CrashBlame::ApplyEarlierAnswer(PartKey part, Time now) {
+  if (!IsAnswered(part, now)) {
+    return;
+  }
+  for (Suspect& it : suspects_) {
+    if (it.was_answered || !Contains(it.parts, part)) {
+      continue;
+    }
+    it.changed = true;
+    if (it.parts.size() > 1) {
+      std::erase(it.parts, part);
+      continue;
+    }
+    it.was_answered = true;
+    if (it.blocks > 0 &&
+        WeightOf(it) < limits_.answered_crashes * kFullWeight) {
+      it.blocks = 0;
+      it.blocked_until = Time();
+      changed_answers_.emplace_back(part, answered_[part]);
+      Log(LogLevel::kWarning, "part_unblocked",
+          {{"part", FormatKeys({part})},
+           {"crash_weight", std::to_string(WeightOf(it))}});
+    }
+  }
+  MergeEqualSuspects();
+}
+
+void CrashBlame::RemoveAnsweredParts(const BlameRecord& record,
+                                     PartKeys* parts,
+                                     Time now) {
+  std::erase_if(*parts, [&](PartKey part) {
+    if (!IsAnswered(part, now)) {
+      return false;
+    }
+    Time& corrected = corrected_[part];
+    if (record.blocks > 0 && now - corrected >= kCorrectionInterval) {
+      corrected = now;
+      changed_answers_.emplace_back(part, answered_[part]);
+    }
+    return true;
+  });
+}
+
 void CrashBlame::MergeRecord(const BlameRecord& record, Time now) {
   if (record.sightings.empty()) {
     return;
@@ -513,22 +619,18 @@
     const auto it = answered_.find(part);
     return it != answered_.end() && it->second > now - last_age;
   });
+  if (!record.was_answered) {
+    RemoveAnsweredParts(record, &parts, now);
+  }
   if (parts.empty()) {
     return;
   }
-  const PartKeys unanswered = Candidates(parts, now);
-  if (!record.was_answered && record.blocks == 0) {
-    parts = unanswered;
-  }
   const auto known =
       std::find_if(suspects_.begin(), suspects_.end(),
                    [&](const Suspect& it) { return it.parts == parts; });
-  const size_t index =
-      known != suspects_.end()
-          ? static_cast<size_t>(known - suspects_.begin())
-          : AddSuspect(parts,
-                       record.was_answered || (record.blocks == 0 &&
-                                               IsAnswered(parts.front(), now)));
+  const size_t index = known != suspects_.end()
+                           ? static_cast<size_t>(known - suspects_.begin())
+                           : AddSuspect(parts, record.was_answered);
   Suspect& suspect = suspects_[index];
   for (const BlameRecord::Sighting& it : record.sightings) {
     AddSighting(suspect, {it.target, std::min(it.weight, kFullWeight),
--- a/src/crash_blame.h
+++ b/src/crash_blame.h
@@ -43,9 +43,14 @@
   // kBlockGrowth times as long, up to `max_block`.
   Duration block = std::chrono::minutes(2);
   Duration max_block = std::chrono::hours(24);
-  uint32_t max_suspects = 256;  // Sets of suspect parts.
-  uint32_t max_answered_parts =
-      4096;  // Parts that requests were answered with.
+  // Requests in progress, without an event so far, that share a part which no
+  // request was answered with within `memory`. The first crash of such a part
+  // can take down that many targets.
+  uint32_t max_unanswered = 3;
+  // Sets of suspect parts that are remembered.
+  uint32_t max_suspects = 256;
+  // Parts that requests were answered with that are remembered.
+  uint32_t max_answered_parts = 4096;
 
   static constexpr int kBlockGrowth = 4;
 };
@@ -83,9 +88,13 @@
   // Returns whether a request with these parts may be sent now. `trial` is
   // unique to the attempt.
   Decision Check(const PartKeys& parts, uint64_t trial, Time now) const;
+  // Whether as many requests are in progress as may share one of these parts
+  // that no request was answered with.
+  bool IsCrowded(const PartKeys& parts, Time now) const;
   // Records that the attempt is sent. If a part is suspect, other requests with
   // the same suspect parts wait until EndTrial().
   void OnSent(const PartKeys& parts, uint64_t trial, Time now);
+  // The attempt has ended or has delivered its first event.
   void EndTrial(uint64_t trial);
 
   // Records that an attempt with these parts has delivered its first event.
@@ -106,9 +115,16 @@
   void Merge(const BlameReport& report, Time now);
   // Returns all suspects, and the parts answered most recently.
   BlameReport Export(Time now) const;
-  // Returns what has changed since the last call, for other processes.
-  // `blocked_only` leaves out suspects that have never been blocked.
-  BlameReport TakeChanges(bool blocked_only, Time now);
+  // Returns what has changed since the last call, for other processes: suspects
+  // that need trials or have been blocked, and answers that have cleared one of
+  // these. Most suspicions are cleared soon and are not worth a message to each
+  // process.
+  BlameReport TakeChanges(Time now);
+
+  // Whether this process blocks parts by its own judgement. One that knows only
+  // few of the requests collects evidence and blocks what others have blocked.
+  // True until it is set.
+  void SetJudging(bool judging) { is_judging_ = judging; }
 
   // Forgets what has expired, at most once a second.
   void Prune(Time now);
@@ -147,8 +163,11 @@
   };
 
   bool IsAnswered(PartKey part, Time now) const;
+  void RemoveUnansweredAttempt(uint64_t trial);
   static uint32_t WeightOf(const Suspect& suspect);
   bool NeedsTrial(const Suspect& suspect, Time now) const;
+  // Whether the suspect is told to other processes.
+  bool IsShared(const Suspect& suspect, Time now) const;
   // Returns the parts that a crash of a request may be due to: those that no
   // request was answered with, or all of them if there is none.
   PartKeys Candidates(const PartKeys& parts, Time now) const;
@@ -167,8 +186,15 @@
   void BlockLargestDue(const std::vector<size_t>& matching, Time now);
   void MergeEqualSuspects();
   void MergeRecord(const BlameRecord& record, Time now);
+  // Removes the parts of a record that others suspect because they do not know
+  // that requests were answered with them, and tells them.
+  void RemoveAnsweredParts(const BlameRecord& record,
+                           PartKeys* parts,
+                           Time now);
+  // Reconsiders suspects in the light of an answer before their crashes.
+  void ApplyEarlierAnswer(PartKey part, Time now);
   // Removes the part from suspects whose last crash is before `answered_at`.
-  // Returns whether any had it.
+  // Returns whether other processes know one of these.
   bool ClearPart(PartKey part, Time answered_at, Time now);
   void RememberAnswer(PartKey part, Time at, Time now);
   BlameRecord MakeRecord(const Suspect& suspect, Time now) const;
@@ -176,9 +202,20 @@
   CrashBlameLimits limits_;
   std::vector<Suspect> suspects_;
   absl::flat_hash_map<PartKey, Time> answered_;  // Time of the last answer.
+  // Attempts in progress with parts that no request was answered with when they
+  // were sent, and the number of these for each part.
+  struct UnansweredAttempt {
+    PartKeys parts;
+    Time sent_at{};
+  };
+  absl::flat_hash_map<uint64_t, UnansweredAttempt> unanswered_attempts_;
+  absl::flat_hash_map<PartKey, uint32_t> unanswered_counts_;
   // Answers to be told to others, because they have cleared a suspect.
   std::vector<std::pair<PartKey, Time>> changed_answers_;
+  // Parts about which others were corrected within kCorrectionInterval.
+  absl::flat_hash_map<PartKey, Time> corrected_;
   Time next_prune_{};
+  bool is_judging_ = true;
   Counters counters_;
 };
 
--- a/src/ctl_main.cc
+++ b/src/ctl_main.cc
@@ -27,6 +27,7 @@
 #include "src/config_edit.h"
 #include "src/config_publisher.h"
 #include "src/ctl_commands.h"
+#include "src/ctl_parts.h"
 #include "src/http_call.h"
 #include "src/json_reader.h"
 #include "src/object_api_http.h"
@@ -39,8 +40,8 @@
 ABSL_FLAG(std::string,
           entry,
           "127.0.0.1:8080",
-          "ip:port of the HTTP interface of an entry; status takes several, "
-          "separated by commas");
+          "ip:port of the HTTP interface of an entry; status and parts take "
+          "several, separated by commas");
 ABSL_FLAG(bool, json, false, "print JSON for programs");
 ABSL_FLAG(int, timeout, 10, "seconds that a command may take");
 ABSL_FLAG(std::string, account, "", "send: the client account");
@@ -68,6 +69,10 @@
   target out|in ID                 also: list
   status                           instances and configuration versions
   dump ADDRESS                     state of the process with this HTTP ip:port
+  parts list                       parts of prompts that crash targets, as known
+                                   to the processes of --entry
+  parts lift KEY                   ends the block of a part there (not offered
+                                   where callers connect)
   send PATH [BODY]                 a request to an entry; GET without a body
 
 Exit status: 0 done, 1 refused or conflict, 2 usage, 3 unreachable (nothing was
@@ -397,6 +402,43 @@
   return output;
 }
 
+CtlOutput ListParts() {
+  std::vector<ReportedSuspect> all;
+  std::string silent;
+  for (const std::string& it : SplitAddresses(absl::GetFlag(FLAGS_entry))) {
+    const HttpReply reply = HttpGet(it, "/debug/state");
+    const auto suspects = ParseSuspects(it, reply.body);
+    if (!suspects) {
+      silent += (silent.empty() ? "" : ",") + it;
+      continue;
+    }
+    all.insert(all.end(), suspects->begin(), suspects->end());
+  }
+  if (!silent.empty()) {
+    return UnreachableOutput(silent);
+  }
+  return {CtlExit::kOk, FormatSuspects(all, absl::GetFlag(FLAGS_json))};
+}
+
+CtlOutput LiftPart(const std::string& key) {
+  CtlOutput output;
+  for (const std::string& it : SplitAddresses(absl::GetFlag(FLAGS_entry))) {
+    HttpCall call;
+    call.method = "POST";
+    call.target = "/debug/lift-part/" + key;
+    call.repeatable = true;
+    const HttpReply reply = CallHttp(it, std::move(call));
+    if (reply.status != CallStatus::kAnswered) {
+      return UnreachableOutput(it);
+    }
+    if (reply.http_status != 202) {
+      output.exit = CtlExit::kRefused;
+    }
+    output.text += fmt::format("{}: {}", it, reply.body);
+  }
+  return output;
+}
+
 CtlOutput SendRequest(const std::vector<std::string>& words) {
   HttpCall call;
   call.method = words.size() > 2 ? "POST" : "GET";
@@ -441,6 +483,13 @@
   if (command == "dump" && words.size() == 2) {
     return DumpState(words[1]);
   }
+  if (command == "parts" && words.size() == 2 && words[1] == "list") {
+    return ListParts();
+  }
+  if (command == "parts" && words.size() == 3 && words[1] == "lift" &&
+      IsPartKey(words[2])) {
+    return LiftPart(words[2]);
+  }
   if (command == "send" && (words.size() == 2 || words.size() == 3)) {
     return SendRequest(words);
   }
--- /dev/null
+++ b/src/ctl_parts.cc
@@ -0,0 +1,126 @@
+#include "src/ctl_parts.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "src/ctl_commands.h"
+
+namespace burdockhatch {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr size_t kMaxKeyDigits = 16;
+
+// Returns the member as text, or an empty text.
+std::string TextOf(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains({name.data(), name.size()});
+  if (value == nullptr) {
+    return "";
+  }
+  return value->is_string() ? std::string(value->get_string())
+                            : json::serialize(*value);
+}
+
+int64_t CountOf(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains({name.data(), name.size()});
+  boost::system::error_code ec;
+  const int64_t count = value == nullptr ? 0 : value->to_number<int64_t>(ec);
+  return ec ? 0 : count;
+}
+
+std::string SecondsOf(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains({name.data(), name.size()});
+  boost::system::error_code ec;
+  const double seconds = value == nullptr ? 0 : value->to_number<double>(ec);
+  return fmt::format("{:.1f}", ec ? 0 : seconds);
+}
+
+const json::object* FindObject(const json::object* object, const char* name) {
+  const json::value* value =
+      object == nullptr ? nullptr : object->if_contains(name);
+  return value == nullptr ? nullptr : value->if_object();
+}
+
+}  // namespace
+
+std::optional<std::vector<ReportedSuspect>> ParseSuspects(
+    const std::string& address,
+    std::string_view state) {
+  boost::system::error_code ec;
+  const json::value root = json::parse({state.data(), state.size()}, ec);
+  const json::object* blame = FindObject(
+      FindObject(ec ? nullptr : root.if_object(), "core"), "crash_blame");
+  const json::value* list =
+      blame == nullptr ? nullptr : blame->if_contains("suspects");
+  if (list == nullptr || !list->is_array()) {
+    return std::nullopt;
+  }
+  std::vector<ReportedSuspect> suspects;
+  for (const json::value& it : list->get_array()) {
+    const json::object* object = it.if_object();
+    if (object == nullptr) {
+      return std::nullopt;
+    }
+    ReportedSuspect suspect;
+    suspect.address = address;
+    if (const json::value* parts = object->if_contains("parts");
+        parts != nullptr && parts->is_array()) {
+      for (const json::value& part : parts->get_array()) {
+        suspect.parts += suspect.parts.empty() ? "" : ",";
+        suspect.parts += part.is_string() ? std::string(part.get_string())
+                                          : json::serialize(part);
+      }
+    }
+    suspect.state = TextOf(*object, "state");
+    suspect.crashes = CountOf(*object, "crashes");
+    suspect.blocks = CountOf(*object, "blocks");
+    suspect.last_crash_s_ago = SecondsOf(*object, "last_crash_s_ago");
+    suspect.blocked_left_s = SecondsOf(*object, "blocked_left_s");
+    suspects.push_back(std::move(suspect));
+  }
+  return suspects;
+}
+
+std::string FormatSuspects(const std::vector<ReportedSuspect>& suspects,
+                           bool as_json) {
+  if (as_json) {
+    json::array out;
+    for (const ReportedSuspect& it : suspects) {
+      out.push_back({{"address", it.address},
+                     {"parts", it.parts},
+                     {"state", it.state},
+                     {"crashes", it.crashes},
+                     {"blocks", it.blocks},
+                     {"last_crash_s_ago", it.last_crash_s_ago},
+                     {"blocked_left_s", it.blocked_left_s}});
+    }
+    return json::serialize(out) + "\n";
+  }
+  std::vector<std::vector<std::string>> rows = {
+      {"asked", "parts", "state", "crashes", "blocks", "last crash (s ago)",
+       "blocked for (s)"}};
+  for (const ReportedSuspect& it : suspects) {
+    rows.push_back({it.address, it.parts, it.state, std::to_string(it.crashes),
+                    std::to_string(it.blocks), it.last_crash_s_ago,
+                    it.blocked_left_s});
+  }
+  return FormatTable(rows);
+}
+
+bool IsPartKey(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxKeyDigits &&
+         std::all_of(text.begin(), text.end(), [](char it) {
+           return (it >= '0' && it <= '9') || (it >= 'a' && it <= 'f') ||
+                  (it >= 'A' && it <= 'F');
+         });
+}
+
+}  // namespace burdockhatch
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -19,6 +19,8 @@
 // deadline the entry has already told the caller that the outcome is unknown,
 // although the call provably never ran.
 constexpr Duration kUnclaimedRefusalMargin = std::chrono::milliseconds(150);
+// Streams that end within this time end by the same failure of the engine.
+constexpr Duration kEngineFailureWindow = std::chrono::seconds(1);
 
 // Returns the matching attempts as a copy, because ending an attempt changes
 // the table.
@@ -245,6 +247,26 @@
                                       : ErrorCode::kTargetFailed;
 }
 
+// Whether the attempt's answer was due to begin when the engine failed. The
+// streams of one failure end one after the other, so the attempt is determined
+// at the first end.
+bool BeganAnswerAtFailure(AgentTables& tables, const AttemptId& id) {
+  std::optional<EngineFailure>& failure = tables.last_engine_failure;
+  if (!failure || tables.now - failure->at > kEngineFailureWindow) {
+    failure = EngineFailure{tables.now, {}};
+    std::optional<Time> first;
+    for (const auto& [other, attempt] : tables.attempts) {
+      if (IsDispatched(attempt) && !attempt.adopted &&
+          attempt.output == Tokens(0) &&
+          (!first || attempt.dispatched_at < *first)) {
+        first = attempt.dispatched_at;
+        failure->began_answer = other;
+      }
+    }
+  }
+  return failure->began_answer == id;
+}
+
 void CloseNotStarted(AgentTables& tables, const AttemptId& id, ErrorCode code) {
   EraseReservation(tables, StreamReservationId(id));
   CloseAsNotRun(tables, id, code, kRefusalRetryAfter);
@@ -263,10 +285,12 @@
 
 void CloseAsOutcomeUnknown(AgentTables& tables,
                            const AttemptId& id,
-                           ErrorCode code) {
+                           ErrorCode code,
+                           bool failed_at_start) {
   BeginRelease(tables, StreamReservationId(id));
   AttemptResult result;
   result.failure = UnknownOutcomeFailure(code);
+  result.failed_at_start = failed_at_start;
   CloseAttempt(tables, id, result);
 }
 
@@ -414,8 +438,11 @@
     case StreamEnd::kFailed:
       DiscardRaiseProgress(tables.warmup);
       [[fallthrough]];
-    case StreamEnd::kCancelled:
     case StreamEnd::kNotFound:
+      CloseAsOutcomeUnknown(tables, *id, ErrorCodeOf(end),
+                            BeganAnswerAtFailure(tables, *id));
+      return;
+    case StreamEnd::kCancelled:
       CloseAsOutcomeUnknown(tables, *id, ErrorCodeOf(end));
       return;
   }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -26,7 +26,8 @@
 // kUnknown. Its stream, if any, is cancelled.
 void CloseAsOutcomeUnknown(AgentTables& tables,
                            const AttemptId& id,
-                           ErrorCode code);
+                           ErrorCode code,
+                           bool failed_at_start = false);
 
 // Ends an attempt that its entry no longer needs: it was cancelled, its
 // deadline has passed or the entry is gone.
--- a/src/entry_blame.cc
+++ b/src/entry_blame.cc
@@ -77,23 +77,22 @@
   }
 }
 
-// An agent reports the failure of its engine for all attempts there, without
-// the moment at which each of them began, so the evidence is the weaker one.
 void RecordFailureForBlame(EntryTables& tables,
                            const RequestRow& row,
                            const Failure& failure,
+                           CrashEvidence evidence,
                            Time now) {
   const EntryAttempt& attempt = *row.attempt;
   if (failure.code != ErrorCode::kTargetFailed || attempt.has_output) {
     return;
   }
   const InstanceId& agent = tables.fleet.rows[attempt.slot].info.instance;
-  tables.blame.OnCrash(row.parts, agent.value(), attempt.offered_at,
-                       CrashEvidence::kUnanswered, now);
+  tables.blame.OnCrash(row.parts, agent.value(), attempt.offered_at, evidence,
+                       now);
 }
 
 void SpreadBlame(EntryTables& tables, Time now) {
-  BlameReport news = tables.blame.TakeChanges(false, now);
+  BlameReport news = tables.blame.TakeChanges(now);
   if (!news.empty()) {
     tables.actions.push_back(SpreadReport{std::move(news)});
   }
--- a/src/entry_blame.h
+++ b/src/entry_blame.h
@@ -26,6 +26,7 @@
 void RecordFailureForBlame(EntryTables& tables,
                            const RequestRow& row,
                            const Failure& failure,
+                           CrashEvidence evidence,
                            Time now);
 
 // Emits what has changed since the last call, for the other entries.
--- a/src/entry_core.cc
+++ b/src/entry_core.cc
@@ -161,12 +161,6 @@
   SpreadBlame(*tables_, now);
 }
 
-bool EntryCore::LiftPart(PartKey part, Time now) {
-  const bool had = tables_->blame.Lift(part, now);
-  SpreadBlame(*tables_, now);
-  return had;
-}
-
 void EntryCore::OnSendFailed(const AttemptId& attempt, Time now) {
   HandleSendFailure(*tables_, attempt, now);
 }
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -134,10 +134,6 @@
   void OnPeerUnreachable(const InstanceId& instance, Time now);
   void OnConfig(FleetConfigPtr config, Time now);
 
-  // Ends the suspicion and the block of a part of prompts, at all entries.
-  // Returns whether the part was suspect here.
-  bool LiftPart(PartKey part, Time now);
-
   void BeginDrain(Time now);
   bool IsDrained() const;
 
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -177,6 +177,10 @@
            since_stop_requested >= end;
   }
 
+  bool LiftPartNow(PartKey part, Time now) override {
+    return placement_client_.LiftPart(part, now);
+  }
+
   std::string Dump(Time now) const override {
     std::string targets;
     for (const auto& [id, entry] : context_.directory.targets()) {
--- a/src/forward_loop_daemon.cc
+++ b/src/forward_loop_daemon.cc
@@ -157,6 +157,15 @@
   });
 }
 
+void ForwardDaemonBase::LiftPart(PartKey part) {
+  asio::post(io_, [this, part] {
+    const bool was_suspect = LiftPartNow(part, Now());
+    Log(LogLevel::kInfo, "part_lifted",
+        {{"part", fmt::format("{:016x}", part.value())},
+         {"was_suspect", was_suspect ? "true" : "false"}});
+  });
+}
+
 std::string ForwardDaemonBase::MetricsText() {
   ExportBusCounters(bus_->Stats(), &metrics_);
   metrics_.SetGauge("burdockhatch_caught_exceptions", "",
--- a/src/forward_loop_daemon.h
+++ b/src/forward_loop_daemon.h
@@ -39,6 +39,7 @@
   void SendOfferToAgent(const PeerId&, Offer) override {}
   void DumpState(std::function<void(std::string)> done) override;
   std::string MetricsText() override;
+  void LiftPart(PartKey part) override;
 
   // Timers.
   Time Now() const override { return clock_.Now(); }
@@ -56,6 +57,9 @@
   virtual void OnStopRequested() = 0;
   // Whether the process may exit, given the time since the stop was requested.
   virtual bool CanExit(Duration since_stop_requested) = 0;
+  // Ends the suspicion and the block of a part of prompts. Returns whether it
+  // was suspect here.
+  virtual bool LiftPartNow(PartKey part, Time now) = 0;
   // Returns the state of the daemon as JSON.
   virtual std::string Dump(Time now) const = 0;
 
--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -1,6 +1,7 @@
 #include "src/http_entry.h"
 
 #include <atomic>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -59,6 +60,9 @@
   return {generator(), generator() | 1};
 }
 
+// The key of the part follows.
+constexpr std::string_view kLiftPartPath = "/debug/lift-part/";
+
 class Session;
 
 // State that all sessions and the server share.
@@ -331,12 +335,32 @@
                     shared_->delegate->MetricsText());
     } else if (path == "/debug/state") {
       WriteStateDump();
+    } else if (path.starts_with(kLiftPartPath)) {
+      LiftPart(method, path.substr(kLiftPartPath.size()));
     } else {
       return false;
     }
     return true;
   }
 
+  // Callers must not end blocks, so an address that serves them offers no
+  // lifting.
+  void LiftPart(const std::string& method, std::string_view text) {
+    uint64_t key = 0;
+    const auto [rest, ec] =
+        std::from_chars(text.data(), text.data() + text.size(), key, 16);
+    if (shared_->options.caller_api_enabled) {
+      WriteResponse(403, "text/plain", "not offered where callers connect\n");
+    } else if (method != "POST") {
+      WriteResponse(405, "text/plain", "use POST\n");
+    } else if (ec != std::errc() || rest != text.data() + text.size()) {
+      WriteResponse(400, "text/plain", "the part must be a hexadecimal key\n");
+    } else {
+      shared_->delegate->LiftPart(PartKey(key));
+      WriteResponse(202, "text/plain", "lifting\n");
+    }
+  }
+
   // The control thread may outlive the sessions, so its callback must not own
   // this one; the shared table keeps the session alive until the dump arrives.
   void WriteStateDump() {
--- a/src/http_entry.h
+++ b/src/http_entry.h
@@ -48,6 +48,9 @@
   // Calls `done` with the state as JSON text, on any thread.
   virtual void DumpState(std::function<void(std::string)> done) = 0;
   virtual std::string MetricsText() = 0;
+  // Ends the suspicion and the block of a part of prompts, see crash_blame.h.
+  // Called only for addresses that serve no callers.
+  virtual void LiftPart(PartKey part) {}
 };
 
 struct HttpEntryOptions {
--- a/src/messages.h
+++ b/src/messages.h
@@ -168,6 +168,9 @@
       0;  // Status of the service's response; plain service calls only.
   std::string content_type;
   AgentState state;
+  // The engine failed, and of the attempts without output there this one was
+  // dispatched first, so its answer was due to begin.
+  bool failed_at_start = false;
 };
 
 // Agent to entry: state, sent once a second to each subscriber.
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -38,6 +38,10 @@
 // change reaches the leader within it, usually from a single entry.
 constexpr Duration kListSendSpread = std::chrono::milliseconds(300);
 constexpr Duration kSnapshotInterval = std::chrono::seconds(1);
+// How long an entry that has just learned its agents waits for the first of
+// them before it places requests with shared parts itself: it does not know
+// which parts are blocked.
+constexpr Duration kFirstLeaderWait = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -89,6 +93,9 @@
   }
   const bool changed = !agents_.empty() || next.size() != known;
   agents_ = std::move(next);
+  if (first_agents_at_ == Time() && !agents_.empty()) {
+    first_agents_at_ = now;
+  }
   SelectLeader(now);
   if (changed) {
     OnAgentsChanged(now);
@@ -156,6 +163,11 @@
   pending.ask.unsettled_left = UnsettledLeft(now);
   pending.ask.first_event_left = pending.first_event_by - now;
   pending.ask.time_left = std::max(pending.deadline - now, Duration(0));
+  pending.awaits_first_leader =
+      !pending.ask.parts.empty() && AwaitsFirstLeader(now);
+  if (pending.awaits_first_leader) {
+    return;
+  }
   if (leader_.empty()) {
     local_scheduler_.RequestPlacement(self_, pending.ask, now);
   } else {
@@ -163,6 +175,11 @@
   }
 }
 
+bool PlacementClient::AwaitsFirstLeader(Time now) const {
+  return !had_leader_ && !agents_.empty() &&
+         now < first_agents_at_ + kFirstLeaderWait;
+}
+
 // The limit of the local scheduler holds for any number of entries.
 Duration PlacementClient::UnsettledLeft(Time now) const {
   return leader_.empty()
@@ -198,9 +215,26 @@
   if (!leader_.empty()) {
     bus_->Send(leader_, change);
   }
+  SendOwnBlame(now);
   ProcessLocalDecisions(now);
 }
 
+// The leader learns of the entry's own crashes through the changes; the other
+// agents may lead for other entries. Leaders tell each other of answers, which
+// all entries have.
+void PlacementClient::SendOwnBlame(Time now) {
+  BlameReport news = local_scheduler_.blame().TakeChanges(now);
+  news.answered.clear();
+  if (news.empty()) {
+    return;
+  }
+  for (const Agent& it : agents_) {
+    if (it.endpoint.instance != leader_ && IsAlive(it, now)) {
+      bus_->Send(it.endpoint.instance, news);
+    }
+  }
+}
+
 void PlacementClient::OnMessage(const Message& message, Time now) {
   const auto agent =
       std::find_if(agents_.begin(), agents_.end(), [&](const Agent& it) {
@@ -243,9 +277,8 @@
                                     bool from_leader,
                                     Time now) {
   CrashBlame& blame = local_scheduler_.blame();
-  blame.TakeChanges(false, now);  // The leader knows them as events.
   blame.Merge(report, now);
-  BlameReport news = blame.TakeChanges(true, now);
+  BlameReport news = blame.TakeChanges(now);
   if (!from_leader && !leader_.empty() && !news.empty()) {
     bus_->Send(leader_, std::move(news));
   }
@@ -383,6 +416,9 @@
 void PlacementClient::SetLeader(const InstanceId& agent, Time now) {
   leader_ = agent;
   leader_since_ = now;
+  had_leader_ = had_leader_ || !leader_.empty();
+  // One entry knows too few requests to tell which parts are sound.
+  local_scheduler_.blame().SetJudging(leader_.empty());
   next_snapshot_ = now + kSnapshotInterval;
   if (!leader_.empty()) {
     for (auto& [service, list_state] : target_lists_) {
@@ -443,6 +479,11 @@
     next_snapshot_ = now + kSnapshotInterval;
     bus_->Send(leader_, local_scheduler_.MakeSnapshot(self_));
   }
+  for (auto& [number, pending] : pending_) {
+    if (pending.awaits_first_leader && !AwaitsFirstLeader(now)) {
+      SendAsk(pending, now);
+    }
+  }
   if (leader_.empty()) {
     local_scheduler_.Tick(now);
   }
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -123,7 +123,8 @@
     Time asked_at{};
     Time first_event_by{};
     Time deadline{};
-    bool queued = false;  // The leader has replied kQueued.
+    bool queued = false;               // The leader has replied kQueued.
+    bool awaits_first_leader = false;  // Not sent yet.
   };
 
   struct TargetListState {
@@ -139,10 +140,13 @@
   void SelectLeader(Time now);
   void SetLeader(const InstanceId& agent, Time now);
   void SendAsk(Pending& pending, Time now);
+  // Whether the entry has just started and no agent has answered yet.
+  bool AwaitsFirstLeader(Time now) const;
   Duration UnsettledLeft(Time now) const;
   void OnAgentsChanged(Time now);
   void LimitLocalColdRate(Time now);
   void OnReply(const PlacementReply& reply, Time now);
+  void SendOwnBlame(Time now);
   void OnBlameReport(const BlameReport& report, bool from_leader, Time now);
   void ProcessLocalDecisions(Time now);
   void SendChangedLists(Time now);
@@ -162,6 +166,8 @@
   uint32_t entry_count_ = kInitialEntryCount;
   std::optional<uint32_t> reported_entry_count_;
   Time leader_since_{};
+  bool had_leader_ = false;
+  Time first_agents_at_{};
   Time agents_since_{};  // Of the last new agent or incarnation.
   Time next_snapshot_{};
 };
--- /dev/null
+++ b/src/placement_leader.cc
@@ -0,0 +1,133 @@
+#include "src/placement_leader.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/log.h"
+
+namespace burdockhatch {
+
+namespace {
+
+// An entry sends a message at least every half second. After this silence it
+// has stopped or has chosen another leader.
+constexpr Duration kEntryTimeout = std::chrono::seconds(3);
+// An agent leads for this long after the last request to place.
+constexpr Duration kLeadingTime = std::chrono::seconds(5);
+
+}  // namespace
+
+PlacementLeader::PlacementLeader(Heartbeat heartbeat,
+                                 const CrashBlameLimits& blame_limits,
+                                 SendFunction send)
+    : heartbeat_(std::move(heartbeat)),
+      send_(std::move(send)),
+      scheduler_(blame_limits) {
+  scheduler_.blame().SetJudging(false);
+}
+
+void PlacementLeader::OnMessage(const Message& message, Time now) {
+  const PeerId& entry = message.sender;
+  if (!last_heard_.contains(entry)) {
+    RemovePreviousIncarnations(entry, now);
+    Log(LogLevel::kInfo, "entry_met",
+        {{"entry", entry.instance.value()},
+         {"incarnation", std::to_string(entry.incarnation.value())}});
+  }
+  last_heard_[entry] = now;
+  if (const auto* ask = std::get_if<PlacementAsk>(&message.body)) {
+    last_ask_at_ = now;
+    UpdateJudging(now);
+    scheduler_.RequestPlacement(entry, *ask, now);
+  } else if (const auto* it = std::get_if<PlacementChange>(&message.body)) {
+    scheduler_.ApplyChange(entry, *it, now);
+  } else if (const auto* it = std::get_if<PlacementSnapshot>(&message.body)) {
+    scheduler_.RestoreSnapshot(entry, *it, now);
+  } else if (const auto* it = std::get_if<TargetList>(&message.body)) {
+    scheduler_.SetTargets(*it, now);
+  } else if (const auto* it = std::get_if<BlameReport>(&message.body)) {
+    scheduler_.blame().Merge(*it, now);
+  } else if (std::holds_alternative<Heartbeat>(message.body)) {
+    send_(entry, heartbeat_);
+  } else if (std::holds_alternative<Goodbye>(message.body)) {
+    RemoveEntry(entry, now);
+  }
+  SendDecisions();
+  SpreadBlame(now);
+}
+
+// An agent that leads for no entry hears of crashes and of no answers.
+void PlacementLeader::UpdateJudging(Time now) {
+  scheduler_.blame().SetJudging(last_ask_at_ != Time() &&
+                                now - last_ask_at_ < kLeadingTime);
+}
+
+void PlacementLeader::Tick(Time now) {
+  UpdateJudging(now);
+  std::vector<PeerId> silent;
+  for (const auto& [entry, heard] : last_heard_) {
+    if (now - heard > kEntryTimeout) {
+      silent.push_back(entry);
+    }
+  }
+  for (const PeerId& it : silent) {
+    Log(LogLevel::kInfo, "entry_silent", {{"entry", it.instance.value()}});
+    RemoveEntry(it, now);
+  }
+  scheduler_.Tick(now);
+  SendDecisions();
+  SpreadBlame(now);
+}
+
+void PlacementLeader::SendGoodbyes() {
+  for (const auto& [entry, heard] : last_heard_) {
+    send_(entry, Goodbye{});
+  }
+}
+
+bool PlacementLeader::LiftPart(PartKey part, Time now) {
+  const bool had = scheduler_.blame().Lift(part, now);
+  SpreadBlame(now);
+  return had;
+}
+
+void PlacementLeader::RemovePreviousIncarnations(const PeerId& entry,
+                                                 Time now) {
+  std::vector<PeerId> previous;
+  for (const auto& [peer, heard] : last_heard_) {
+    if (peer.instance == entry.instance) {
+      previous.push_back(peer);
+    }
+  }
+  for (const PeerId& it : previous) {
+    RemoveEntry(it, now);
+  }
+}
+
+void PlacementLeader::RemoveEntry(const PeerId& entry, Time now) {
+  last_heard_.erase(entry);
+  scheduler_.RemoveEntry(entry, now);
+}
+
+void PlacementLeader::SendDecisions() {
+  for (PlacementScheduler::Decision& it : scheduler_.TakeDecisions()) {
+    send_(it.entry, std::move(it.reply));
+  }
+}
+
+void PlacementLeader::SpreadBlame(Time now) {
+  const BlameReport news = scheduler_.blame().TakeChanges(now);
+  if (news.empty()) {
+    return;
+  }
+  for (const auto& [entry, heard] : last_heard_) {
+    send_(entry, news);
+  }
+}
+
+std::string PlacementLeader::Dump(Time now) const {
+  return scheduler_.Dump(now);
+}
+
+}  // namespace burdockhatch
--- /dev/null
+++ b/src/placement_leader.h
@@ -0,0 +1,64 @@
+// The part of a placement agent that knows no network: places the requests of
+// all entries while the agent leads, and shares with the entries which prompt
+// parts are blocked.
+#ifndef SRC_PLACEMENT_LEADER_H_
+#define SRC_PLACEMENT_LEADER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "src/clock.h"
+#include "src/crash_blame.h"
+#include "src/ids.h"
+#include "src/messages.h"
+#include "src/placement_scheduler.h"
+
+namespace burdockhatch {
+
+class PlacementLeader {
+ public:
+  using SendFunction = std::function<void(const PeerId& to, MessageBody body)>;
+
+  // `heartbeat` is the reply to heartbeats of entries.
+  PlacementLeader(Heartbeat heartbeat,
+                  const CrashBlameLimits& blame_limits,
+                  SendFunction send);
+
+  // Handles any message of an entry. Other bodies only prove that it is alive.
+  void OnMessage(const Message& message, Time now);
+  // Forgets entries that are silent. Called at least every 200 ms, and every
+  // kPlacementTickInterval while HasQueuedRequests().
+  void Tick(Time now);
+  // Tells the entries that this agent is about to stop.
+  void SendGoodbyes();
+
+  bool HasQueuedRequests() const { return scheduler_.HasQueuedRequests(); }
+  size_t entry_count() const { return last_heard_.size(); }
+  const CrashBlame& blame() const { return scheduler_.blame(); }
+  // Ends the suspicion and the block of a part, here and at all entries.
+  bool LiftPart(PartKey part, Time now);
+
+  // Returns the state as JSON.
+  std::string Dump(Time now) const;
+
+ private:
+  // A new incarnation of an entry proves that the previous one has stopped.
+  void RemovePreviousIncarnations(const PeerId& entry, Time now);
+  void RemoveEntry(const PeerId& entry, Time now);
+  void UpdateJudging(Time now);
+  void SendDecisions();
+  // The entries keep suspicions and blocks in case this agent stops, refuse
+  // blocked requests without asking, and tell other leaders.
+  void SpreadBlame(Time now);
+
+  const Heartbeat heartbeat_;
+  const SendFunction send_;
+  PlacementScheduler scheduler_;
+  std::map<PeerId, Time> last_heard_;
+  Time last_ask_at_{};
+};
+
+}  // namespace burdockhatch
+
+#endif  // SRC_PLACEMENT_LEADER_H_
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -234,6 +234,15 @@
     reply.retry_after = decision.blocked_left;
     decisions_.push_back({request.entry, std::move(reply)});
   }
+  // Long prompts that share a new part would wait for seconds, and few of them
+  // are read at a time anyway.
+  const auto state = services_.find(request.ask.service);
+  const bool is_long = state != services_.end() &&
+                       IsLongPrompt(state->second, request.ask.prompt);
+  if (decision.verdict == CrashBlame::Verdict::kSend && !is_long &&
+      blame_.IsCrowded(request.ask.parts, now)) {
+    return CrashBlame::Verdict::kWait;
+  }
   return decision.verdict;
 }
 
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -263,6 +263,7 @@
                           const PeerId& sender,
                           const AttemptId& attempt,
                           const Failure& failure,
+                          CrashEvidence evidence,
                           Time now) {
   RequestRow* row = FindAttempt(tables, attempt, now);
   if (!row || !IsFromAttemptAgent(tables, *row->attempt, sender)) {
@@ -282,7 +283,7 @@
                    failure)) {
     RetryAfterRefusal(tables, *row, failure, now);
   } else {
-    RecordFailureForBlame(tables, *row, failure, now);
+    RecordFailureForBlame(tables, *row, failure, evidence, now);
     RetryAfterFailure(tables, *row, failure, now);
   }
 }
@@ -342,7 +343,8 @@
   if (reply.verdict == Verdict::kAccepted) {
     HandleAcceptance(tables, sender, reply.attempt, now);
   } else {
-    HandleAttemptFailure(tables, sender, reply.attempt, reply.failure, now);
+    HandleAttemptFailure(tables, sender, reply.attempt, reply.failure,
+                         CrashEvidence::kUnanswered, now);
   }
 }
 
@@ -372,7 +374,10 @@
               const Finish& finish,
               Time now) {
   if (finish.failure.code != ErrorCode::kNone) {
-    HandleAttemptFailure(tables, sender, finish.attempt, finish.failure, now);
+    HandleAttemptFailure(tables, sender, finish.attempt, finish.failure,
+                         finish.failed_at_start ? CrashEvidence::kAtStart
+                                                : CrashEvidence::kUnanswered,
+                         now);
     return;
   }
   RequestRow* row = FindAttempt(tables, finish.attempt, now);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -35,6 +35,7 @@
 constexpr Bounds kCallCountBounds{1, 100'000};
 constexpr Bounds kPortBounds{1, 65'535};
 constexpr Bounds kBlameCrashesBounds{1, 100};
+constexpr Bounds kUnansweredBounds{1, 1'000'000};
 constexpr Bounds kBlameMsBounds{1'000, 7 * kDayMs};
 constexpr Bounds kBlameMemoryMsBounds{1'000, 3'600'000};
 constexpr Bounds kSuspectCountBounds{1, static_cast<int64_t>(kMaxBlameRecords)};
@@ -228,6 +229,8 @@
       limits->block > limits->max_block) {
     findings->Add(reader.PathOf("block_ms"), "is above max_block_ms");
   }
+  reader.ReadCount("max_unanswered", kUnansweredBounds,
+                   &limits->max_unanswered);
   reader.ReadCount("max_suspects", kSuspectCountBounds, &limits->max_suspects);
   reader.ReadCount("max_answered_parts", kAnsweredPartsBounds,
                    &limits->max_answered_parts);
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -145,6 +145,7 @@
 
 void EncodeBody(const Finish& from, wire::Envelope* envelope) {
   wire::Finish* to = envelope->mutable_finish();
+  to->set_failed_at_start(from.failed_at_start);
   EncodePart(from.attempt, to->mutable_attempt());
   to->set_chunk_count(from.chunk_count);
   EncodePart(from.failure, to->mutable_failure());
@@ -703,6 +704,7 @@
 
   Finish ReadBody(const wire::Finish& from) {
     Finish to;
+    to.failed_at_start = from.failed_at_start();
     to.attempt = ReadAttempt(from.attempt());
     to.chunk_count = from.chunk_count();
     to.failure = ReadFailure(from.failure());
--- /dev/null
+++ b/tests/crash_blame_fleet_test.cc
@@ -0,0 +1,595 @@
+// Tests how soon all entries of a fleet stop sending a part that crashes
+// targets: entries with leaders, and entries of the product's own interface.
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "src/config_distributor.h"
+#include "src/crash_blame.h"
+#include "src/placement_client.h"
+#include "src/placement_leader.h"
+#include "src/random.h"
+
+namespace burdockhatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The users' limits: crashes by one part, and further sends after
+// kContactTime.
+constexpr size_t kMaxCrashes = 5;
+constexpr size_t kMaxLateSends = 3;
+constexpr Duration kContactTime = seconds(3);
+
+const PartKey kFirst(1);
+const PartKey kDeadly(66);
+
+// Entries that place requests through leaders, over a network with a delay of
+// 1 to 4 ms. A target crashes 50 ms after the head of an answer to a prompt
+// with kDeadly, and is back 3 s later under another id.
+class LeaderFleet {
+ public:
+  static constexpr int kAgents = 3;
+  static constexpr int kTargets = 40;
+
+  LeaderFleet(int entries, uint64_t seed) : random_(seed) {
+    for (int i = 0; i < kTargets; ++i) {
+      targets_.push_back(NextTarget());
+    }
+    for (int i = 0; i < kAgents; ++i) {
+      agents_.emplace_back();
+      StartAgent(i);
+    }
+    for (int i = 0; i < entries; ++i) {
+      entries_.push_back(std::make_unique<Entry>());
+      entries_.back()->bus.fleet = this;
+      entries_.back()->bus.index = i;
+      StartEntry(i);
+    }
+    PublishTargets();
+  }
+
+  // Loses the state of an agent. It is silent for `down`.
+  void KillAgent(int index, Duration down) {
+    agents_[index].leader.reset();
+    At(now_ + down, [this, index] { StartAgent(index); });
+  }
+  void RestartEntry(int index) { StartEntry(index); }
+
+  // Lets the leader seen by each entry differ: agent `index` is unreachable for
+  // the entries with odd numbers.
+  void HideAgentFromOddEntries(int index) { hidden_agent_ = index; }
+
+  void Send(bool deadly) {
+    const int entry = static_cast<int>(random_.UniformBelow(entries_.size()));
+    SendFrom(entry, deadly, 2);
+  }
+
+  void Run(Duration length, int deadly_per_s, int sound_per_s) {
+    const Time end = now_ + length;
+    while (now_ < end) {
+      now_ += milliseconds(1);
+      const double roll = random_.UniformReal() * 1'000;
+      if (roll < deadly_per_s) {
+        Send(true);
+      } else if (roll < deadly_per_s + sound_per_s) {
+        Send(false);
+      }
+      while (!events_.empty() && events_.begin()->first <= now_) {
+        auto node = events_.extract(events_.begin());
+        node.mapped()();
+      }
+      if (now_.time_since_epoch().count() % 10'000 == 0) {
+        for (const auto& it : entries_) {
+          it->client->Tick(now_);
+        }
+        for (const Agent& it : agents_) {
+          if (it.leader) {
+            it.leader->Tick(now_);
+          }
+        }
+      }
+    }
+  }
+
+  size_t crashes() const { return crash_times_.size(); }
+  size_t reports() const { return reports_; }
+  size_t sound_refused() const { return sound_refused_; }
+  size_t sound_answered() const { return sound_answered_; }
+  // Sends with the part later than kContactTime after the fifth crash.
+  size_t late_sends() const {
+    if (crash_times_.size() < kMaxCrashes) {
+      return 0;
+    }
+    const Time limit = crash_times_[kMaxCrashes - 1] + kContactTime;
+    return static_cast<size_t>(
+        std::count_if(deadly_sends_.begin(), deadly_sends_.end(),
+                      [&](Time at) { return at > limit; }));
+  }
+  size_t blocked_entries(Time now) const {
+    return static_cast<size_t>(
+        std::count_if(entries_.begin(), entries_.end(), [&](const auto& it) {
+          return it->client->blame().Check({kFirst, kDeadly}, 0, now).verdict ==
+                 CrashBlame::Verdict::kBlocked;
+        }));
+  }
+  Time now() const { return now_; }
+
+ private:
+  struct EntryBus : PlacementBus {
+    void Send(const InstanceId& to, MessageBody body) override {
+      fleet->Deliver(index, to, std::move(body));
+    }
+    void Connect(const InstanceId&, const std::string&) override {}
+    void Disconnect(const InstanceId&) override {}
+
+    LeaderFleet* fleet = nullptr;
+    int index = 0;
+  };
+  struct Entry {
+    EntryBus bus;
+    uint64_t incarnation = 0;
+    std::unique_ptr<PlacementClient> client;
+  };
+  struct Agent {
+    uint64_t incarnation = 0;
+    std::unique_ptr<PlacementLeader> leader;
+  };
+  struct Work {
+    int entry = 0;
+    uint64_t incarnation = 0;  // Of the entry.
+    uint64_t number = 0;
+    bool deadly = false;
+    int attempts_left = 0;
+    bool has_head = false;
+    bool has_event = false;
+  };
+
+  static InstanceId EntryName(int index) {
+    return InstanceId("entry-" + std::to_string(index));
+  }
+  static InstanceId AgentName(int index) {
+    return InstanceId("agent-" + std::to_string(index));
+  }
+
+  void At(Time time, std::function<void()> event) {
+    events_.emplace(time, std::move(event));
+  }
+  void CountReport(const MessageBody& body) {
+    reports_ += std::holds_alternative<BlameReport>(body) ? 1 : 0;
+  }
+  Duration Delay() {
+    return Duration(static_cast<int64_t>(1'000 + random_.UniformBelow(3'000)));
+  }
+  TargetId NextTarget() {
+    return TargetId("t" + std::to_string(next_target_++));
+  }
+
+  bool IsHidden(int agent, int entry) const {
+    return agent == hidden_agent_ && entry % 2 == 1;
+  }
+
+  void StartAgent(int index) {
+    Agent& agent = agents_[static_cast<size_t>(index)];
+    const uint64_t incarnation = ++agent.incarnation;
+    agent.leader = std::make_unique<PlacementLeader>(
+        Heartbeat{Role::kAgent, DataCentreId("dc"), "", false},
+        CrashBlameLimits(),
+        [this, index, incarnation](const PeerId& to, MessageBody body) {
+          const int entry = std::stoi(to.instance.value().substr(6));
+          if (IsHidden(index, entry)) {
+            return;
+          }
+          CountReport(body);
+          At(now_ + Delay(),
+             [this, index, incarnation, entry, to, body = std::move(body)] {
+               Entry& it = *entries_[static_cast<size_t>(entry)];
+               if (it.incarnation == to.incarnation.value()) {
+                 it.client->OnMessage(
+                     {{AgentName(index), Incarnation(incarnation)},
+                      to.incarnation,
+                      {},
+                      body},
+                     now_);
+               }
+             });
+        });
+  }
+
+  void StartEntry(int index) {
+    Entry& entry = *entries_[static_cast<size_t>(index)];
+    ++entry.incarnation;
+    entry.client = std::make_unique<PlacementClient>(
+        PeerId{EntryName(index), Incarnation(entry.incarnation)}, Heartbeat{},
+        &entry.bus);
+    entry.client->SetTargets(MakeList(), now_);
+    std::vector<AgentEndpoint> agents;
+    for (int i = 0; i < kAgents; ++i) {
+      agents.push_back({AgentName(i), "", DataCentreId("dc")});
+    }
+    entry.client->SetAgents(std::move(agents), now_);
+  }
+
+  void Deliver(int entry, const InstanceId& to, MessageBody body) {
+    const int agent = std::stoi(to.value().substr(6));
+    if (IsHidden(agent, entry)) {
+      return;
+    }
+    CountReport(body);
+    const uint64_t incarnation =
+        entries_[static_cast<size_t>(entry)]->incarnation;
+    At(now_ + Delay(), [this, entry, incarnation, agent,
+                        body = std::move(body)] {
+      Agent& it = agents_[static_cast<size_t>(agent)];
+      if (it.leader) {
+        it.leader->OnMessage(
+            {{EntryName(entry), Incarnation(incarnation)}, {}, {}, body}, now_);
+      }
+    });
+  }
+
+  TargetList MakeList() const {
+    TargetList list;
+    list.service = ServiceId("llm");
+    list.revision = revision_;
+    for (const TargetId& it : targets_) {
+      list.targets.push_back({it, it.value(), DataCentreId("dc"), Duration(0)});
+    }
+    return list;
+  }
+  void PublishTargets() {
+    ++revision_;
+    for (const auto& it : entries_) {
+      it->client->SetTargets(MakeList(), now_);
+    }
+  }
+
+  void SendFrom(int index, bool deadly, int attempts) {
+    Entry& entry = *entries_[static_cast<size_t>(index)];
+    PlacementAsk ask;
+    ask.service = ServiceId("llm");
+    ask.prompt = Tokens(5'000);
+    ask.output = Tokens(500);
+    ask.first_event_left = milliseconds(300);
+    ask.gap_target = milliseconds(200);
+    ask.time_left = seconds(10);
+    ask.parts = deadly ? PartKeys{kFirst, kDeadly} : PartKeys{kFirst};
+    ask.number = entry.client->NextNumber();
+    Work work{index, entry.incarnation, ask.number, deadly, attempts};
+    entry.client->RequestPlacement(
+        ask,
+        [this, work](const PlacementReply& reply) { OnPlaced(work, reply); },
+        now_);
+  }
+
+  void OnPlaced(const Work& work, const PlacementReply& reply) {
+    if (reply.verdict != PlacementVerdict::kPlaced) {
+      sound_refused_ += work.deadly ? 0 : 1;
+      return;
+    }
+    if (work.deadly) {
+      deadly_sends_.push_back(now_);
+    }
+    const TargetId target = reply.target;
+    const uint64_t id = next_work_++;
+    if (std::find(targets_.begin(), targets_.end(), target) == targets_.end()) {
+      At(now_ + milliseconds(1), [this, work] {
+        Report(work, PlacementEvent::kTargetFailed, TargetId());
+        Retry(work);
+      });
+      return;
+    }
+    running_[target][id] = work;
+    At(now_ + milliseconds(60), [this, target, id] {
+      if (Work* it = Find(target, id)) {
+        it->has_head = true;
+      }
+    });
+    At(now_ + milliseconds(110), [this, target, id] { Begin(target, id); });
+    At(now_ + milliseconds(1'500), [this, target, id] { End(target, id); });
+  }
+
+  Work* Find(const TargetId& target, uint64_t id) {
+    const auto works = running_.find(target);
+    if (works == running_.end()) {
+      return nullptr;
+    }
+    const auto it = works->second.find(id);
+    return it == works->second.end() ? nullptr : &it->second;
+  }
+
+  void Report(const Work& work, PlacementEvent event, const TargetId& failed) {
+    Entry& entry = *entries_[static_cast<size_t>(work.entry)];
+    if (entry.incarnation == work.incarnation) {
+      entry.client->ReportEvent(work.number, event, failed, now_);
+    }
+  }
+
+  void Begin(const TargetId& target, uint64_t id) {
+    Work* work = Find(target, id);
+    if (work == nullptr) {
+      return;
+    }
+    if (work->deadly) {
+      Crash(target);
+      return;
+    }
+    work->has_event = true;
+    Report(*work, PlacementEvent::kFirstEvent, TargetId());
+  }
+
+  void End(const TargetId& target, uint64_t id) {
+    if (Work* work = Find(target, id)) {
+      Report(*work, PlacementEvent::kEnded, TargetId());
+      ++sound_answered_;
+      running_[target].erase(id);
+    }
+  }
+
+  void Crash(const TargetId& target) {
+    crash_times_.push_back(now_);
+    const std::map<uint64_t, Work> works = std::move(running_[target]);
+    running_.erase(target);
+    std::erase(targets_, target);
+    for (const auto& [id, work] : works) {
+      const Duration news = Delay();
+      At(now_ + news, [this, target, work = work] {
+        const PlacementEvent event =
+            work.has_event  ? PlacementEvent::kBrokenAfterStart
+            : work.has_head ? PlacementEvent::kBrokenAtStart
+                            : PlacementEvent::kBrokenUnanswered;
+        Report(work, event, target);
+        Retry(work);
+      });
+    }
+    At(now_ + seconds(3), [this] {
+      targets_.push_back(NextTarget());
+      PublishTargets();
+    });
+  }
+
+  // Like an entry, whose callers repeat their request as well.
+  void Retry(const Work& work) {
+    const Entry& entry = *entries_[static_cast<size_t>(work.entry)];
+    if (work.attempts_left > 1 && entry.incarnation == work.incarnation) {
+      SendFrom(work.entry, work.deadly, work.attempts_left - 1);
+    }
+  }
+
+  Random random_;
+  Time now_{seconds(100)};
+  std::multimap<Time, std::function<void()>> events_;
+  std::vector<TargetId> targets_;
+  std::vector<Agent> agents_;
+  std::vector<std::unique_ptr<Entry>> entries_;
+  std::map<TargetId, std::map<uint64_t, Work>> running_;
+  uint64_t revision_ = 1;
+  int next_target_ = 0;
+  uint64_t next_work_ = 1;
+  int hidden_agent_ = -1;
+  std::vector<Time> crash_times_;
+  std::vector<Time> deadly_sends_;
+  size_t reports_ = 0;
+  size_t sound_refused_ = 0;
+  size_t sound_answered_ = 0;
+};
+
+// Number of entries, and seed.
+using FleetParam = std::tuple<int, uint64_t>;
+
+class LeaderFleetTest : public testing::TestWithParam<FleetParam> {
+ protected:
+  static int entries() { return std::get<0>(GetParam()); }
+  static uint64_t seed() { return std::get<1>(GetParam()); }
+
+  static void ExpectWithinLimits(const LeaderFleet& fleet) {
+    EXPECT_LE(fleet.crashes(), kMaxCrashes);
+    EXPECT_LE(fleet.late_sends(), kMaxLateSends);
+    EXPECT_EQ(fleet.sound_refused(), 0u);
+    EXPECT_GT(fleet.sound_answered(), 0u);
+  }
+};
+
+INSTANTIATE_TEST_SUITE_P(Entries,
+                         LeaderFleetTest,
+                         testing::Combine(testing::Values(10, 100, 1'000),
+                                          testing::Values(1, 2)));
+
+// Guards against a part that crashes targets as often as there are entries.
+TEST_P(LeaderFleetTest, PartIsBlockedForAllEntries) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.Run(seconds(3), 0, 100);
+  fleet.Run(seconds(12), 5, 100);
+  ExpectWithinLimits(fleet);
+  EXPECT_EQ(fleet.blocked_entries(fleet.now()), static_cast<size_t>(entries()));
+}
+
+// Guards against a leader that takes the evidence or the block along when it
+// is lost.
+TEST_P(LeaderFleetTest, BlockOutlivesLeaders) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.Run(seconds(3), 0, 100);
+  while (fleet.crashes() < 1) {
+    fleet.Run(milliseconds(10), 5, 100);
+  }
+  fleet.KillAgent(0, seconds(2));
+  fleet.Run(seconds(4), 5, 100);
+  fleet.KillAgent(0, seconds(2));
+  fleet.Run(milliseconds(200), 5, 100);
+  fleet.KillAgent(1, seconds(2));
+  fleet.Run(seconds(6), 5, 100);
+  ExpectWithinLimits(fleet);
+}
+
+// Guards against entries that start anew, with an empty memory.
+TEST_P(LeaderFleetTest, BlockOutlivesEntries) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.Run(seconds(3), 0, 100);
+  fleet.Run(seconds(2), 5, 100);
+  for (int i = 0; i < entries(); ++i) {
+    fleet.RestartEntry(i);
+    fleet.Run(milliseconds(i % 10 == 0 ? 10 : 1), 5, 100);
+  }
+  fleet.Run(seconds(3), 5, 100);
+  ExpectWithinLimits(fleet);
+}
+
+// Guards against two leaders that each learn of their own entries' crashes
+// only.
+TEST_P(LeaderFleetTest, BlockReachesEntriesOfAnotherLeader) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.HideAgentFromOddEntries(0);
+  fleet.Run(seconds(3), 0, 100);
+  const size_t reports = fleet.reports();
+  fleet.Run(seconds(12), 5, 100);
+  EXPECT_LE(fleet.crashes(), kMaxCrashes);
+  EXPECT_LE(fleet.late_sends(), kMaxLateSends);
+  EXPECT_EQ(fleet.sound_refused(), 0u);
+  // Each of the leaders tells all entries of each crash, of the block and of
+  // the first part's answers, and half of the entries tell their leader.
+  EXPECT_LE(fleet.reports() - reports, 24 * static_cast<size_t>(entries()));
+}
+
+// Entries that exchange reports with their heartbeat peers. All requests with
+// kDeadly crash their engine 150 ms after they were offered.
+class GossipFleet {
+ public:
+  GossipFleet(int entries, uint64_t seed) : random_(seed) {
+    std::vector<InstanceInfo> instances;
+    for (int i = 0; i < entries; ++i) {
+      InstanceInfo info;
+      info.instance = Name(i);
+      info.role = Role::kEntry;
+      info.address = "127.0.0.1:" + std::to_string(1'000 + i);
+      info.data_centre = DataCentreId("dc");
+      instances.push_back(info);
+    }
+    for (int i = 0; i < entries; ++i) {
+      ConfigDistributorOptions options;
+      options.self = {Name(i), Incarnation(1)};
+      options.seed = static_cast<uint64_t>(i);
+      ConfigDistributor distributor(options, now_);
+      distributor.OnInstances(instances, now_);
+      distributor.Tick(now_);
+      std::vector<int> peers;
+      for (const InstanceId& it : distributor.heartbeat_peers()) {
+        peers.push_back(std::stoi(it.value().substr(6)));
+      }
+      peers_.push_back(std::move(peers));
+      blames_.emplace_back();
+    }
+  }
+
+  void Run(Duration length, int deadly_per_s) {
+    const Time end = now_ + length;
+    while (now_ < end) {
+      now_ += milliseconds(1);
+      if (random_.UniformReal() * 1'000 < deadly_per_s) {
+        Offer(static_cast<int>(random_.UniformBelow(blames_.size())), 2);
+      }
+      while (!events_.empty() && events_.begin()->first <= now_) {
+        auto node = events_.extract(events_.begin());
+        node.mapped()();
+      }
+    }
+  }
+
+  size_t crashes() const { return crashes_; }
+  size_t messages() const { return messages_; }
+  size_t CountBlocked() const {
+    return static_cast<size_t>(std::count_if(
+        blames_.begin(), blames_.end(),
+        [&](const auto& it) { return it.CountBlocked(now_) > 0; }));
+  }
+
+ private:
+  static InstanceId Name(int index) {
+    return InstanceId("entry-" + std::to_string(index));
+  }
+  CrashBlame& blame(int index) { return blames_[static_cast<size_t>(index)]; }
+
+  void Offer(int index, int attempts) {
+    const uint64_t trial = next_trial_++;
+    switch (blame(index).Check({kFirst, kDeadly}, trial, now_).verdict) {
+      case CrashBlame::Verdict::kBlocked:
+        return;
+      case CrashBlame::Verdict::kWait:
+        events_.emplace(now_ + milliseconds(20),
+                        [this, index, attempts] { Offer(index, attempts); });
+        return;
+      case CrashBlame::Verdict::kSend:
+        break;
+    }
+    blame(index).OnSent({kFirst, kDeadly}, trial, now_);
+    const Time sent = now_;
+    events_.emplace(
+        now_ + milliseconds(150), [this, index, attempts, trial, sent] {
+          ++crashes_;
+          blame(index).OnCrash({kFirst, kDeadly}, std::to_string(crashes_),
+                               sent, CrashEvidence::kAtStart, now_);
+          blame(index).EndTrial(trial);
+          Spread(index);
+          if (attempts > 1) {
+            Offer(index, attempts - 1);
+          }
+        });
+  }
+
+  void Spread(int index) {
+    const BlameReport news = blame(index).TakeChanges(now_);
+    if (news.empty()) {
+      return;
+    }
+    for (const int peer : peers_[static_cast<size_t>(index)]) {
+      ++messages_;
+      events_.emplace(now_ + milliseconds(2 + random_.UniformBelow(3)),
+                      [this, peer, news] {
+                        blame(peer).Merge(news, now_);
+                        Spread(peer);
+                      });
+    }
+  }
+
+  Random random_;
+  Time now_{seconds(100)};
+  std::multimap<Time, std::function<void()>> events_;
+  std::vector<std::vector<int>> peers_;
+  std::vector<CrashBlame> blames_;
+  uint64_t next_trial_ = 1;
+  size_t crashes_ = 0;
+  size_t messages_ = 0;
+};
+
+class GossipFleetTest : public testing::TestWithParam<FleetParam> {};
+
+INSTANTIATE_TEST_SUITE_P(Entries,
+                         GossipFleetTest,
+                         testing::Combine(testing::Values(10, 100, 1'000),
+                                          testing::Values(1, 2)));
+
+// Guards against entries without leaders that each need crashes of their own,
+// and against reports that never stop going round.
+TEST_P(GossipFleetTest, PartIsBlockedAtAllEntries) {
+  const auto [entries, seed] = GetParam();
+  GossipFleet fleet(entries, seed);
+  fleet.Run(seconds(10), 5);
+  EXPECT_EQ(fleet.CountBlocked(), static_cast<size_t>(entries));
+  EXPECT_LE(fleet.crashes(), kMaxCrashes + kMaxLateSends);
+  const size_t messages = fleet.messages();
+  // Each crash and the block go once along each edge, in both directions.
+  EXPECT_LE(messages, fleet.crashes() * static_cast<size_t>(entries) * 24);
+  fleet.Run(seconds(5), 5);
+  EXPECT_EQ(fleet.messages(), messages);
+}
+
+}  // namespace
+}  // namespace burdockhatch
--- a/tests/crash_blame_test.cc
+++ b/tests/crash_blame_test.cc
@@ -86,6 +86,31 @@
             Verdict::kSend);
 }
 
+// Guards against a part that is in many prompts at once when it crashes its
+// first target, and against counts that are not taken back.
+TEST_F(CrashBlameTest, FewRequestsShareAPartThatNoneWasAnsweredWith) {
+  for (uint64_t trial = 1; trial <= 3; ++trial) {
+    EXPECT_FALSE(blame_.IsCrowded({kFirst, kSession}, now_));
+    blame_.OnSent({kFirst, kSession}, trial, now_);
+    blame_.OnSent({kFirst, kSession}, trial, now_);  // Sent again.
+  }
+  EXPECT_TRUE(blame_.IsCrowded({kSession}, now_));
+  EXPECT_FALSE(blame_.IsCrowded({kOtherSession}, now_));
+  blame_.EndTrial(1);
+  EXPECT_FALSE(blame_.IsCrowded({kSession}, now_));
+  blame_.OnSent({kFirst, kSession}, 4, now_);
+  EXPECT_TRUE(blame_.IsCrowded({kSession}, now_));
+  blame_.OnAnswer({kFirst, kSession}, now_);
+  EXPECT_FALSE(blame_.IsCrowded({kSession}, now_));
+  for (uint64_t trial = 10; trial < 20; ++trial) {
+    blame_.OnSent({kOtherSession}, trial, now_);
+  }
+  EXPECT_TRUE(blame_.IsCrowded({kOtherSession}, now_));
+  now_ += seconds(6);
+  blame_.Prune(now_);
+  EXPECT_FALSE(blame_.IsCrowded({kOtherSession}, now_));
+}
+
 // Guards against blaming a part because many targets were lost at one moment.
 TEST_F(CrashBlameTest, CrashesAtOneMomentCountAsOne) {
   const Time sent = SentNow();
@@ -265,6 +290,58 @@
   EXPECT_EQ(other.Check({kDeadly}, 1, now_).blocked_left, left);
 }
 
+// Guards against a report that counts as another crash after it has been passed
+// on many times, each with a delay.
+TEST_F(CrashBlameTest, DelayedReportsAreTheSameCrash) {
+  Crash({kDeadly});
+  CrashBlame other;
+  for (int i = 0; i < 40; ++i) {
+    other.Merge(blame_.Export(now_), now_ + milliseconds(20));
+    blame_.Merge(other.Export(now_ + milliseconds(20)),
+                 now_ + milliseconds(40));
+  }
+  EXPECT_FALSE(IsBlocked({kDeadly}));
+  EXPECT_EQ(blame_.counters().blocks + other.counters().blocks, 0u);
+}
+
+// Guards against a process that knows few requests and makes others block the
+// first part that many sound requests share.
+TEST_F(CrashBlameTest, AnswersElsewhereRevokeABlock) {
+  CrashBlame other;
+  other.OnAnswer({kFirst}, now_);
+  Crash({kFirst});
+  Crash({kFirst});
+  EXPECT_TRUE(IsBlocked({kFirst}));
+  other.Merge(blame_.TakeChanges(now_), now_);
+  EXPECT_EQ(other.CountBlocked(now_), 0u);
+  blame_.Merge(other.TakeChanges(now_), now_);
+  EXPECT_FALSE(IsBlocked({kFirst}));
+  // The answer removes the part from a larger set too.
+  CrashBlame third;
+  third.OnCrash({kFirst, kDeadly}, "a", now_, CrashEvidence::kAtStart,
+                now_ + seconds(1));
+  third.OnCrash({kFirst, kDeadly}, "b", now_ + seconds(1),
+                CrashEvidence::kAtStart, now_ + seconds(2));
+  third.Merge(other.Export(now_ + seconds(2)), now_ + seconds(2));
+  EXPECT_EQ(third.Check({kDeadly}, 1, now_ + seconds(2)).verdict,
+            Verdict::kBlocked);
+}
+
+// Guards against a block by a process that knows too few requests to judge, and
+// against one that ignores the judgement of others.
+TEST_F(CrashBlameTest, ProcessThatDoesNotJudgeBlocksOnlyWhatOthersBlock) {
+  blame_.SetJudging(false);
+  for (int i = 0; i < 10; ++i) {
+    Crash({kDeadly});
+  }
+  EXPECT_FALSE(IsBlocked({kDeadly}));
+  CrashBlame judge;
+  judge.Merge(blame_.Export(now_), now_);
+  EXPECT_EQ(judge.CountBlocked(now_), 1u);
+  blame_.Merge(judge.TakeChanges(now_), now_);
+  EXPECT_TRUE(IsBlocked({kDeadly}));
+}
+
 // Guards against crashes seen by different entries that never add up.
 TEST_F(CrashBlameTest, EvidenceOfSeveralProcessesAddsUp) {
   CrashBlame other;
@@ -279,16 +356,16 @@
 // Guards against a report that goes round among processes without end.
 TEST_F(CrashBlameTest, OnlyNewsAreSpread) {
   Crash({kDeadly});
-  const BlameReport news = blame_.TakeChanges(false, now_);
+  const BlameReport news = blame_.TakeChanges(now_);
   EXPECT_EQ(news.records.size(), 1u);
-  EXPECT_TRUE(blame_.TakeChanges(false, now_).empty());
+  EXPECT_TRUE(blame_.TakeChanges(now_).empty());
   CrashBlame other;
   other.Merge(news, now_ + milliseconds(3));
-  EXPECT_FALSE(other.TakeChanges(false, now_).empty());
+  EXPECT_FALSE(other.TakeChanges(now_).empty());
   blame_.Merge(other.Export(now_ + milliseconds(3)), now_ + milliseconds(6));
-  EXPECT_TRUE(blame_.TakeChanges(false, now_).empty());
+  EXPECT_TRUE(blame_.TakeChanges(now_).empty());
   blame_.OnAnswer({kDeadly}, now_ + seconds(1));
-  const BlameReport cleared = blame_.TakeChanges(false, now_ + seconds(1));
+  const BlameReport cleared = blame_.TakeChanges(now_ + seconds(1));
   ASSERT_EQ(cleared.answered.size(), 1u);
   other.Merge(cleared, now_ + seconds(1));
   EXPECT_EQ(other.suspect_count(), 0u);
@@ -316,10 +393,13 @@
 TEST_F(CrashBlameTest, LiftEndsABlock) {
   Crash({kDeadly});
   Crash({kDeadly});
+  CrashBlame other;
+  other.Merge(blame_.TakeChanges(now_), now_);
   EXPECT_TRUE(blame_.Lift(kDeadly, now_));
-  EXPECT_FALSE(blame_.Lift(kDeadly, now_));
   EXPECT_FALSE(IsBlocked({kDeadly}));
-  EXPECT_EQ(blame_.TakeChanges(true, now_).answered.size(), 1u);
+  other.Merge(blame_.TakeChanges(now_), now_);
+  EXPECT_EQ(other.suspect_count(), 0u);
+  EXPECT_FALSE(blame_.Lift(kDeadly, now_));
 }
 
 // Guards against a switch that does not switch off.
--- a/tests/placement_client_test.cc
+++ b/tests/placement_client_test.cc
@@ -255,5 +255,42 @@
   EXPECT_EQ(client_.leader(), second_agent);
 }
 
+// Guards against an entry that has just started and sends a blocked part to
+// targets before it has heard a leader, and against one that waits too long.
+TEST_F(PlacementClientTest, RequestWithSharedPartsWaitsForTheFirstLeader) {
+  PlacementAsk ask;
+  ask.number = client_.NextNumber();
+  ask.service = ServiceId("llm");
+  ask.prompt = Tokens(5'000);
+  ask.time_left = std::chrono::seconds(10);
+  ask.parts = {PartKey(1)};
+  const auto record = [this](const PlacementReply& reply) {
+    replies_.push_back(reply);
+  };
+  client_.RequestPlacement(ask, record, now_);
+  now_ += milliseconds(100);
+  client_.Tick(now_);
+  EXPECT_TRUE(replies_.empty());
+  EXPECT_EQ(CountSent<PlacementAsk>(first_agent), 0);
+  now_ += milliseconds(100);
+  client_.Tick(now_);
+  ASSERT_EQ(replies_.size(), 1u);
+  EXPECT_EQ(replies_[0].verdict, PlacementVerdict::kPlaced);
+}
+
+// The same, where a leader is heard in time.
+TEST_F(PlacementClientTest, FirstLeaderGetsTheRequestsThatWaitForIt) {
+  PlacementAsk ask;
+  ask.number = client_.NextNumber();
+  ask.service = ServiceId("llm");
+  ask.parts = {PartKey(1)};
+  ask.time_left = std::chrono::seconds(10);
+  client_.RequestPlacement(
+      ask, [](const PlacementReply&) {}, now_);
+  now_ += milliseconds(50);
+  Receive(first_agent);
+  EXPECT_EQ(CountSent<PlacementAsk>(first_agent), 1);
+}
+
 }  // namespace
 }  // namespace burdockhatch
