Treat a resumed stream that ends with its connection and no event as broken

An answer may have neither a length nor chunks. When the target of a resumed stream closed such a connection before its first event, the caller got a stream that looked complete after the events of the earlier target. Now the stream is resumed once more, or the caller's connection is cut.

ForwardRequestTest.ResumedStreamThatEndsWithoutLengthOrEventIsBroken failed before.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -433,6 +433,8 @@
   response_status_ = status;
   response_fields_ = context_->protocol->ParseTargetFields(status, headers);
   response_headers_ = EndToEndHeaders(headers);
+  ends_with_connection_ = FindHeader(headers, "Content-Length") == nullptr &&
+                          FindHeader(headers, "Transfer-Encoding") == nullptr;
   if (response_fields_.not_executed || !IsSuccess(status)) {
     return;
   }
@@ -541,7 +543,7 @@
     return;
   }
   if (is_streaming_) {
-    if (events_.has_partial_event() || !stream_started_) {
+    if (!IsStreamComplete()) {
       FailAttempt(AttemptFailure::kBroken);
       return;
     }
@@ -558,6 +560,13 @@
   SendBufferedResponse();
 }
 
+// A connection that ends before the first event of a resumed stream says
+// nothing about the rest, unless the framing marks the end of the response.
+bool ForwardRequest::IsStreamComplete() const {
+  return stream_started_ && !events_.has_partial_event() &&
+         (attempt_has_events_ || !ends_with_connection_);
+}
+
 void ForwardRequest::SendBufferedResponse() {
   CloseAttempt(PlacementEvent::kEnded, CallOutcome::kAnswered);
   exchange_->SendResponse(response_status_, response_headers_, response_body_);
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -111,6 +111,8 @@
   void OnResponseBody(std::string_view data);
   void OnCallEnd(ForwardCallResult result);
   void ForwardEvents(std::string_view data);
+  // Whether a stream whose response has ended is complete.
+  bool IsStreamComplete() const;
   // Reads the stream no faster than the caller does.
   void PauseWhileCongested();
   bool ExceedsResponseLimits(size_t more) const;
@@ -182,6 +184,8 @@
   std::string response_body_;
   bool is_streaming_ = false;        // Events are forwarded as they arrive.
   bool attempt_has_events_ = false;  // This attempt has delivered an event.
+  // The response has neither a length nor chunks.
+  bool ends_with_connection_ = false;
 
   // The last error response of a target. Returned to the caller if no later
   // attempt succeeds.
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -748,6 +748,49 @@
   EXPECT_TRUE(connector_.calls.empty());
 }
 
+// Guards against a stream that looks complete although its target crashed: an
+// answer with neither a length nor chunks ends with its connection, and a
+// resumed one may end before its first event.
+TEST_F(ForwardRequestTest, ResumedStreamThatEndsWithoutLengthOrEventIsBroken) {
+  Send("/stream/");
+  Head(0);
+  Body(0, "id: 0\ndata: a\n\n");
+  End(0, ForwardCallResult::kBroken);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  Head(1);
+  End(1);
+  EXPECT_EQ(exchange_->ends, 1);
+  EXPECT_TRUE(exchange_->aborted);
+}
+
+// Guards against an abort of a resumed stream that had no further event.
+TEST_F(ForwardRequestTest, ResumedStreamWithoutFurtherEventsIsComplete) {
+  Send("/stream/");
+  Head(0);
+  Body(0, "id: 0\ndata: a\n\n");
+  End(0, ForwardCallResult::kBroken);
+  Head(1, 200, {{"Transfer-Encoding", "chunked"}});
+  End(1);
+  EXPECT_EQ(exchange_->ends, 1);
+  EXPECT_FALSE(exchange_->aborted);
+}
+
+// Guards against a stream without a length whose end inside an event is passed
+// on as complete.
+TEST_F(ForwardRequestTest, StreamThatEndsInsideAnEventIsResumed) {
+  Send("/stream/");
+  Head(0);
+  Body(0, "id: 0\ndata: a\n\nid: 1\nda");
+  End(0);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  EXPECT_EQ(*FindHeader(call(1).spec.headers, "last-event"), "0");
+  Head(1);
+  Body(1, "id: 1\ndata: b\n\n");
+  End(1);
+  EXPECT_EQ(exchange_->text, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+  EXPECT_FALSE(exchange_->aborted);
+}
+
 // Guards against one part of prompts that crashes target after target: each
 // request with it, new or repeated, was sent to another one.
 TEST_F(ForwardRequestTest, StopsSendingPartThatCrashesTargets) {
