--- a/tests/crash_blame_fleet_test.cc
+++ b/tests/crash_blame_fleet_test.cc
@@ -104,6 +104,13 @@
   size_t crashes() const { return crash_times_.size(); }
   size_t reports() const { return reports_; }
   size_t sound_refused() const { return sound_refused_; }
+  // Share of the sound requests since the last call that began at their first
+  // attempt.
+  double TakeFirstAttemptShare() {
+    const double share = static_cast<double>(std::exchange(sound_begun_, 0)) /
+                         static_cast<double>(std::exchange(sound_sent_, 0));
+    return share;
+  }
   size_t sound_answered() const { return sound_answered_; }
   // Sends with the part later than kContactTime after the fifth crash.
   size_t late_sends() const {
@@ -265,6 +272,7 @@
     ask.parts = deadly ? PartKeys{kFirst, kDeadly} : PartKeys{kFirst};
     ask.number = entry.client->NextNumber();
     Work work{index, entry.incarnation, ask.number, deadly, attempts};
+    sound_sent_ += !deadly && attempts == 2 ? 1 : 0;
     entry.client->RequestPlacement(
         ask,
         [this, work](const PlacementReply& reply) { OnPlaced(work, reply); },
@@ -324,6 +332,7 @@
       return;
     }
     work->has_event = true;
+    sound_begun_ += work->attempts_left == 2 ? 1 : 0;
     Report(*work, PlacementEvent::kFirstEvent, TargetId());
   }
 
@@ -380,6 +389,8 @@
   std::vector<Time> deadly_sends_;
   size_t reports_ = 0;
   size_t sound_refused_ = 0;
+  size_t sound_sent_ = 0;
+  size_t sound_begun_ = 0;
   size_t sound_answered_ = 0;
 };
 
@@ -413,6 +424,21 @@
   EXPECT_EQ(fleet.blocked_entries(fleet.now()), static_cast<size_t>(entries()));
 }
 
+// Guards against sound requests that are held back or refused because they
+// share their first part with requests that crash targets.
+TEST_P(LeaderFleetTest, SoundRequestsAreServedAsBefore) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.Run(seconds(4), 0, 100);
+  const double before = fleet.TakeFirstAttemptShare();
+  // More of the requests with the first part are deadly than sound.
+  fleet.Run(2 * kContactTime, 100, 60);
+  fleet.TakeFirstAttemptShare();
+  fleet.Run(seconds(6), 100, 60);
+  EXPECT_GE(fleet.TakeFirstAttemptShare(), 0.5 * before);
+  EXPECT_EQ(fleet.sound_refused(), 0u);
+  EXPECT_LE(fleet.late_sends(), kMaxLateSends);
+}
+
 // Guards against a leader that takes the evidence or the block along when it
 // is lost.
 TEST_P(LeaderFleetTest, BlockOutlivesLeaders) {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -178,5 +178,39 @@
             std::vector<std::string>{"/limits/max_response_bytes"});
 }
 
+// Guards against limits of blame that are ignored, absurd or contradictory.
+TEST(SettingsTest, ChecksCrashBlame) {
+  Findings findings;
+  const std::string text = Replace(
+      kAgentSettings, "\"limits\"",
+      "\"crash_blame\": {\"enabled\": false, \"crashes\": 3, "
+      "\"answered_crashes\": 5, \"memory_ms\": 30000, \"block_ms\": 60000, "
+      "\"max_block_ms\": 120000, \"max_unanswered\": 4, "
+      "\"max_suspects\": 10, \"max_answered_parts\": 20}, \"limits\"");
+  const auto settings = ParseSettings(text, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  const CrashBlameLimits& limits = settings->crash_blame;
+  EXPECT_FALSE(limits.enabled);
+  EXPECT_EQ(limits.crashes, 3u);
+  EXPECT_EQ(limits.answered_crashes, 5u);
+  EXPECT_EQ(limits.memory, std::chrono::seconds(30));
+  EXPECT_EQ(limits.block, std::chrono::seconds(60));
+  EXPECT_EQ(limits.max_block, std::chrono::seconds(120));
+  EXPECT_EQ(limits.max_unanswered, 4u);
+  EXPECT_EQ(limits.max_suspects, 10u);
+  EXPECT_EQ(limits.max_answered_parts, 20u);
+  using Paths = std::vector<std::string>;
+  EXPECT_EQ(ListPaths(Replace(text, "\"crashes\": 3", "\"crashes\": 0")),
+            Paths{"/crash_blame/crashes"});
+  EXPECT_EQ(ListPaths(Replace(text, "\"crashes\": 3", "\"crashes\": 6")),
+            Paths{"/crash_blame/crashes"});
+  EXPECT_EQ(ListPaths(Replace(text, "60000", "600000")),
+            Paths{"/crash_blame/block_ms"});
+  EXPECT_EQ(ListPaths(Replace(text, "\"enabled\": false", "\"enabled\": 1")),
+            Paths{"/crash_blame/enabled"});
+  EXPECT_EQ(ListPaths(Replace(text, "max_suspects", "max_suspect")),
+            Paths{"/crash_blame/max_suspect"});
+}
+
 }  // namespace
 }  // namespace burdockhatch
