Tell an entry that has just started which parts are blocked

With one entry, the block was lost when the entry and then its leader restarted: the leader told of blocks only as they came. It now tells what it knows to each entry that it meets.

--- a/src/placement_leader.cc
+++ b/src/placement_leader.cc
@@ -34,6 +34,11 @@
     Log(LogLevel::kInfo, "entry_met",
         {{"entry", entry.instance.value()},
          {"incarnation", std::to_string(entry.incarnation.value())}});
+    // The entry may be the only one left that can tell the next leader.
+    if (BlameReport known = scheduler_.blame().Export(now);
+        !known.records.empty()) {
+      send_(entry, std::move(known));
+    }
   }
   last_heard_[entry] = now;
   if (const auto* ask = std::get_if<PlacementAsk>(&message.body)) {
--- a/tests/crash_blame_fleet_test.cc
+++ b/tests/crash_blame_fleet_test.cc
@@ -469,6 +469,24 @@
   ExpectWithinLimits(fleet);
 }
 
+// Guards against a rolling restart that loses the block: first all entries,
+// then the leaders.
+TEST_P(LeaderFleetTest, BlockOutlivesARollingRestart) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.Run(seconds(3), 0, 100);
+  fleet.Run(seconds(3), 5, 100);
+  for (int i = 0; i < entries(); ++i) {
+    fleet.RestartEntry(i);
+    fleet.Run(milliseconds(i % 10 == 0 ? 10 : 1), 5, 100);
+  }
+  fleet.Run(seconds(1), 5, 100);
+  for (int i = 0; i < LeaderFleet::kAgents; ++i) {
+    fleet.KillAgent(i, seconds(1));
+    fleet.Run(seconds(2), 5, 100);
+  }
+  ExpectWithinLimits(fleet);
+}
+
 // Guards against two leaders that each learn of their own entries' crashes
 // only.
 TEST_P(LeaderFleetTest, BlockReachesEntriesOfAnotherLeader) {
