--- a/tests/agent_streams_test.cc
+++ b/tests/agent_streams_test.cc
@@ -76,6 +76,33 @@
   CheckReservedMemory(node_);
 }
 
+// Guards against blame for requests that the failure of an engine only cut off:
+// of the streams without output, the one that started first is to begin.
+TEST_F(AgentStreamsTest, FailureOfTheEngineNamesTheAnswerThatWasToBegin) {
+  const AttemptId answering = StartStream();
+  simulation_.Run(milliseconds(200));
+  const AttemptId first = simulation_.SendOffer(
+      node_, simulation_.MakeCompletionOffer(Tokens(1'000), Tokens(2'000),
+                                             seconds(30)));
+  simulation_.Run(milliseconds(5));
+  const AttemptId second = simulation_.SendOffer(
+      node_, simulation_.MakeCompletionOffer(Tokens(1'000), Tokens(2'000),
+                                             seconds(30)));
+  simulation_.Run(milliseconds(5));
+  for (const AttemptId& it : {second, answering, first}) {
+    node_.core->OnStreamEnded(StreamIdOf(it), StreamEnd::kFailed, 0,
+                              simulation_.now());
+  }
+  simulation_.Run(milliseconds(20));
+  const auto failed_at_start = [&](const AttemptId& id) {
+    const auto& finishes = simulation_.offers[id].finishes;
+    return !finishes.empty() && finishes.back().second.failed_at_start;
+  };
+  EXPECT_TRUE(failed_at_start(first));
+  EXPECT_FALSE(failed_at_start(second));
+  EXPECT_FALSE(failed_at_start(answering));
+}
+
 // Guards against a stream that occupies memory for ever because no entry
 // resumes it.
 TEST_F(AgentStreamsTest, OrphansAreCancelledAfterTheGracePeriod) {
