Tell the leader of the first event of an attempt only

Each batch of events of each stream sent a message to the leader, which has a fifth of a core and needs only the first: it ends the reading. ForwardRequestTest.LeaderIsToldOfTheFirstEventOnly failed before with 5 messages for 5 events.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -488,13 +488,13 @@
   if (complete_events.empty()) {
     return;
   }
-  attempt_has_events_ = true;
+  const bool is_first_of_attempt = !std::exchange(attempt_has_events_, true);
   if (!stream_started_) {
     stream_started_ = true;
     first_event_at_ = context_->timers->Now();
     exchange_->StartStream(response_status_, response_headers_);
   }
-  if (placement_number_) {
+  if (placement_number_ && is_first_of_attempt) {
     context_->placement->ReportEvent(*placement_number_,
                                      PlacementEvent::kFirstEvent, TargetId(),
                                      context_->timers->Now());
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -138,9 +138,13 @@
 };
 
 struct FakeBus : PlacementBus {
-  void Send(const InstanceId&, MessageBody) override {}
+  void Send(const InstanceId&, MessageBody body) override {
+    sent.push_back(std::move(body));
+  }
   void Connect(const InstanceId&, const std::string&) override {}
   void Disconnect(const InstanceId&) override {}
+
+  std::vector<MessageBody> sent;
 };
 
 struct FakeMemory : EngineMemory {
@@ -748,6 +752,29 @@
   EXPECT_TRUE(connector_.calls.empty());
 }
 
+// Guards against a message to the leader for each event of a stream, which
+// takes most of its processor time.
+TEST_F(ForwardRequestTest, LeaderIsToldOfTheFirstEventOnly) {
+  const InstanceId agent("agent");
+  placement_.SetAgents({{agent, "", DataCentreId("dc")}}, timers_.Now());
+  placement_.OnMessage({{agent, Incarnation(1)}, {}, {}, Heartbeat{}},
+                       timers_.Now());
+  Send("/stream/");
+  PlacementReply reply;
+  reply.number = std::get<PlacementAsk>(bus_.sent.back()).number;
+  reply.verdict = PlacementVerdict::kPlaced;
+  reply.target = TargetId("llm0");
+  placement_.OnMessage({{agent, Incarnation(1)}, {}, {}, reply}, timers_.Now());
+  bus_.sent.clear();
+  Head(0);
+  for (int i = 0; i < 5; ++i) {
+    Body(0, "id: " + std::to_string(i) + "\ndata: a\n\n");
+  }
+  EXPECT_EQ(bus_.sent.size(), 1u);
+  End(0);
+  EXPECT_EQ(bus_.sent.size(), 2u);
+}
+
 // Guards against a stream that looks complete although its target crashed: an
 // answer with neither a length nor chunks ends with its connection, and a
 // resumed one may end before its first event.
