--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -253,7 +253,7 @@
   PartKeys candidates;
   std::copy_if(parts.begin(), parts.end(), std::back_inserter(candidates),
                [&](PartKey it) { return !IsAnswered(it, now); });
-  return Sorted(candidates.empty() ? parts : std::move(candidates));
+  return Sorted(candidates.empty() ? parts : candidates);
 }
 
 void CrashBlame::ReduceSuspects(const PartKeys& parts,
--- a/tests/crash_blame_fleet_test.cc
+++ b/tests/crash_blame_fleet_test.cc
@@ -30,8 +30,8 @@
 constexpr size_t kMaxLateSends = 3;
 constexpr Duration kContactTime = seconds(3);
 
-const PartKey kFirst(1);
-const PartKey kDeadly(66);
+constexpr PartKey kFirst(1);
+constexpr PartKey kDeadly(66);
 
 // Entries that place requests through leaders, over a network with a delay of
 // 1 to 4 ms. A target crashes 50 ms after the head of an answer to a prompt
