--- a/tests/allocation_counter.cc
+++ b/tests/allocation_counter.cc
@@ -23,8 +23,8 @@
 void* operator new[](std::size_t size) {
   return Allocate(size);
 }
-// The forms without exceptions are replaced too: memory of theirs is freed by the
-// operators below.
+// The forms without exceptions are replaced too: memory of theirs is freed by
+// the operators below.
 void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
   ++allocations;
   return std::malloc(size == 0 ? 1 : size);
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -573,10 +573,13 @@
   }
   driver.Start();
   std::vector<RequestId> sound;
+  RequestId last_deadly;
+  Time last_sent;
   for (uint64_t i = 0; i < 40; ++i) {
     RequestSpec deadly = driver.Completion();
     deadly.prefix_hashes = {1, kDeadly, 1'000 + i};
-    driver.Submit(deadly);
+    last_sent = driver.Now();
+    last_deadly = driver.Submit(deadly);
     RequestSpec other = driver.Completion();
     other.prefix_hashes = {1, 2, 2'000 + i};
     sound.push_back(driver.Submit(other));
@@ -587,11 +590,45 @@
     crashes += driver.agent(it).crashes;
   }
   EXPECT_LE(crashes, kMaxCrashes + kMaxOffersAfterThem);
+  size_t first_attempts = 0;
   for (const RequestId& it : sound) {
     const RequestEnd* end = driver.FirstEnd(it);
     ASSERT_NE(end, nullptr);
     EXPECT_TRUE(end->completed);
+    first_attempts += driver.record(it).offers.size() == 1 ? 1 : 0;
   }
+  EXPECT_GE(first_attempts, sound.size() / 2);
+  // The caller is told at once.
+  const RequestEnd* refused = driver.FirstEnd(last_deadly);
+  ASSERT_NE(refused, nullptr);
+  EXPECT_EQ(ToString(refused->failure.code), "part_blocked");
+  EXPECT_EQ(ToString(refused->failure.outcome), "not_run");
+  EXPECT_GT(refused->failure.retry_after, seconds(60));
+  EXPECT_EQ(refused->at, last_sent);
+}
+
+// Guards against an entry that needs crashes of its own although another one
+// has reported a block.
+TEST(EntryCrashBlameTest, BlockOfAnotherEntryIsTakenOver) {
+  constexpr uint64_t kDeadly = 66;
+  EntryDriver driver(1);
+  FakeAgent& agent = driver.AddAgent("engine-1", "dc-a", "model", "");
+  driver.Start();
+  BlameReport report;
+  BlameRecord& record = report.records.emplace_back();
+  record.parts = {MakePartKey("model", kDeadly)};
+  record.sightings = {{1, 2, milliseconds(100), seconds(2)}};
+  record.blocks = 1;
+  record.blocked_left = seconds(90);
+  driver.Deliver(agent, report);
+  RequestSpec deadly = driver.Completion();
+  deadly.prefix_hashes = {1, kDeadly, 3};
+  const RequestId request = driver.Submit(deadly);
+  driver.Run(milliseconds(50));
+  const RequestEnd* end = driver.FirstEnd(request);
+  ASSERT_NE(end, nullptr);
+  EXPECT_EQ(ToString(end->failure.code), "part_blocked");
+  EXPECT_TRUE(driver.record(request).offers.empty());
 }
 
 }  // namespace
