--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -280,7 +280,7 @@
 
 size_t CrashBlame::AddSuspect(PartKeys parts, bool was_answered) {
   if (suspects_.size() >= std::max(limits_.max_suspects, 1U)) {
-    // The least incriminated one gives way.
+    // Drops the suspect with the least evidence.
     const auto least =
         std::min_element(suspects_.begin(), suspects_.end(),
                          [](const Suspect& a, const Suspect& b) {
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -271,8 +271,8 @@
   ProcessLocalDecisions(now);
 }
 
-// Entries that follow another leader learn of a block through the entries that
-// hear both.
+// A report of another agent than the leader is passed on, so that leaders of
+// different entries learn of each other's blocks.
 void PlacementClient::OnBlameReport(const BlameReport& report,
                                     bool from_leader,
                                     Time now) {
--- a/src/placement_leader.cc
+++ b/src/placement_leader.cc
@@ -62,7 +62,7 @@
   SpreadBlame(now);
 }
 
-// An agent that leads for no entry hears of crashes and of no answers.
+// An agent that places no requests is told of crashes but not of answers.
 void PlacementLeader::UpdateJudging(Time now) {
   scheduler_.blame().SetJudging(last_ask_at_ != Time() &&
                                 now - last_ask_at_ < kLeadingTime);
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -37,8 +37,8 @@
 // A snapshot may miss requests placed within this time, as their replies may
 // still be in flight.
 constexpr Duration kSnapshotDelay = std::chrono::milliseconds(500);
-// A target that breaks off answers within this time after a request was left
-// may have crashed under it: a pass and the way of the news.
+// A target that breaks off answers within this time after a request has ended
+// may have crashed because of it: one engine pass and the delay of the report.
 constexpr Duration kLeftRequestWindow = std::chrono::milliseconds(300);
 constexpr size_t kMaxLeftRequests = 8;
 
@@ -263,7 +263,7 @@
       if (work.reading && !work.parts.empty()) {
         target.left_requests.push_back({work.parts, placed.placed_at, now});
         if (target.left_requests.size() > kMaxLeftRequests) {
-          target.left_requests.pop_front();
+          target.left_requests.erase(target.left_requests.begin());
         }
       }
       break;
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -11,7 +11,6 @@
 #define SRC_PLACEMENT_SCHEDULER_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -132,7 +131,7 @@
     PassPredictor pass_predictor;
     Time suspect_until{};
     Duration suspect_duration{0};
-    std::deque<LeftRequest> left_requests;  // The latest ones.
+    std::vector<LeftRequest> left_requests;  // The latest ones.
 
     uint32_t answers() const { return short_answers + long_answers; }
   };
@@ -298,7 +297,7 @@
   // Whether the parts of the prompt allow the request to be placed now. Refuses
   // it if they are blocked.
   CrashBlame::Verdict CheckParts(const QueuedRequest& request, Time now);
-  // Tells the blame what the event says about the parts of the request.
+  // Records the event as evidence about the parts of the request.
   void ReportToBlame(ServiceState& state,
                      const PlacedRequest& placed,
                      const PlacementChange& change,
