Send heartbeats to a peer again after it was unreachable

An entry chose its heartbeat peers anew only when the instance list changed or another peer became unreachable. An entry that had restarted stayed without heartbeats, pushed configurations and reports of its peers until the next change of the list. The peers are now chosen anew when one is heard again or its exclusion ends. Found by a process test in which an entry that had restarted was never told of a blocked prefix. ConfigDistributorPeersTest.UnreachablePeerIsAPeerAgain failed before.

--- a/src/config_distributor.cc
+++ b/src/config_distributor.cc
@@ -347,8 +347,11 @@
   std::erase_if(t->peers, [&](const auto& it) {
     return !IsReachable(*t, it.first, it.second, now);
   });
-  std::erase_if(t->unreachable_until,
-                [&](const auto& it) { return it.second <= now; });
+  const size_t ended = std::erase_if(
+      t->unreachable_until, [&](const auto& it) { return it.second <= now; });
+  if (ended > 0 && t->options.role == Role::kEntry) {
+    UpdateHeartbeatPeers(t, now);
+  }
 }
 
 // Updates the state of the message's sender. Returns null for a message from an
@@ -370,7 +373,11 @@
   t->last_message_at = now;
   t->highest_known_version =
       std::max(t->highest_known_version, message.config_version);
-  t->unreachable_until.erase(message.sender.instance);
+  const bool was_unreachable =
+      t->unreachable_until.erase(message.sender.instance) > 0;
+  if (was_unreachable && t->options.role == Role::kEntry) {
+    UpdateHeartbeatPeers(t, now);
+  }
   return &peer;
 }
 
--- a/tests/config_distributor_test.cc
+++ b/tests/config_distributor_test.cc
@@ -556,5 +556,30 @@
   EXPECT_EQ(reached.size(), 80u);
 }
 
+// Guards against an entry that sends no heartbeats, and nothing else that goes
+// along them, to a peer that has restarted until the instance list changes.
+TEST(ConfigDistributorPeersTest, UnreachablePeerIsAPeerAgain) {
+  Time now{seconds(100)};
+  ConfigDistributorOptions options;
+  options.self = {InstanceId("entry-1"), Incarnation(1)};
+  ConfigDistributor distributor(options, now);
+  InstanceInfo info;
+  info.instance = InstanceId("entry-2");
+  info.role = Role::kEntry;
+  info.address = "10.0.0.2:7000";
+  distributor.OnInstances({info}, now);
+  const std::vector<InstanceId> peers = {info.instance};
+  EXPECT_EQ(distributor.heartbeat_peers(), peers);
+  distributor.OnPeerUnreachable(info.instance, now);
+  EXPECT_TRUE(distributor.heartbeat_peers().empty());
+  distributor.OnMessage({{info.instance, Incarnation(2)}, {}, {}, Heartbeat{}},
+                        now);
+  EXPECT_EQ(distributor.heartbeat_peers(), peers);
+  distributor.OnPeerUnreachable(info.instance, now);
+  now += seconds(11);
+  distributor.Tick(now);
+  EXPECT_EQ(distributor.heartbeat_peers(), peers);
+}
+
 }  // namespace
 }  // namespace burdockhatch
