--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -400,7 +400,7 @@
   const PartKeys candidates = Candidates(parts, now);
   const bool was_answered = IsAnswered(candidates.front(), now);
   const bool is_full = evidence == CrashEvidence::kAtStart;
-  // A crash cuts off sound requests too, before they are answered.
+  // A crash cuts off healthy requests too, before they are answered.
   if (was_answered && !is_full) {
     return;
   }
@@ -544,6 +544,16 @@
   return report;
 }
 
+BlameReport CrashBlame::ExportShared(Time now) const {
+  BlameReport report;
+  for (const Suspect& it : suspects_) {
+    if (IsShared(it, now) && report.records.size() < kMaxBlameRecords) {
+      report.records.push_back(MakeRecord(it, now));
+    }
+  }
+  return report;
+}
+
 BlameReport CrashBlame::TakeChanges(Time now) {
   BlameReport report;
   for (Suspect& it : suspects_) {
--- a/src/crash_blame.h
+++ b/src/crash_blame.h
@@ -26,7 +26,7 @@
 namespace burdockhatch {
 
 // Returns the key of a part of a prompt for `model`. What crashes the engines
-// of one model may be sound for another.
+// of one model may be harmless for another.
 PartKey MakePartKey(std::string_view model, std::string_view part);
 PartKey MakePartKey(std::string_view model, uint64_t prefix_hash);
 
@@ -121,6 +121,9 @@
   // process.
   BlameReport TakeChanges(Time now);
 
+  // Returns all suspects that TakeChanges() would tell of, changed or not.
+  BlameReport ExportShared(Time now) const;
+
   // Whether this process blocks parts by its own judgement. One that knows only
   // few of the requests collects evidence and blocks what others have blocked.
   // True until it is set.
--- a/src/entry_blame.cc
+++ b/src/entry_blame.cc
@@ -12,6 +12,8 @@
 
 // Interval at which a request looks whether the trial of another one has ended.
 constexpr Duration kTrialCheckInterval = std::chrono::milliseconds(20);
+// Interval at which suspects and blocks are told again.
+constexpr Duration kReportInterval = std::chrono::seconds(1);
 // Every block up to this depth is a part; beyond it, each depth is
 // kDepthGrowth times the one before, as a prompt may have thousands of blocks.
 constexpr size_t kDenseDepth = 16;
@@ -98,4 +100,16 @@
   }
 }
 
+// A report may be lost, as on a connection to an entry that has restarted.
+void RepeatBlame(EntryTables& tables, Time now) {
+  if (now < tables.next_blame_report) {
+    return;
+  }
+  tables.next_blame_report = now + kReportInterval;
+  BlameReport known = tables.blame.ExportShared(now);
+  if (!known.empty()) {
+    tables.actions.push_back(SpreadReport{std::move(known)});
+  }
+}
+
 }  // namespace burdockhatch
--- a/src/entry_blame.h
+++ b/src/entry_blame.h
@@ -31,6 +31,8 @@
 
 // Emits what has changed since the last call, for the other entries.
 void SpreadBlame(EntryTables& tables, Time now);
+// Emits all that other entries should know, once in a while.
+void RepeatBlame(EntryTables& tables, Time now);
 
 }  // namespace burdockhatch
 
--- a/src/entry_core.cc
+++ b/src/entry_core.cc
@@ -128,6 +128,7 @@
   ResendCancels(*tables_, now);
   tables_->blame.Prune(now);
   SpreadBlame(*tables_, now);
+  RepeatBlame(*tables_, now);
 }
 
 void EntryCore::OnRequest(RequestSpec spec, Time now) {
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -285,6 +285,7 @@
   std::map<RequestId, RequestRow> requests;
   std::map<AttemptId, AbandonedAttempt> abandoned_attempts;
   Time next_membership_update;
+  Time next_blame_report;
   Time next_probe;  // Next probe of agents outside the subset.
   std::vector<EntryAction> actions;
 };
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -417,7 +417,7 @@
   leader_ = agent;
   leader_since_ = now;
   had_leader_ = had_leader_ || !leader_.empty();
-  // One entry knows too few requests to tell which parts are sound.
+  // One entry knows too few requests to tell which parts are harmless.
   local_scheduler_.blame().SetJudging(leader_.empty());
   next_snapshot_ = now + kSnapshotInterval;
   if (!leader_.empty()) {
--- a/standins/fake_engine.cc
+++ b/standins/fake_engine.cc
@@ -43,9 +43,10 @@
 
 std::set<std::string> KnownFaultNames() {
   std::set<std::string> known = CommonFaultNames();
-  known.insert({"cold", "restart", "crash", "stall", "slow", "lose_event",
-                "duplicate_event", "cut_events", "lose_cache_event",
-                "ignore_cancel", "fail_streams", "refuse_ms"});
+  known.insert({"cold", "restart", "crash", "poison", "stall", "slow",
+                "lose_event", "duplicate_event", "cut_events",
+                "lose_cache_event", "ignore_cancel", "fail_streams",
+                "refuse_ms"});
   return known;
 }
 
@@ -160,6 +161,8 @@
   void GetCacheEvents(const HttpRequest& request, HttpExchange& exchange);
 
   void ScheduleStep();
+  // Ids of streams whose prompt contains the word "poison".
+  std::set<std::string> poisoned_streams;
   void OnStep();
   void PublishCacheEvents();
   void SendChunks(const std::string& id);
@@ -290,6 +293,10 @@
     return;
   }
   model.SetFailStreams(faults.IsActive("fail_streams"));
+  // The model does not keep prompts.
+  if (spec->prompt.find("poison") != std::string::npos) {
+    poisoned_streams.insert(spec->stream.value());
+  }
   switch (model.Start(std::move(*spec))) {
     case StartResult::kStarted:
       exchange.Reply({.status = 201, .body = "{}"});
@@ -527,6 +534,13 @@
   const EngineStep done = std::move(*current_step);
   current_step.reset();
   const std::vector<std::string> changed = model.ApplyStep(done);
+  const bool is_poisoned = std::any_of(
+      changed.begin(), changed.end(),
+      [this](const auto& id) { return poisoned_streams.contains(id); });
+  if (faults.IsActive("poison") && is_poisoned) {
+    Restart();
+    return;
+  }
   PublishCacheEvents();
   for (const std::string& id : changed) {
     SendChunks(id);
@@ -687,6 +701,7 @@
   stalled = false;
   step_timer.cancel();
   readers.clear();
+  poisoned_streams.clear();
   retained_streams.clear();
   cache_events.clear();
   last_cache_event_sequence = std::max(last_cache_event_sequence, incarnation);
--- a/standins/fake_engine.h
+++ b/standins/fake_engine.h
@@ -46,6 +46,8 @@
 //   cold             once: loses the prefix cache and turns cold
 //   restart          once: loses all streams and caches; a new incarnation
 //   crash            once: the program exits with status 3
+//   poison           bool: restarts when it begins the answer to a prompt that
+//                    contains the word "poison"
 //   stall            bool: accepts streams and produces nothing
 //   slow             number: factor on the duration of all steps
 //   lose_event       probability: an event of a stream is not sent
--- a/tests/crash_blame_test.cc
+++ b/tests/crash_blame_test.cc
@@ -11,7 +11,7 @@
 using Verdict = CrashBlame::Verdict;
 
 constexpr PartKey kFirst{1};
-constexpr PartKey kDeadly{2};
+constexpr PartKey kPoison{2};
 constexpr PartKey kSession{3};
 constexpr PartKey kOtherSession{4};
 
@@ -55,11 +55,11 @@
 // Guards against more crashes than needed to tell a part that crashes targets.
 TEST_F(CrashBlameTest, BlocksPartAfterTwoCrashes) {
   Answer({kFirst, kSession});
-  Crash({kFirst, kDeadly});
-  EXPECT_EQ(Check({kFirst, kDeadly}), Verdict::kSend);
-  Crash({kFirst, kDeadly});
-  EXPECT_TRUE(IsBlocked({kFirst, kDeadly}));
-  EXPECT_TRUE(IsBlocked({kDeadly, kOtherSession}));
+  Crash({kFirst, kPoison});
+  EXPECT_EQ(Check({kFirst, kPoison}), Verdict::kSend);
+  Crash({kFirst, kPoison});
+  EXPECT_TRUE(IsBlocked({kFirst, kPoison}));
+  EXPECT_TRUE(IsBlocked({kPoison, kOtherSession}));
   EXPECT_EQ(Check({kFirst, kSession}), Verdict::kSend);
   EXPECT_EQ(Check({kFirst}), Verdict::kSend);
   EXPECT_EQ(Check({}), Verdict::kSend);
@@ -70,19 +70,19 @@
 // same time.
 TEST_F(CrashBlameTest, SuspectPartIsTriedOneRequestAtATime) {
   Answer({kFirst});
-  Crash({kFirst, kDeadly});
-  const CrashBlame::Decision first = blame_.Check({kFirst, kDeadly}, 100, now_);
+  Crash({kFirst, kPoison});
+  const CrashBlame::Decision first = blame_.Check({kFirst, kPoison}, 100, now_);
   EXPECT_EQ(first.verdict, Verdict::kSend);
   EXPECT_TRUE(first.is_trial);
-  blame_.OnSent({kFirst, kDeadly}, 100, now_);
-  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 101, now_).verdict, Verdict::kWait);
-  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 100, now_).verdict, Verdict::kSend);
+  blame_.OnSent({kFirst, kPoison}, 100, now_);
+  EXPECT_EQ(blame_.Check({kFirst, kPoison}, 101, now_).verdict, Verdict::kWait);
+  EXPECT_EQ(blame_.Check({kFirst, kPoison}, 100, now_).verdict, Verdict::kSend);
   EXPECT_EQ(blame_.Check({kFirst}, 102, now_).verdict, Verdict::kSend);
   blame_.EndTrial(100);
-  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 101, now_).verdict, Verdict::kSend);
+  EXPECT_EQ(blame_.Check({kFirst, kPoison}, 101, now_).verdict, Verdict::kSend);
   // The end of a trial may be lost with the process that was to report it.
-  blame_.OnSent({kFirst, kDeadly}, 101, now_);
-  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 103, now_ + seconds(6)).verdict,
+  blame_.OnSent({kFirst, kPoison}, 101, now_);
+  EXPECT_EQ(blame_.Check({kFirst, kPoison}, 103, now_ + seconds(6)).verdict,
             Verdict::kSend);
 }
 
@@ -115,12 +115,12 @@
 // and crash their targets too.
 TEST_F(CrashBlameTest, TrialWaitsForAttemptsInProgress) {
   Answer({kFirst});
-  blame_.OnSent({kFirst, kDeadly}, 100, now_);
-  Crash({kFirst, kDeadly});
-  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 101, now_).verdict, Verdict::kWait);
+  blame_.OnSent({kFirst, kPoison}, 100, now_);
+  Crash({kFirst, kPoison});
+  EXPECT_EQ(blame_.Check({kFirst, kPoison}, 101, now_).verdict, Verdict::kWait);
   EXPECT_EQ(blame_.Check({kFirst}, 101, now_).verdict, Verdict::kSend);
   blame_.EndTrial(100);
-  EXPECT_EQ(blame_.Check({kFirst, kDeadly}, 101, now_).verdict, Verdict::kSend);
+  EXPECT_EQ(blame_.Check({kFirst, kPoison}, 101, now_).verdict, Verdict::kSend);
 }
 
 // Guards against blaming a part because many targets were lost at one moment.
@@ -162,41 +162,41 @@
   EXPECT_FALSE(IsBlocked({kFirst}));
 }
 
-// Guards against a block of sound requests that share a session with requests
+// Guards against a block of healthy requests that share a session with requests
 // that crash targets.
 TEST_F(CrashBlameTest, BlocksOnlyTheCombinationWhileTheCulpritIsUnclear) {
-  Crash({kFirst, kSession, kDeadly});
-  Crash({kFirst, kSession, kDeadly});
-  EXPECT_TRUE(IsBlocked({kFirst, kSession, kDeadly}));
+  Crash({kFirst, kSession, kPoison});
+  Crash({kFirst, kSession, kPoison});
+  EXPECT_TRUE(IsBlocked({kFirst, kSession, kPoison}));
   EXPECT_FALSE(IsBlocked({kFirst, kSession}));
   Answer({kFirst, kSession});
-  EXPECT_TRUE(IsBlocked({kFirst, kDeadly}));
-  EXPECT_TRUE(IsBlocked({kDeadly}));
+  EXPECT_TRUE(IsBlocked({kFirst, kPoison}));
+  EXPECT_TRUE(IsBlocked({kPoison}));
   EXPECT_FALSE(IsBlocked({kFirst, kSession}));
 }
 
 // Guards against a part that is never blocked because it always comes with
 // another session.
 TEST_F(CrashBlameTest, CrashesReduceTheSuspectsToThePartsInCommon) {
-  Crash({kSession, kDeadly});
-  Crash({kOtherSession, kDeadly});
-  EXPECT_TRUE(IsBlocked({kDeadly, PartKey(9)}));
+  Crash({kSession, kPoison});
+  Crash({kOtherSession, kPoison});
+  EXPECT_TRUE(IsBlocked({kPoison, PartKey(9)}));
   EXPECT_FALSE(IsBlocked({kSession}));
   EXPECT_FALSE(IsBlocked({kOtherSession}));
 }
 
 // Guards against requests that a crash cut off early, which hide the culprit.
 TEST_F(CrashBlameTest, CutOffRequestsDoNotReduceTheSuspects) {
-  Crash({kSession, kDeadly});
+  Crash({kSession, kPoison});
   Crash({kSession}, CrashEvidence::kUnanswered);
   Answer({kSession});
-  Crash({kSession, kDeadly});
-  EXPECT_TRUE(IsBlocked({kDeadly}));
+  Crash({kSession, kPoison});
+  EXPECT_TRUE(IsBlocked({kPoison}));
   EXPECT_FALSE(IsBlocked({kSession}));
 }
 
-// Guards against two deadly parts behind one first part that make it suspect.
-TEST_F(CrashBlameTest, SeveralDeadlyPartsAreBlockedOneByOne) {
+// Guards against two poison parts behind one first part that make it suspect.
+TEST_F(CrashBlameTest, SeveralPoisonedPartsAreBlockedOneByOne) {
   Answer({kFirst});
   for (uint64_t i = 10; i < 14; ++i) {
     Crash({kFirst, PartKey(i)});
@@ -206,7 +206,7 @@
   }
 }
 
-// Guards against a part that was sound before and is never blamed since.
+// Guards against a part that was healthy before and is never blamed since.
 TEST_F(CrashBlameTest, PartThatWasAnsweredBeforeIsBlockedAfterMoreCrashes) {
   Answer({kFirst});
   for (int i = 0; i < 3; ++i) {
@@ -220,18 +220,18 @@
 // Guards against a block without end, and against one that ends so often that a
 // part takes down targets all day.
 TEST_F(CrashBlameTest, BlockEndsWithOneTrialAndGrows) {
-  Crash({kDeadly});
-  Crash({kDeadly});
-  EXPECT_EQ(blame_.Check({kDeadly}, 1, now_).blocked_left, minutes(2));
+  Crash({kPoison});
+  Crash({kPoison});
+  EXPECT_EQ(blame_.Check({kPoison}, 1, now_).blocked_left, minutes(2));
   uint32_t crashes = 2;
   const Time end = now_ + std::chrono::hours(24);
   while (now_ < end) {
     now_ += seconds(10);
     blame_.Prune(now_);
-    if (Check({kDeadly}) == Verdict::kSend) {
-      Crash({kDeadly});
+    if (Check({kPoison}) == Verdict::kSend) {
+      Crash({kPoison});
       ++crashes;
-      EXPECT_TRUE(IsBlocked({kDeadly}));
+      EXPECT_TRUE(IsBlocked({kPoison}));
     }
   }
   EXPECT_LE(crashes, 8u);
@@ -240,21 +240,21 @@
 
 // Guards against a block that goes on after the cause is gone.
 TEST_F(CrashBlameTest, AnswerAfterTheBlockClearsThePart) {
-  Crash({kDeadly});
-  Crash({kDeadly});
+  Crash({kPoison});
+  Crash({kPoison});
   now_ += minutes(2);
-  EXPECT_EQ(Check({kDeadly}), Verdict::kSend);
-  Answer({kDeadly});
+  EXPECT_EQ(Check({kPoison}), Verdict::kSend);
+  Answer({kPoison});
   EXPECT_EQ(blame_.suspect_count(), 0u);
-  Crash({kDeadly});
-  EXPECT_FALSE(IsBlocked({kDeadly}));
+  Crash({kPoison});
+  EXPECT_FALSE(IsBlocked({kPoison}));
 }
 
 // Guards against suspicions and blocks that stay in memory for ever.
 TEST_F(CrashBlameTest, BlameIsForgottenAndBounded) {
   Crash({kSession});
-  Crash({kDeadly});
-  Crash({kDeadly});
+  Crash({kPoison});
+  Crash({kPoison});
   now_ += minutes(3);
   blame_.Prune(now_);
   EXPECT_EQ(blame_.suspect_count(), 1u);
@@ -265,8 +265,8 @@
   limits.max_suspects = 16;
   limits.max_answered_parts = 64;
   blame_ = CrashBlame(limits);
-  Crash({kDeadly});
-  Crash({kDeadly});
+  Crash({kPoison});
+  Crash({kPoison});
   for (uint64_t i = 100; i < 10'100; ++i) {
     Answer({PartKey(i)});
     Crash({PartKey(i + 100'000)});
@@ -275,49 +275,49 @@
   EXPECT_LE(blame_.Export(now_).answered.size(), 64u);
   // What is blocked stays rather than what is suspect.
   now_ = Time(seconds(1'000)) + seconds(30);
-  EXPECT_TRUE(IsBlocked({kDeadly}));
+  EXPECT_TRUE(IsBlocked({kPoison}));
 }
 
 // Guards against a process that takes over and starts without the evidence, or
 // counts it twice.
 TEST_F(CrashBlameTest, MergeIsIdempotentAndKeepsBlocks) {
   Answer({kFirst});
-  Crash({kFirst, kDeadly});
+  Crash({kFirst, kPoison});
   CrashBlame other;
   for (int i = 0; i < 5; ++i) {
     other.Merge(blame_.Export(now_), now_ + milliseconds(i));
   }
-  EXPECT_EQ(other.Check({kFirst, kDeadly}, 1, now_).verdict, Verdict::kSend);
-  EXPECT_TRUE(other.Check({kFirst, kDeadly}, 1, now_).is_trial);
-  Crash({kFirst, kDeadly});
+  EXPECT_EQ(other.Check({kFirst, kPoison}, 1, now_).verdict, Verdict::kSend);
+  EXPECT_TRUE(other.Check({kFirst, kPoison}, 1, now_).is_trial);
+  Crash({kFirst, kPoison});
   other.Merge(blame_.Export(now_), now_);
-  EXPECT_EQ(other.Check({kFirst, kDeadly}, 1, now_).verdict, Verdict::kBlocked);
+  EXPECT_EQ(other.Check({kFirst, kPoison}, 1, now_).verdict, Verdict::kBlocked);
   EXPECT_EQ(other.Check({kFirst}, 1, now_).verdict, Verdict::kSend);
   // The block does not grow as it goes round.
-  const Duration left = other.Check({kDeadly}, 1, now_).blocked_left;
+  const Duration left = other.Check({kPoison}, 1, now_).blocked_left;
   for (int i = 0; i < 10; ++i) {
     blame_.Merge(other.Export(now_), now_ + seconds(1));
     other.Merge(blame_.Export(now_), now_ + seconds(1));
   }
-  EXPECT_EQ(other.Check({kDeadly}, 1, now_).blocked_left, left);
+  EXPECT_EQ(other.Check({kPoison}, 1, now_).blocked_left, left);
 }
 
 // Guards against a report that counts as another crash after it has been passed
 // on many times, each with a delay.
 TEST_F(CrashBlameTest, DelayedReportsAreTheSameCrash) {
-  Crash({kDeadly});
+  Crash({kPoison});
   CrashBlame other;
   for (int i = 0; i < 40; ++i) {
     other.Merge(blame_.Export(now_), now_ + milliseconds(20));
     blame_.Merge(other.Export(now_ + milliseconds(20)),
                  now_ + milliseconds(40));
   }
-  EXPECT_FALSE(IsBlocked({kDeadly}));
+  EXPECT_FALSE(IsBlocked({kPoison}));
   EXPECT_EQ(blame_.counters().blocks + other.counters().blocks, 0u);
 }
 
 // Guards against a process that knows few requests and makes others block the
-// first part that many sound requests share.
+// first part that many healthy requests share.
 TEST_F(CrashBlameTest, AnswersElsewhereRevokeABlock) {
   CrashBlame other;
   other.OnAnswer({kFirst}, now_);
@@ -330,12 +330,12 @@
   EXPECT_FALSE(IsBlocked({kFirst}));
   // The answer removes the part from a larger set too.
   CrashBlame third;
-  third.OnCrash({kFirst, kDeadly}, "a", now_, CrashEvidence::kAtStart,
+  third.OnCrash({kFirst, kPoison}, "a", now_, CrashEvidence::kAtStart,
                 now_ + seconds(1));
-  third.OnCrash({kFirst, kDeadly}, "b", now_ + seconds(1),
+  third.OnCrash({kFirst, kPoison}, "b", now_ + seconds(1),
                 CrashEvidence::kAtStart, now_ + seconds(2));
   third.Merge(other.Export(now_ + seconds(2)), now_ + seconds(2));
-  EXPECT_EQ(third.Check({kDeadly}, 1, now_ + seconds(2)).verdict,
+  EXPECT_EQ(third.Check({kPoison}, 1, now_ + seconds(2)).verdict,
             Verdict::kBlocked);
 }
 
@@ -363,30 +363,30 @@
 TEST_F(CrashBlameTest, ProcessThatDoesNotJudgeBlocksOnlyWhatOthersBlock) {
   blame_.SetJudging(false);
   for (int i = 0; i < 10; ++i) {
-    Crash({kDeadly});
+    Crash({kPoison});
   }
-  EXPECT_FALSE(IsBlocked({kDeadly}));
+  EXPECT_FALSE(IsBlocked({kPoison}));
   CrashBlame judge;
   judge.Merge(blame_.Export(now_), now_);
   EXPECT_EQ(judge.CountBlocked(now_), 1u);
   blame_.Merge(judge.TakeChanges(now_), now_);
-  EXPECT_TRUE(IsBlocked({kDeadly}));
+  EXPECT_TRUE(IsBlocked({kPoison}));
 }
 
 // Guards against crashes seen by different entries that never add up.
 TEST_F(CrashBlameTest, EvidenceOfSeveralProcessesAddsUp) {
   CrashBlame other;
-  Crash({kDeadly});
+  Crash({kPoison});
   const Time sent = now_ + milliseconds(10);
   now_ += milliseconds(100);
-  other.OnCrash({kDeadly}, "elsewhere", sent, CrashEvidence::kAtStart, now_);
+  other.OnCrash({kPoison}, "elsewhere", sent, CrashEvidence::kAtStart, now_);
   other.Merge(blame_.Export(now_), now_);
-  EXPECT_EQ(other.Check({kDeadly}, 1, now_).verdict, Verdict::kBlocked);
+  EXPECT_EQ(other.Check({kPoison}, 1, now_).verdict, Verdict::kBlocked);
 }
 
 // Guards against a report that goes round among processes without end.
 TEST_F(CrashBlameTest, OnlyNewsAreSpread) {
-  Crash({kDeadly});
+  Crash({kPoison});
   const BlameReport news = blame_.TakeChanges(now_);
   EXPECT_EQ(news.records.size(), 1u);
   EXPECT_TRUE(blame_.TakeChanges(now_).empty());
@@ -395,7 +395,7 @@
   EXPECT_FALSE(other.TakeChanges(now_).empty());
   blame_.Merge(other.Export(now_ + milliseconds(3)), now_ + milliseconds(6));
   EXPECT_TRUE(blame_.TakeChanges(now_).empty());
-  blame_.OnAnswer({kDeadly}, now_ + seconds(1));
+  blame_.OnAnswer({kPoison}, now_ + seconds(1));
   const BlameReport cleared = blame_.TakeChanges(now_ + seconds(1));
   ASSERT_EQ(cleared.answered.size(), 1u);
   other.Merge(cleared, now_ + seconds(1));
@@ -405,14 +405,14 @@
 // Guards against an old answer, or a stale report, that decides against later
 // evidence.
 TEST_F(CrashBlameTest, EvidenceIsOrderedByAge) {
-  Answer({kDeadly});
+  Answer({kPoison});
   BlameReport old;
-  old.answered.push_back({kDeadly, seconds(30)});
-  Crash({kDeadly});
+  old.answered.push_back({kPoison, seconds(30)});
+  Crash({kPoison});
   blame_.Merge(old, now_);
   EXPECT_EQ(blame_.suspect_count(), 1u);
   const BlameReport stale = blame_.Export(now_);
-  Answer({kDeadly});
+  Answer({kPoison});
   now_ += seconds(5);
   BlameReport late = stale;
   late.records[0].sightings[0].age += seconds(5);
@@ -422,15 +422,15 @@
 
 // Guards against an operator who cannot end a block.
 TEST_F(CrashBlameTest, LiftEndsABlock) {
-  Crash({kDeadly});
-  Crash({kDeadly});
+  Crash({kPoison});
+  Crash({kPoison});
   CrashBlame other;
   other.Merge(blame_.TakeChanges(now_), now_);
-  EXPECT_TRUE(blame_.Lift(kDeadly, now_));
-  EXPECT_FALSE(IsBlocked({kDeadly}));
+  EXPECT_TRUE(blame_.Lift(kPoison, now_));
+  EXPECT_FALSE(IsBlocked({kPoison}));
   other.Merge(blame_.TakeChanges(now_), now_);
   EXPECT_EQ(other.suspect_count(), 0u);
-  EXPECT_FALSE(blame_.Lift(kDeadly, now_));
+  EXPECT_FALSE(blame_.Lift(kPoison, now_));
 }
 
 // Guards against a switch that does not switch off.
@@ -439,9 +439,9 @@
   limits.enabled = false;
   blame_ = CrashBlame(limits);
   for (int i = 0; i < 10; ++i) {
-    Crash({kDeadly});
+    Crash({kPoison});
   }
-  EXPECT_EQ(Check({kDeadly}), Verdict::kSend);
+  EXPECT_EQ(Check({kPoison}), Verdict::kSend);
   EXPECT_EQ(blame_.suspect_count(), 0u);
 }
 
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -561,7 +561,7 @@
 // Guards against one prefix of prompts that crashes engine after engine: each
 // request with it, new or repeated, was offered to another one.
 TEST(EntryCrashBlameTest, StopsOfferingPrefixThatCrashesEngines) {
-  constexpr uint64_t kDeadly = 66;
+  constexpr uint64_t kPoison = 66;
   constexpr uint32_t kMaxCrashes = 5;
   constexpr uint32_t kMaxOffersAfterThem = 3;
   EntryDriver driver(1);
@@ -569,20 +569,20 @@
   for (int i = 0; i < 30; ++i) {
     names.push_back("engine-" + std::to_string(i));
     driver.AddAgent(names.back(), "dc-a", "model", "").crashing_prefixes = {
-        kDeadly};
+        kPoison};
   }
   driver.Start();
-  std::vector<RequestId> sound;
-  RequestId last_deadly;
+  std::vector<RequestId> healthy;
+  RequestId last_poisoned;
   Time last_sent;
   for (uint64_t i = 0; i < 40; ++i) {
-    RequestSpec deadly = driver.Completion();
-    deadly.prefix_hashes = {1, kDeadly, 1'000 + i};
+    RequestSpec poison = driver.Completion();
+    poison.prefix_hashes = {1, kPoison, 1'000 + i};
     last_sent = driver.Now();
-    last_deadly = driver.Submit(deadly);
+    last_poisoned = driver.Submit(poison);
     RequestSpec other = driver.Completion();
     other.prefix_hashes = {1, 2, 2'000 + i};
-    sound.push_back(driver.Submit(other));
+    healthy.push_back(driver.Submit(other));
     driver.Run(milliseconds(250));
   }
   uint32_t crashes = 0;
@@ -591,15 +591,15 @@
   }
   EXPECT_LE(crashes, kMaxCrashes + kMaxOffersAfterThem);
   size_t first_attempts = 0;
-  for (const RequestId& it : sound) {
+  for (const RequestId& it : healthy) {
     const RequestEnd* end = driver.FirstEnd(it);
     ASSERT_NE(end, nullptr);
     EXPECT_TRUE(end->completed);
     first_attempts += driver.record(it).offers.size() == 1 ? 1 : 0;
   }
-  EXPECT_GE(first_attempts, sound.size() / 2);
+  EXPECT_GE(first_attempts, healthy.size() / 2);
   // The caller is told at once.
-  const RequestEnd* refused = driver.FirstEnd(last_deadly);
+  const RequestEnd* refused = driver.FirstEnd(last_poisoned);
   ASSERT_NE(refused, nullptr);
   EXPECT_EQ(ToString(refused->failure.code), "part_blocked");
   EXPECT_EQ(ToString(refused->failure.outcome), "not_run");
@@ -610,20 +610,20 @@
 // Guards against an entry that needs crashes of its own although another one
 // has reported a block.
 TEST(EntryCrashBlameTest, BlockOfAnotherEntryIsTakenOver) {
-  constexpr uint64_t kDeadly = 66;
+  constexpr uint64_t kPoison = 66;
   EntryDriver driver(1);
   FakeAgent& agent = driver.AddAgent("engine-1", "dc-a", "model", "");
   driver.Start();
   BlameReport report;
   BlameRecord& record = report.records.emplace_back();
-  record.parts = {MakePartKey("model", kDeadly)};
+  record.parts = {MakePartKey("model", kPoison)};
   record.sightings = {{1, 2, milliseconds(100), seconds(2)}};
   record.blocks = 1;
   record.blocked_left = seconds(90);
   driver.Deliver(agent, report);
-  RequestSpec deadly = driver.Completion();
-  deadly.prefix_hashes = {1, kDeadly, 3};
-  const RequestId request = driver.Submit(deadly);
+  RequestSpec poison = driver.Completion();
+  poison.prefix_hashes = {1, kPoison, 3};
+  const RequestId request = driver.Submit(poison);
   driver.Run(milliseconds(50));
   const RequestEnd* end = driver.FirstEnd(request);
   ASSERT_NE(end, nullptr);
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -819,7 +819,8 @@
 }
 
 // Guards against one part of prompts that crashes target after target: each
-// request with it, new or repeated, was sent to another one.
+// request with it, new or repeated, was sent to another one. Healthy requests
+// with the same API key and first part are served.
 TEST_F(ForwardRequestTest, StopsSendingPartThatCrashesTargets) {
   AddTargets("llm", 60);
   constexpr size_t kMaxCrashes = 5;
@@ -828,13 +829,13 @@
   for (int i = 0; i < 20; ++i) {
     timers_.Advance(milliseconds(500));
     size_t sent = connector_.calls.size();
-    Send("/stream/", {{"part", "deadly"}});
+    Send("/stream/", {{"part", "poison"}});
     for (; sent < connector_.calls.size(); ++sent) {
       Head(sent);
       End(sent, ForwardCallResult::kBroken);
       ++crashes;
     }
-    Send("/stream/", {{"part", "sound"}});
+    Send("/stream/", {{"part", "healthy"}});
     ASSERT_EQ(connector_.calls.size(), sent + 1);
     Head(sent);
     Body(sent, "id: 0\ndata: a\n\n");
--- a/tests/process_fault_test.cc
+++ b/tests/process_fault_test.cc
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <boost/json/parse.hpp>
 
 #include "tests/process_harness.h"
 
@@ -275,5 +276,80 @@
   EXPECT_TRUE(fleet_.WaitForMemoryReleased());
 }
 
+FleetSpec FleetOfManyEngines() {
+  FleetSpec spec;
+  spec.entry_data_centres = {"dc-a", "dc-a"};
+  spec.engines.assign(8, {"dc-a"});
+  return spec;
+}
+
+class ProcessPoisonTest : public testing::Test {
+ protected:
+  void SetUp() override { ASSERT_TRUE(fleet_.Start()); }
+
+  // A prompt of two full blocks, of which the first is shared.
+  static std::string Prompt(const std::string& word, int number) {
+    std::string shared;
+    while (shared.size() < 4'096) {
+      shared += word + " ";
+    }
+    return shared.substr(0, 4'096) + fmt::format("{:05000}", number);
+  }
+
+  CallResult Complete(size_t entry, const std::string& prompt) const {
+    return RequestCompletion(fleet_.entry_address(entry), prompt, 5, false);
+  }
+
+  int64_t CountRestarts() const {
+    int64_t restarts = 0;
+    for (size_t i = 0; i < 8; ++i) {
+      const std::string stats =
+          CallHttp(fleet_.engine_address(i), "GET", "/stats").body;
+      restarts += boost::json::parse(stats).at("restarts").to_number<int64_t>();
+    }
+    return restarts;
+  }
+
+  Fleet fleet_{FleetOfManyEngines()};
+};
+
+// Guards against a prefix of prompts that restarts one engine after the other
+// through all entries, while the object API is down, and again after a restart
+// of an entry.
+TEST_F(ProcessPoisonTest, PrefixThatRestartsEnginesIsBlockedAtAllEntries) {
+  for (size_t i = 0; i < 8; ++i) {
+    ASSERT_TRUE(
+        Fleet::SetFaults(fleet_.engine_address(i), R"({"poison": true})"));
+  }
+  EXPECT_EQ(Complete(0, Prompt("healthy", 0)).verdict,
+            CallVerdict::kExpectedAnswer);
+  ASSERT_TRUE(
+      Fleet::SetFaults(fleet_.object_api_address(), R"({"down": true})"));
+  CallResult last;
+  for (int i = 1; i <= 8; ++i) {
+    last = Complete(static_cast<size_t>(i) % 2, Prompt("poison", i));
+  }
+  EXPECT_LE(CountRestarts(), 5);
+  EXPECT_EQ(last.code, "part_blocked") << last.text;
+  EXPECT_EQ(last.outcome, "not_run");
+  for (size_t entry : {0, 1}) {
+    EXPECT_EQ(Complete(entry, Prompt("poison", 20)).code, "part_blocked");
+    EXPECT_EQ(Complete(entry, Prompt("healthy", 21)).verdict,
+              CallVerdict::kExpectedAnswer);
+  }
+  ASSERT_TRUE(
+      Fleet::SetFaults(fleet_.object_api_address(), R"({"down": false})"));
+  const int64_t restarts = CountRestarts();
+  fleet_.entry(0).Kill();
+  fleet_.StartEntry(0);
+  ASSERT_TRUE(fleet_.WaitForEntryReady(0));
+  EXPECT_TRUE(WaitUntil([&] {
+    return CallHttp(fleet_.entry_address(0), "GET", "/debug/state")
+               .body.find("\"blocked\"") != std::string::npos;
+  }));
+  EXPECT_EQ(Complete(0, Prompt("poison", 30)).code, "part_blocked");
+  EXPECT_EQ(CountRestarts(), restarts);
+}
+
 }  // namespace
 }  // namespace burdockhatch::process
