Forget suspects and blocks that processes tell each other of

Entries that repeat what they know kept an expired suspect alive: one that had forgotten it learned it again from one that had not, with crashes as new as ever. Crashes older than the memory are not taken over, and the end of a past block follows from its last crash. CrashBlameTest.RepeatedReportsAreForgottenByAll failed before.

--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -353,13 +353,29 @@
   return WeightOf(suspect) >= crashes * kFullWeight;
 }
 
-void CrashBlame::Block(Suspect& suspect, Time now) {
+Duration CrashBlame::BlockLength(uint32_t blocks) const {
   Duration length = limits_.block;
-  for (uint32_t i = 0; i < suspect.blocks && length < limits_.max_block; ++i) {
+  for (uint32_t i = 1; i < blocks && length < limits_.max_block; ++i) {
     length *= CrashBlameLimits::kBlockGrowth;
   }
-  length = std::min(length, limits_.max_block);
+  return std::min(length, limits_.max_block);
+}
+
+// The next block of the same parts is longer only while they are remembered, so
+// they are kept for as long again as they were blocked.
+Time CrashBlame::ExpiryOf(const Suspect& suspect) const {
+  const Time last_crash =
+      suspect.sightings.empty() ? Time() : suspect.sightings.back().at;
+  const Time forgotten_at = last_crash + limits_.memory;
+  return suspect.blocks == 0
+             ? forgotten_at
+             : std::max(forgotten_at,
+                        suspect.blocked_until + BlockLength(suspect.blocks));
+}
+
+void CrashBlame::Block(Suspect& suspect, Time now) {
   ++suspect.blocks;
+  const Duration length = BlockLength(suspect.blocks);
   suspect.blocked_until = now + length;
   suspect.changed = true;
   ++counters_.blocks;
@@ -471,17 +487,7 @@
     }
   }
   std::erase_if(suspects_, [&](const Suspect& it) {
-    // The next block of the same parts is longer only while they are
-    // remembered, so they are kept for as long again as they were blocked.
-    const Duration block = it.blocks > 0 && !it.sightings.empty()
-                               ? it.blocked_until - it.sightings.back().at
-                               : Duration(0);
-    const Time last_crash =
-        it.sightings.empty() ? Time() : it.sightings.back().at;
-    const Time expiry =
-        std::max(last_crash + limits_.memory,
-                 it.blocks > 0 ? it.blocked_until + block : Time());
-    if (now < expiry) {
+    if (now < ExpiryOf(it)) {
       return false;
     }
     Log(LogLevel::kInfo, "suspect_part_expired",
@@ -660,7 +666,8 @@
   std::vector<Sighting> sightings;
   for (const BlameRecord::Sighting& it : record.sightings) {
     const Time at = now - it.age;
-    if (at > answered_at) {
+    const bool is_remembered = record.blocks > 0 || it.age <= limits_.memory;
+    if (at > answered_at && is_remembered) {
       sightings.push_back({it.target, std::min(it.weight, kFullWeight),
                            at - it.request_age, at});
     }
@@ -726,8 +733,16 @@
   }
   if (is_block && record.blocks > suspect.blocks) {
     suspect.blocks = record.blocks;
+    // The end of a past block follows from its last crash. Counted from now, it
+    // would move on with each report, and the suspect would never expire.
     suspect.blocked_until =
-        now + std::min(record.blocked_left, limits_.max_block);
+        record.blocked_left > Duration(0)
+            ? now + std::min(record.blocked_left, limits_.max_block)
+            : std::min(now, now - last_age + BlockLength(record.blocks));
+    if (now >= ExpiryOf(suspect)) {
+      suspects_.erase(suspects_.begin() + static_cast<std::ptrdiff_t>(index));
+      return;
+    }
     suspect.changed = true;
     Log(LogLevel::kWarning, "part_block_learned",
         {{"parts", FormatKeys(suspect.parts)},
--- a/src/crash_blame.h
+++ b/src/crash_blame.h
@@ -185,6 +185,10 @@
   // Returns false if the crash is known or coincides with one that is.
   static bool AddSighting(Suspect& suspect, const Sighting& sighting);
   bool IsBlockDue(const Suspect& suspect, Time now) const;
+  // Returns the duration of the `blocks`th block in a row.
+  Duration BlockLength(uint32_t blocks) const;
+  // Returns the time at which the suspect is forgotten.
+  Time ExpiryOf(const Suspect& suspect) const;
   void Block(Suspect& suspect, Time now);
   // Blocks those of `matching` that are due and not contained in another one
   // that is due: the larger set explains the same crash and blocks fewer
--- a/tests/crash_blame_test.cc
+++ b/tests/crash_blame_test.cc
@@ -1,5 +1,7 @@
 #include "src/crash_blame.h"
 
+#include <array>
+
 #include <gtest/gtest.h>
 
 namespace burdockhatch {
@@ -278,6 +280,30 @@
   EXPECT_TRUE(IsBlocked({kPoison}));
 }
 
+// Guards against suspects and blocks that processes keep alive by telling each
+// other of them again and again.
+TEST_F(CrashBlameTest, RepeatedReportsAreForgottenByAll) {
+  Crash({kSession});
+  Crash({kPoison});
+  Crash({kPoison});
+  std::array<CrashBlame, 3> others;
+  for (int i = 0; i < 10 * 60; ++i) {
+    now_ += seconds(1);
+    for (size_t j = 0; j < others.size(); ++j) {
+      others[j].Merge(blame_.ExportShared(now_), now_ + milliseconds(5));
+      blame_.Merge(others[j].ExportShared(now_ + milliseconds(5)),
+                   now_ + milliseconds(10));
+      others[(j + 1) % others.size()].Merge(others[j].ExportShared(now_), now_);
+      others[j].Prune(now_ + milliseconds(300 * j));
+    }
+    blame_.Prune(now_ + milliseconds(700));
+  }
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+  for (const CrashBlame& it : others) {
+    EXPECT_EQ(it.suspect_count(), 0u);
+  }
+}
+
 // Guards against a process that takes over and starts without the evidence, or
 // counts it twice.
 TEST_F(CrashBlameTest, MergeIsIdempotentAndKeepsBlocks) {
