Decode and log what targets say of themselves, without obeying it

Responses may state a rate, that the target leaves, or a back-off. The logs could not tell whether an entry knew a limit when it sent.

--- a/src/daemon_common.cc
+++ b/src/daemon_common.cc
@@ -33,4 +33,19 @@
   metrics->SetGauge("burdockhatch_blocked_parts", "", blame.CountBlocked(now));
 }
 
+void ExportSignalCounters(const TargetSignalTable& signals, Metrics* metrics) {
+  const TargetSignalTable::Counters& counters = signals.counters();
+  metrics->SetCounter("burdockhatch_target_limits_total", "", counters.limits);
+  metrics->SetCounter("burdockhatch_target_limit_ends_total", "",
+                      counters.limit_ends);
+  metrics->SetCounter("burdockhatch_targets_leaving_total", "",
+                      counters.leaving);
+  metrics->SetCounter("burdockhatch_target_back_offs_total", "",
+                      counters.back_offs);
+  metrics->SetCounter("burdockhatch_target_limits_unreadable_total", "",
+                      counters.unreadable);
+  metrics->SetGauge("burdockhatch_limited_targets", "",
+                    static_cast<int64_t>(signals.CountLimited()));
+}
+
 }  // namespace burdockhatch
--- a/src/daemon_common.h
+++ b/src/daemon_common.h
@@ -6,6 +6,7 @@
 #include "src/crash_blame.h"
 #include "src/ids.h"
 #include "src/metrics.h"
+#include "src/target_signals.h"
 
 namespace burdockhatch {
 
@@ -18,6 +19,8 @@
 
 // Copies the counters of prompt parts that crash targets to the metrics.
 void ExportBlameCounters(const CrashBlame& blame, Time now, Metrics* metrics);
+// Copies the counters of what targets say of themselves to the metrics.
+void ExportSignalCounters(const TargetSignalTable& signals, Metrics* metrics);
 
 }  // namespace burdockhatch
 
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -64,7 +64,8 @@
             self_,
             {Role::kEntry, settings_.data_centre, settings_.bus_address, false},
             this,
-            settings_.crash_blame) {
+            settings_.crash_blame,
+            settings_.target_signals) {
     context_.timers = this;
     context_.protocol = protocol_.get();
     context_.connector = connector_.get();
@@ -147,6 +148,7 @@
     if (now >= next_counters_at_) {
       next_counters_at_ = now + kCounterInterval;
       ExportBlameCounters(placement_client_.blame(), now, &metrics_);
+      ExportSignalCounters(placement_client_.signals(), &metrics_);
     }
     return caller_server_->open_exchanges() > 0 ? kPlacementTickInterval
                                                 : kIdleTickInterval;
@@ -211,12 +213,13 @@
         "{{\"config_version\":{},\"routes\":{},\"requests\":{},"
         "\"connections\":{},\"feeds\":{{{}}},\"withdrawn\":[{}],"
         "\"targets\":[{}],\"placement\":{},\"crash_blame\":{},"
-        "\"feed_relay\":{}}}",
+        "\"target_signals\":{},\"feed_relay\":{}}}",
         context_.config ? context_.config->version : 0,
         context_.config ? context_.config->routes.size() : 0,
         caller_server_->open_exchanges(), caller_server_->connections(), feeds,
         withdrawn, targets, placement_client_.Dump(now),
-        placement_client_.blame().Dump(now), feed_.Dump(now));
+        placement_client_.blame().Dump(now),
+        placement_client_.signals().Dump(now), feed_.Dump(now));
   }
 
  private:
--- a/src/forward_protocol.h
+++ b/src/forward_protocol.h
@@ -10,6 +10,7 @@
 
 #include "src/http_headers.h"
 #include "src/ids.h"
+#include "src/target_signals.h"
 #include "src/units.h"
 
 namespace burdockhatch {
@@ -52,6 +53,7 @@
   bool not_executed = false;     // The target did not execute the request.
   bool is_wrong_target = false;  // Another target now has the address.
   std::string failed_helper;     // "ip:port" of the helper that failed.
+  TargetSignals signals;         // What the target says of itself.
 };
 
 class ForwardProtocol {
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -356,6 +356,7 @@
     return;
   }
   target_ = entry.record.target;
+  target_started_at_ = entry.record.started_at;
   helpers_ = helpers;
   sent_at_ = now;
   response_status_ = 0;
@@ -433,6 +434,7 @@
   response_status_ = status;
   response_fields_ = context_->protocol->ParseTargetFields(status, headers);
   response_headers_ = EndToEndHeaders(headers);
+  RecordSignals();
   ends_with_connection_ = FindHeader(headers, "Content-Length") == nullptr &&
                           FindHeader(headers, "Transfer-Encoding") == nullptr;
   if (response_fields_.not_executed || !IsSuccess(status)) {
@@ -449,6 +451,17 @@
   is_streaming_ = route_->is_streaming;
 }
 
+// A response to another attempt may be old.
+void ForwardRequest::RecordSignals() {
+  if (!response_fields_.attempt_id.empty() &&
+      response_fields_.attempt_id != caller_fields_.attempt_id) {
+    return;
+  }
+  context_->placement->OnResponse(
+      target_, target_started_at_, response_fields_.signals,
+      response_fields_.is_signed, sent_at_, context_->timers->Now());
+}
+
 void ForwardRequest::OnResponseBody(std::string_view data) {
   if (is_streaming_) {
     ForwardEvents(data);
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -108,6 +108,8 @@
   void SendToTarget(const FleetDirectory::KnownTarget& entry,
                     std::vector<ForwardHelper> helpers);
   void OnResponseHead(uint32_t status, HeaderList headers);
+  // Passes on what the response says of its target.
+  void RecordSignals();
   void OnResponseBody(std::string_view data);
   void OnCallEnd(ForwardCallResult result);
   void ForwardEvents(std::string_view data);
@@ -173,6 +175,7 @@
   std::shared_ptr<ForwardCall> forward_call_;
   std::optional<uint64_t> placement_number_;  // Of the attempt's placement ask.
   TargetId target_;
+  uint64_t target_started_at_ = 0;  // As in TargetRecord.
   std::vector<ForwardHelper> helpers_;
   std::unique_ptr<ReservationSet> reservations_;
   Duration expected_first_event_delay_{0};
--- a/src/messages.h
+++ b/src/messages.h
@@ -274,6 +274,39 @@
 inline constexpr size_t kMaxBlameRecords = 1'024;
 inline constexpr size_t kMaxAnsweredInReport = 256;
 
+// --- What targets say of themselves ------------------------------------------
+
+// What a process knows of one target, see target_signals.h. Ages are as of the
+// time of sending.
+struct SignalRecord {
+  TargetId target;
+  uint64_t started_at = 0;  // As in TargetRecord: tells its starts apart.
+  // Whether the record contains the newest statement on the rate of requests.
+  bool has_statement = false;
+  // Requests a second from all entries together; nullopt if the target states
+  // no limit any more.
+  std::optional<double> requests_per_s;
+  Duration statement_age{0};
+  // Time since the sending of the request that was answered with the statement.
+  Duration request_age{0};
+  bool is_leaving = false;
+  Duration leaving_age{0};
+  // Time for which the target wants no request from the sender of the report.
+  Duration back_off_left{0};
+
+  bool operator==(const SignalRecord&) const = default;
+};
+
+// Entry to leader: what responses to its own requests have said. Leader to
+// entry: what the responses to others have said.
+struct SignalReport {
+  std::vector<SignalRecord> records;
+
+  bool empty() const { return records.empty(); }
+  bool operator==(const SignalReport&) const = default;
+};
+inline constexpr size_t kMaxSignalRecords = 4'096;
+
 // --- Placement of forwarded requests ---------------------------------------
 
 // Description of a target that an entry sends to the agent that places work,
@@ -285,6 +318,7 @@
   std::string address;  // HTTP address, "ip:port".
   DataCentreId data_centre;
   Duration cold_left{0};  // Remaining time for which the target is cold.
+  uint64_t started_at = 0;  // As in TargetRecord: tells its starts apart.
 };
 inline constexpr int kMaxDescribedTargets = 4096;
 
@@ -459,7 +493,8 @@
                                  FeedPoll,
                                  FeedProof,
                                  FeedDelta,
-                                 BlameReport>;
+                                 BlameReport,
+                                 SignalReport>;
 
 // Unit of transfer on the bus.
 struct Message {
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -48,11 +48,12 @@
 PlacementClient::PlacementClient(PeerId self,
                                  Heartbeat heartbeat,
                                  PlacementBus* bus,
-                                 const CrashBlameLimits& blame_limits)
+                                 const CrashBlameLimits& blame_limits,
+                                 const TargetSignalLimits& signal_limits)
     : self_(std::move(self)),
       heartbeat_(std::move(heartbeat)),
       bus_(bus),
-      local_scheduler_(blame_limits) {
+      local_scheduler_(blame_limits, signal_limits) {
   LimitLocalColdRate(Time());
 }
 
@@ -219,6 +220,16 @@
   ProcessLocalDecisions(now);
 }
 
+void PlacementClient::OnResponse(const TargetId& target,
+                                 uint64_t started_at,
+                                 const TargetSignals& signals,
+                                 bool is_answer,
+                                 Time sent_at,
+                                 Time now) {
+  local_scheduler_.signals().OnResponse(target, started_at, signals, is_answer,
+                                        sent_at, now);
+}
+
 // The leader learns of the entry's own crashes through the changes; the other
 // agents may lead for other entries. Leaders tell each other of answers, which
 // all entries have.
@@ -474,6 +485,7 @@
   }
   SelectLeader(now);
   local_scheduler_.blame().Prune(now);
+  local_scheduler_.signals().Prune(now);
   SendChangedLists(now);
   if (!leader_.empty() && now >= next_snapshot_) {
     next_snapshot_ = now + kSnapshotInterval;
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -56,7 +56,8 @@
   PlacementClient(PeerId self,
                   Heartbeat heartbeat,
                   PlacementBus* bus,
-                  const CrashBlameLimits& blame_limits = {});
+                  const CrashBlameLimits& blame_limits = {},
+                  const TargetSignalLimits& signal_limits = {});
 
   // Sets the agents in order of preference, which is the same at all entries.
   // The first live agent is the leader, which places the requests.
@@ -80,6 +81,14 @@
                    const TargetId& failed,
                    Time now);
 
+  // Records what a response says of its target, see TargetSignalTable.
+  void OnResponse(const TargetId& target,
+                  uint64_t started_at,
+                  const TargetSignals& signals,
+                  bool is_answer,
+                  Time sent_at,
+                  Time now);
+
   void OnMessage(const Message& message, Time now);
   void OnUnreachable(const InstanceId& peer, Time now);
 
@@ -99,6 +108,11 @@
   // What the entry itself knows of prompt parts that crash targets: its own
   // requests, and the blocks that leaders have reported.
   const CrashBlame& blame() const { return local_scheduler_.blame(); }
+  // What targets have said of themselves, to this entry and to others as far as
+  // leaders have reported it.
+  const TargetSignalTable& signals() const {
+    return local_scheduler_.signals();
+  }
   // Ends the suspicion of a part, here and at the leader. Returns whether the
   // part was suspect here.
   bool LiftPart(PartKey part, Time now);
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -358,6 +358,7 @@
 
 void PlacementScheduler::Tick(Time now) {
   blame_.Prune(now);
+  signals_.Prune(now);
   for (auto& [service, state] : services_) {
     PlaceQueued(state, now);
   }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -23,6 +23,7 @@
 #include "src/ids.h"
 #include "src/messages.h"
 #include "src/pass_predictor.h"
+#include "src/target_signals.h"
 #include "src/units.h"
 
 namespace burdockhatch {
@@ -49,8 +50,9 @@
   // second.
   static constexpr double kUnsettledColdShare = 0.35;
 
-  explicit PlacementScheduler(const CrashBlameLimits& limits = {})
-      : blame_(limits) {}
+  explicit PlacementScheduler(const CrashBlameLimits& blame_limits = {},
+                              const TargetSignalLimits& signal_limits = {})
+      : blame_(blame_limits), signals_(signal_limits) {}
 
   // Sets the share of a cold target's request rate that this scheduler may use.
   // `phase_seed` differs between schedulers that use the same small share at
@@ -93,6 +95,10 @@
   CrashBlame& blame() { return blame_; }
   const CrashBlame& blame() const { return blame_; }
 
+  // What targets say of themselves, as far as this process has heard.
+  TargetSignalTable& signals() { return signals_; }
+  const TargetSignalTable& signals() const { return signals_; }
+
   // Returns the scheduler's state as JSON.
   std::string Dump(Time now) const;
 
@@ -314,6 +320,7 @@
                         Time now) const;
 
   CrashBlame blame_;
+  TargetSignalTable signals_;
   double cold_share_ = kLeaderColdShare;
   std::optional<uint64_t> cold_phase_seed_;
   std::map<ServiceId, ServiceState> services_;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -37,6 +37,7 @@
 constexpr Bounds kBlameCrashesBounds{1, 100};
 constexpr Bounds kUnansweredBounds{1, 1'000'000};
 constexpr Bounds kBlameMsBounds{1'000, 7 * kDayMs};
+constexpr Bounds kSignalMsBounds{1'000, 7 * kDayMs};
 constexpr Bounds kBlameMemoryMsBounds{1'000, 3'600'000};
 constexpr Bounds kSuspectCountBounds{1, static_cast<int64_t>(kMaxBlameRecords)};
 constexpr Bounds kAnsweredPartsBounds{1, 1'000'000};
@@ -240,6 +241,20 @@
   reader.ReportUnknownKeys();
 }
 
+void ReadTargetSignalSettings(const json::value& value,
+                              std::string path,
+                              TargetSignalLimits* limits,
+                              Findings* findings) {
+  using std::chrono::milliseconds;
+  ObjectReader reader(value, std::move(path), findings);
+  reader.ReadBool("enabled", &limits->enabled);
+  reader.ReadDuration<milliseconds>("max_back_off_ms", kSignalMsBounds,
+                                    &limits->max_back_off);
+  reader.ReadDuration<milliseconds>("leaving_memory_ms", kSignalMsBounds,
+                                    &limits->leaving_memory);
+  reader.ReportUnknownKeys();
+}
+
 void ReadRoleSettings(ObjectReader* reader,
                       Settings* settings,
                       Findings* findings) {
@@ -319,6 +334,10 @@
     ReadCrashBlameSettings(*crash_blame, reader.PathOf("crash_blame"),
                            &settings.crash_blame, findings);
   }
+  if (const json::value* signals = reader.Find("target_signals")) {
+    ReadTargetSignalSettings(*signals, reader.PathOf("target_signals"),
+                             &settings.target_signals, findings);
+  }
   reader.ReportUnknownKeys();
   if (findings->list.size() != findings_before) {
     return std::nullopt;
--- a/src/settings.h
+++ b/src/settings.h
@@ -17,6 +17,7 @@
 #include "src/findings.h"
 #include "src/ids.h"
 #include "src/messages.h"
+#include "src/target_signals.h"
 #include "src/units.h"
 
 namespace burdockhatch {
@@ -98,6 +99,7 @@
   TargetSettings target;                 // Agents only.
   LimitSettings limits;
   CrashBlameLimits crash_blame;
+  TargetSignalLimits target_signals;
   std::optional<ForwardingSettings> forwarding;
 };
 
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -225,6 +225,7 @@
     target->set_address(it.address);
     target->set_data_centre(it.data_centre.value());
     target->set_cold_left_us(it.cold_left.count());
+    target->set_started_at(it.started_at);
   }
 }
 
@@ -258,6 +259,24 @@
   }
 }
 
+void EncodeBody(const SignalReport& from, wire::Envelope* envelope) {
+  wire::SignalReport* to = envelope->mutable_signal_report();
+  for (const SignalRecord& it : from.records) {
+    wire::TargetSignal* record = to->add_records();
+    record->set_target(it.target.value());
+    record->set_started_at(it.started_at);
+    record->set_has_statement(it.has_statement);
+    if (it.requests_per_s) {
+      record->set_requests_per_s(*it.requests_per_s);
+    }
+    record->set_statement_age_us(it.statement_age.count());
+    record->set_request_age_us(it.request_age.count());
+    record->set_is_leaving(it.is_leaving);
+    record->set_leaving_age_us(it.leaving_age.count());
+    record->set_back_off_left_us(it.back_off_left.count());
+  }
+}
+
 void EncodeBody(const PlacementAsk& from, wire::Envelope* envelope) {
   wire::PlacementAsk* to = envelope->mutable_placement_ask();
   to->set_number(from.number);
@@ -499,7 +518,7 @@
       to.targets.push_back({ReadRequiredId<TargetId>(it.target()),
                             ReadString(it.address(), kMaxWireIdBytes),
                             ReadOptionalId<DataCentreId>(it.data_centre()),
-                            ReadDuration(it.cold_left_us())});
+                            ReadDuration(it.cold_left_us()), it.started_at()});
     }
     return to;
   }
@@ -542,6 +561,31 @@
     return to;
   }
 
+  SignalRecord ReadRecord(const wire::TargetSignal& from) {
+    SignalRecord to;
+    to.target = ReadRequiredId<TargetId>(from.target());
+    to.started_at = from.started_at();
+    to.has_statement = from.has_statement();
+    if (from.has_requests_per_s()) {
+      to.requests_per_s = ReadNonNegative(from.requests_per_s());
+    }
+    to.statement_age = ReadDuration(from.statement_age_us());
+    to.request_age = ReadDuration(from.request_age_us());
+    to.is_leaving = from.is_leaving();
+    to.leaving_age = ReadDuration(from.leaving_age_us());
+    to.back_off_left = ReadDuration(from.back_off_left_us());
+    return to;
+  }
+
+  SignalReport ReadBody(const wire::SignalReport& from) {
+    CheckCount(from.records_size(), static_cast<int>(kMaxSignalRecords));
+    SignalReport to;
+    for (const wire::TargetSignal& it : from.records()) {
+      to.records.push_back(ReadRecord(it));
+    }
+    return to;
+  }
+
   PlacementAsk ReadBody(const wire::PlacementAsk& from) {
     PlacementAsk to;
     to.number = from.number();
@@ -808,6 +852,8 @@
         return ReadBody(from.feed_delta());
       case wire::Envelope::kBlameReport:
         return ReadBody(from.blame_report());
+      case wire::Envelope::kSignalReport:
+        return ReadBody(from.signal_report());
       case wire::Envelope::BODY_NOT_SET:
         break;
     }
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -52,7 +52,7 @@
   list.cost.steps_per_pass = 46;
   list.cold_requests_per_s = 36;
   list.targets = {{TargetId("t1"), "10.0.0.1:80", DataCentreId("ga-north-a"),
-                   Duration(11)}};
+                   Duration(11), 12}};
   return list;
 }
 
@@ -66,6 +66,20 @@
   return {{record}, {{PartKey(47), Duration(48)}}};
 }
 
+SignalReport SampleSignalReport() {
+  SignalRecord record;
+  record.target = TargetId("t1");
+  record.started_at = 51;
+  record.has_statement = true;
+  record.requests_per_s = 2.5;
+  record.statement_age = Duration(52);
+  record.request_age = Duration(53);
+  record.is_leaving = true;
+  record.leaving_age = Duration(54);
+  record.back_off_left = Duration(55);
+  return {{record}};
+}
+
 std::vector<MessageBody> SampleBodies() {
   Offer offer;
   offer.attempt = kAttempt;
@@ -141,7 +155,8 @@
       FeedPoll{25, {{FeedKind::kRoutes, 7}, {FeedKind::kWithdrawals, 8}}},
       FeedProof{26, {{FeedKind::kTargets, Duration(9), 10, 11}}},
       FeedDelta{FeedKind::kTargets, 12, 13, "{}"},
-      SampleBlameReport()};
+      SampleBlameReport(),
+      SampleSignalReport()};
 }
 
 Message Wrap(MessageBody body) {
@@ -211,6 +226,22 @@
   EXPECT_EQ(ErrorOf(Decode, Encode(Wrap(report))), WireError::kMissingId);
 }
 
+// Guards against what targets say of themselves being dropped by the codec,
+// accepted without limit, or accepted with a rate that is no number.
+TEST(WireTest, SignalReportIsKeptAndBounded) {
+  const auto encoded = [](const SignalReport& it) { return Encode(Wrap(it)); };
+  const leaf::result<Message> decoded = Decode(encoded(SampleSignalReport()));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<SignalReport>(decoded->body), SampleSignalReport());
+  SignalReport report = SampleSignalReport();
+  report.records[0].requests_per_s = -1;
+  EXPECT_TRUE(ErrorOf(Decode, encoded(report)));
+  report.records[0].requests_per_s = std::nan("");
+  EXPECT_TRUE(ErrorOf(Decode, encoded(report)));
+  report.records.assign(kMaxSignalRecords + 1, SampleSignalReport().records[0]);
+  EXPECT_EQ(ErrorOf(Decode, encoded(report)), WireError::kBadCount);
+}
+
 // Guards against fields that both directions of the codec omit.
 TEST(WireTest, OfferKeepsEachField) {
   const leaf::result<Message> decoded = Decode(Encode(Wrap(SampleBodies()[0])));
