--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -358,7 +358,8 @@
            context_.directory.UsableTargets(service, now)) {
         list.targets.push_back({it->record.target, it->record.address,
                                 it->record.data_centre,
-                                std::max(it->cold_until - now, Duration(0))});
+                                std::max(it->cold_until - now, Duration(0)),
+                                it->record.started_at});
         agents.push_back(AgentOnSameHost(it->record));
       }
       placement_client_.SetTargets(std::move(list), now);
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -28,6 +28,9 @@
 constexpr Duration kRejectionRetryDelay = std::chrono::milliseconds(40);
 // How long a request may wait for an available target before it is rejected.
 constexpr Duration kMaxTargetWait = std::chrono::milliseconds(1'000);
+// Longest delay after which a caller is told to come back because all targets
+// want no request.
+constexpr Duration kMaxReturnDelay = std::chrono::seconds(5);
 // Minimum time left for a retry to be useful.
 constexpr Duration kMinTimeForRetry = std::chrono::milliseconds(40);
 // A repeatable request on a route without streaming is retried at another
@@ -230,8 +233,9 @@
   }
   const FleetDirectory::KnownTarget* entry =
       context_->directory.Find(reply.target);
-  if (entry == nullptr || !context_->directory.IsUsable(*entry, now)) {
-    // The target list of the placing agent is older than the entry's.
+  if (entry == nullptr || !context_->directory.IsUsable(*entry, now) ||
+      IsShut(*entry)) {
+    // The placing agent knows less of the target than the entry does.
     excluded_targets_.push_back(reply.target);
     context_->placement->ReportEvent(reply.number, PlacementEvent::kEnded,
                                      TargetId(), now);
@@ -245,7 +249,8 @@
   std::vector<ForwardHelper> helpers;
   for (const TargetId& it : reply.helpers) {
     const FleetDirectory::KnownTarget* helper = context_->directory.Find(it);
-    if (helper != nullptr && context_->directory.IsUsable(*helper, now)) {
+    if (helper != nullptr && context_->directory.IsUsable(*helper, now) &&
+        !IsShut(*helper)) {
       helpers.push_back({helper->record.address, ""});
     }
   }
@@ -287,7 +292,7 @@
     }
     const FleetDirectory::KnownTarget* found =
         self->context_->directory.Find(target);
-    if (reserved && found != nullptr) {
+    if (reserved && found != nullptr && !self->IsShut(*found)) {
       self->SendToTarget(*found, std::move(helpers));
       return;
     }
@@ -300,7 +305,19 @@
   });
 }
 
+bool ForwardRequest::IsShut(const FleetDirectory::KnownTarget& entry) const {
+  return context_->placement->signals().IsShut(
+      entry.record.target, entry.record.started_at, context_->timers->Now());
+}
+
+void ForwardRequest::SetWaitsForTarget(bool waits) {
+  if (std::exchange(waits_for_target_, waits) != waits) {
+    context_->waiting_for_target[service_] += waits ? 1 : -1;
+  }
+}
+
 void ForwardRequest::BalanceAndSend() {
+  SetWaitsForTarget(false);
   const Time now = context_->timers->Now();
   std::vector<const FleetDirectory::KnownTarget*> usable =
       context_->directory.UsableTargets(service_, now);
@@ -321,6 +338,7 @@
   request.cold_requests_per_s =
       pool_ == nullptr ? 0 : pool_->cold_requests_per_s;
   request.entry_count = context_->placement->reported_entry_count();
+  request.signals = &context_->placement->signals();
   const std::optional<TargetId> target =
       context_->balancer.BeginCall(usable, request, now);
   if (target) {
@@ -335,6 +353,18 @@
     FinishWithFailure("no_target");
     return;
   }
+  request.excluded_targets.clear();
+  const size_t ahead = context_->waiting_for_target[service_];
+  if (const std::optional<ShutTargets> shut =
+          context_->balancer.FindShutTargets(usable, request, now)) {
+    const Time open_at = shut->OpenAt(ahead);
+    if (open_at > std::min(received_at_ + kMaxTargetWait, deadline_)) {
+      retry_after_ = std::min(open_at, now + kMaxReturnDelay) - now;
+      FinishWithFailure("targets_shut");
+      return;
+    }
+  }
+  SetWaitsForTarget(true);
   // Excluded targets may be back in the target list by the next try.
   retry_timer_ = context_->timers->Schedule(
       kTargetRetryInterval, [self = shared_from_this()] {
@@ -707,6 +737,9 @@
       response_fields_.is_wrong_target) {
     return PlacementEvent::kTargetReplaced;
   }
+  if (failure == AttemptFailure::kNotExecuted) {
+    return PlacementEvent::kTargetRefused;
+  }
   if (failure != AttemptFailure::kBroken) {
     return PlacementEvent::kTargetFailed;
   }
@@ -829,6 +862,7 @@
     return;
   }
   finished_ = true;
+  SetWaitsForTarget(false);
   error_response_.reset();
   DropBufferedBodies();
   deadline_timer_.reset();
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -54,6 +54,8 @@
   FleetDirectory directory;
   ServiceBalancer balancer{0};
   RequestRetryBudget retry_budget{RequestRetryLimits()};
+  // Requests of each plain service that wait for a target.
+  std::map<ServiceId, size_t> waiting_for_target;
   Random random{0};
   ResponseLimits response_limits;
   size_t buffered_response_bytes = 0;
@@ -102,6 +104,9 @@
   void RequestPlacement();
   void OnPlacementReply(const PlacementReply& reply);
   void BalanceAndSend();
+  // Whether the target has said to this entry, or to others, that it wants no
+  // request now.
+  bool IsShut(const FleetDirectory::KnownTarget& entry) const;
   void ReserveAndSend(const FleetDirectory::KnownTarget& entry,
                       std::vector<ForwardHelper> helpers,
                       const std::vector<MemoryHold>& holds);
@@ -138,6 +143,8 @@
   // The event that tells placement about the failure of a target.
   PlacementEvent FailureEvent(AttemptFailure failure) const;
 
+  void SetWaitsForTarget(bool waits);
+
   // --- Completion ---
   void OnDeadline();
   void OnCallerGone();
@@ -205,6 +212,7 @@
   Time first_event_at_{};
   Time last_event_at_{};
   Duration longest_gap_{0};  // Between consecutive events sent to the caller.
+  bool waits_for_target_ = false;  // Counted in waiting_for_target.
   bool finished_ = false;
 };
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -317,7 +317,7 @@
   TargetId target;
   std::string address;  // HTTP address, "ip:port".
   DataCentreId data_centre;
-  Duration cold_left{0};  // Remaining time for which the target is cold.
+  Duration cold_left{0};    // Remaining time for which the target is cold.
   uint64_t started_at = 0;  // As in TargetRecord: tells its starts apart.
 };
 inline constexpr int kMaxDescribedTargets = 4096;
@@ -393,6 +393,7 @@
   // As kTargetFailed: it broke between the head and the first event.
   kBrokenAtStart,
   kBrokenAfterStart,  // As kTargetFailed: it broke after the first event.
+  kTargetRefused,     // Ended: the target did not execute the request.
 };
 
 // Entry to agent: progress or end of a placed request.
--- a/src/placement_agent_daemon.cc
+++ b/src/placement_agent_daemon.cc
@@ -30,7 +30,8 @@
             settings_.crash_blame,
             [this](const PeerId& entry, MessageBody body) {
               bus_->Send(entry, std::move(body));
-            }) {}
+            },
+            settings_.target_signals) {}
 
  protected:
   std::string OnStart() override { return ""; }
@@ -53,6 +54,7 @@
   Duration OnTick(Time now) override {
     leader_.Tick(now);
     ExportBlameCounters(leader_.blame(), now, &metrics_);
+    ExportSignalCounters(leader_.signals(), &metrics_);
     return kIdleTickInterval;
   }
 
@@ -69,9 +71,10 @@
 
   std::string Dump(Time now) const override {
     return fmt::format(
-        "{{\"entries\":{},\"placement\":{},\"crash_blame\":{},"
-        "\"feed_relay\":{}}}",
-        leader_.entry_count(), leader_.Dump(now), leader_.blame().Dump(now),
+        "{{\"entries\":{},\"sole_leader\":{},\"placement\":{},"
+        "\"crash_blame\":{},\"target_signals\":{},\"feed_relay\":{}}}",
+        leader_.entry_count(), leader_.is_sole_leader(), leader_.Dump(now),
+        leader_.blame().Dump(now), leader_.signals().Dump(now),
         feed_relay_.Dump(now));
   }
 
--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -97,13 +97,18 @@
                   kMaxBacklogMs - wait);
 }
 
-bool PlacementScheduler::IsAvailable(const Target& target,
-                                     const PlacementAsk& ask,
-                                     Time now) {
-  return target.listed && now >= target.suspect_until &&
-         now >= target.next_cold_request &&
-         std::find(ask.excluded.begin(), ask.excluded.end(),
-                   target.description.target) == ask.excluded.end();
+Time PlacementScheduler::AvailableAt(const Target& target,
+                                     const QueuedRequest& request) {
+  const std::vector<TargetId>& excluded = request.ask.excluded;
+  if (!target.listed || target.is_leaving ||
+      std::find(excluded.begin(), excluded.end(), target.description.target) !=
+          excluded.end()) {
+    return Time::max();
+  }
+  const auto back_off = target.back_offs.find(request.entry);
+  return std::max(
+      {target.suspect_until, target.rate.next_request(),
+       back_off == target.back_offs.end() ? Time() : back_off->second});
 }
 
 Tokens PlacementScheduler::MaxRequestTokens(const ServiceState& state) {
@@ -156,6 +161,7 @@
     ServiceState& state,
     const QueuedRequest& request,
     Time now) {
+  UpdateRates(state, now);
   const bool is_long = IsLongPrompt(state, request.ask.prompt);
   const double own_prefill_ms =
       is_long ? PrefillMs(state.cost, request.ask.prompt) : 0;
@@ -182,7 +188,7 @@
       is_trial ? kTrialAnswerPenaltyMs : kAnswerPenaltyMs;
   for (Target* it : state.fill_order) {
     Target& target = *it;
-    if (!IsAvailable(target, ask, now)) {
+    if (!IsAvailable(target, request, now)) {
       continue;
     }
     // Engines reserved for long prompts take a short one only if all others are
@@ -419,7 +425,8 @@
   std::vector<PrefillCandidate> all;
   for (Target* it : state.fill_order) {
     Target& target = *it;
-    if (IsAvailable(target, ask, now) && target.prefilling < state.cost.slots) {
+    if (IsAvailable(target, request, now) &&
+        target.prefilling < state.cost.slots) {
       all.push_back({&target, AvailablePrefillMs(state, target, now),
                      target.pass_predictor.WaitMs(now)});
     }
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -38,6 +38,8 @@
 // change reaches the leader within it, usually from a single entry.
 constexpr Duration kListSendSpread = std::chrono::milliseconds(300);
 constexpr Duration kSnapshotInterval = std::chrono::seconds(1);
+// How long an entry without a leader expects the next one.
+constexpr Duration kExpectedLeaderTime = std::chrono::seconds(3);
 // How long an entry that has just learned its agents waits for the first of
 // them before it places requests with shared parts itself: it does not know
 // which parts are blocked.
@@ -54,7 +56,8 @@
       heartbeat_(std::move(heartbeat)),
       bus_(bus),
       local_scheduler_(blame_limits, signal_limits) {
-  LimitLocalColdRate(Time());
+  local_scheduler_.SetExpectsLeader(true);
+  SetLocalRateShare(Time());
 }
 
 bool PlacementClient::IsAlive(const Agent& agent, Time now) {
@@ -96,6 +99,7 @@
   agents_ = std::move(next);
   if (first_agents_at_ == Time() && !agents_.empty()) {
     first_agents_at_ = now;
+    leader_since_ = now;
   }
   SelectLeader(now);
   if (changed) {
@@ -198,9 +202,9 @@
   }
 }
 
-void PlacementClient::LimitLocalColdRate(Time now) {
-  local_scheduler_.LimitColdRate(
-      kLocalColdRateShare / reported_entry_count_.value_or(kAssumedEntryCount),
+void PlacementClient::SetLocalRateShare(Time now) {
+  local_scheduler_.SetRateShare(
+      kLocalRateShare / reported_entry_count_.value_or(kAssumedEntryCount),
       StableHash(self_.instance.value()), now);
 }
 
@@ -226,8 +230,28 @@
                                  bool is_answer,
                                  Time sent_at,
                                  Time now) {
-  local_scheduler_.signals().OnResponse(target, started_at, signals, is_answer,
-                                        sent_at, now);
+  local_scheduler_.OnResponse(self_, target, started_at, signals, is_answer,
+                              sent_at, now);
+  // Without a leader, the next one is told when it is chosen.
+  if (leader_.empty()) {
+    return;
+  }
+  SignalReport news = local_scheduler_.signals().TakeChanges(now);
+  if (!news.empty()) {
+    bus_->Send(leader_, std::move(news));
+  }
+}
+
+// A report of another agent than the leader is passed on, so that the leaders
+// of different entries learn of each other's targets.
+void PlacementClient::OnSignalReport(const PeerId& sender,
+                                     const SignalReport& report,
+                                     bool from_leader,
+                                     Time now) {
+  SignalReport news = local_scheduler_.MergeSignals(sender, report, now);
+  if (!from_leader && !leader_.empty() && !news.empty()) {
+    bus_->Send(leader_, std::move(news));
+  }
 }
 
 // The leader learns of the entry's own crashes through the changes; the other
@@ -278,6 +302,9 @@
   if (const auto* report = std::get_if<BlameReport>(&message.body)) {
     OnBlameReport(*report, is_leader, now);
   }
+  if (const auto* report = std::get_if<SignalReport>(&message.body)) {
+    OnSignalReport(message.sender, *report, is_leader, now);
+  }
   SelectLeader(now);
   ProcessLocalDecisions(now);
 }
@@ -441,9 +468,14 @@
     if (!blame.empty()) {
       bus_->Send(leader_, std::move(blame));
     }
+    SignalReport signals = local_scheduler_.signals().Export(now);
+    if (!signals.empty()) {
+      bus_->Send(leader_, std::move(signals));
+    }
     bus_->Send(leader_, local_scheduler_.MakeSnapshot(self_));
   } else {
-    LimitLocalColdRate(now);
+    SetLocalRateShare(now);
+    local_scheduler_.SetExpectsLeader(true);
   }
   for (auto& [number, pending] : pending_) {
     // Removes the request from the queue of the local scheduler.
@@ -497,6 +529,8 @@
     }
   }
   if (leader_.empty()) {
+    local_scheduler_.SetExpectsLeader(
+        !agents_.empty() && now - leader_since_ < kExpectedLeaderTime);
     local_scheduler_.Tick(now);
   }
   ProcessLocalDecisions(now);
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -40,9 +40,9 @@
 
 class PlacementClient {
  public:
-  // Share of a cold target's rate for all entries together that place requests
-  // themselves, beside the shares of the leaders.
-  static constexpr double kLocalColdRateShare = 0.05;
+  // Share of a limited target's rate for all entries together that place
+  // requests themselves, beside the shares of the leaders.
+  static constexpr double kLocalRateShare = 0.05;
   // Time for which an entry must have known the same incarnations of the agents
   // until they are settled: the target lists of all entries agree by then, so
   // no more than PlacementScheduler::kMaxLeaders agents place requests, and
@@ -158,9 +158,13 @@
   bool AwaitsFirstLeader(Time now) const;
   Duration UnsettledLeft(Time now) const;
   void OnAgentsChanged(Time now);
-  void LimitLocalColdRate(Time now);
+  void SetLocalRateShare(Time now);
   void OnReply(const PlacementReply& reply, Time now);
   void SendOwnBlame(Time now);
+  void OnSignalReport(const PeerId& sender,
+                      const SignalReport& report,
+                      bool from_leader,
+                      Time now);
   void OnBlameReport(const BlameReport& report, bool from_leader, Time now);
   void ProcessLocalDecisions(Time now);
   void SendChangedLists(Time now);
--- a/src/placement_leader.cc
+++ b/src/placement_leader.cc
@@ -1,10 +1,13 @@
 #include "src/placement_leader.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include "src/log.h"
+#include "src/placement_client.h"
 
 namespace burdockhatch {
 
@@ -18,6 +21,8 @@
 // entry.
 constexpr Duration kLeadingTime = std::chrono::milliseconds(1'500);
 
+constexpr Duration kShareCheckInterval = std::chrono::milliseconds(100);
+
 bool IsForLeaderOnly(const MessageBody& body) {
   return std::holds_alternative<PlacementAsk>(body) ||
          std::holds_alternative<PlacementChange>(body) ||
@@ -28,16 +33,17 @@
 
 PlacementLeader::PlacementLeader(Heartbeat heartbeat,
                                  const CrashBlameLimits& blame_limits,
-                                 SendFunction send)
+                                 SendFunction send,
+                                 const TargetSignalLimits& signal_limits)
     : heartbeat_(std::move(heartbeat)),
       send_(std::move(send)),
-      scheduler_(blame_limits) {
+      scheduler_(blame_limits, signal_limits) {
   scheduler_.blame().SetJudging(false);
 }
 
 void PlacementLeader::OnMessage(const Message& message, Time now) {
   const PeerId& entry = message.sender;
-  if (!last_heard_.contains(entry)) {
+  if (!entries_.contains(entry)) {
     RemovePreviousIncarnations(entry, now);
     Log(LogLevel::kInfo, "entry_met",
         {{"entry", entry.instance.value()},
@@ -47,9 +53,16 @@
         !known.records.empty()) {
       send_(entry, std::move(known));
     }
+    if (SignalReport known = scheduler_.signals().Export(now); !known.empty()) {
+      for (SignalRecord& it : known.records) {
+        it.back_off_left = Duration(0);
+      }
+      send_(entry, std::move(known));
+    }
   }
-  last_heard_[entry] = now;
+  entries_[entry].last_heard = now;
   if (IsForLeaderOnly(message.body)) {
+    entries_[entry].last_led = now;
     last_led_at_ = now;
   }
   UpdateJudging(now);
@@ -63,6 +76,8 @@
     scheduler_.SetTargets(*it, now);
   } else if (const auto* it = std::get_if<BlameReport>(&message.body)) {
     scheduler_.blame().Merge(*it, now);
+  } else if (const auto* it = std::get_if<SignalReport>(&message.body)) {
+    SpreadSignals(entry, scheduler_.MergeSignals(entry, *it, now));
   } else if (std::holds_alternative<Heartbeat>(message.body)) {
     send_(entry, heartbeat_);
   } else if (std::holds_alternative<Goodbye>(message.body)) {
@@ -78,11 +93,54 @@
                                 now - last_led_at_ < kLeadingTime);
 }
 
+// An entry that is heard and sends nothing that is for the leader only follows
+// another agent, or none.
+void PlacementLeader::UpdateRateShare(Time now) {
+  if (now < next_share_check_) {
+    return;
+  }
+  next_share_check_ = now + kShareCheckInterval;
+  const bool all_follow =
+      !entries_.empty() &&
+      std::all_of(entries_.begin(), entries_.end(), [&](const auto& it) {
+        return it.second.last_led != Time() &&
+               now - it.second.last_led < kLeadingTime;
+      });
+  if (!all_follow) {
+    last_shared_at_ = now;
+  }
+  const bool is_sole =
+      all_follow && now - last_shared_at_ >= PlacementClient::kSettleTime;
+  if (is_sole == is_sole_leader_) {
+    return;
+  }
+  is_sole_leader_ = is_sole;
+  Log(LogLevel::kInfo, "rate_share_changed",
+      {{"sole_leader", is_sole ? "true" : "false"},
+       {"entries", std::to_string(entries_.size())}});
+  scheduler_.SetRateShare(is_sole ? PlacementScheduler::kSoleLeaderShare
+                                  : PlacementScheduler::kLeaderShare,
+                          std::nullopt, now);
+}
+
+void PlacementLeader::SpreadSignals(const PeerId& from,
+                                    const SignalReport& news) {
+  if (news.empty()) {
+    return;
+  }
+  for (const auto& [entry, state] : entries_) {
+    if (entry != from) {
+      send_(entry, news);
+    }
+  }
+}
+
 void PlacementLeader::Tick(Time now) {
   UpdateJudging(now);
+  UpdateRateShare(now);
   std::vector<PeerId> silent;
-  for (const auto& [entry, heard] : last_heard_) {
-    if (now - heard > kEntryTimeout) {
+  for (const auto& [entry, state] : entries_) {
+    if (now - state.last_heard > kEntryTimeout) {
       silent.push_back(entry);
     }
   }
@@ -96,7 +154,7 @@
 }
 
 void PlacementLeader::SendGoodbyes() {
-  for (const auto& [entry, heard] : last_heard_) {
+  for (const auto& [entry, state] : entries_) {
     send_(entry, Goodbye{});
   }
 }
@@ -110,7 +168,7 @@
 void PlacementLeader::RemovePreviousIncarnations(const PeerId& entry,
                                                  Time now) {
   std::vector<PeerId> previous;
-  for (const auto& [peer, heard] : last_heard_) {
+  for (const auto& [peer, state] : entries_) {
     if (peer.instance == entry.instance) {
       previous.push_back(peer);
     }
@@ -121,7 +179,7 @@
 }
 
 void PlacementLeader::RemoveEntry(const PeerId& entry, Time now) {
-  last_heard_.erase(entry);
+  entries_.erase(entry);
   scheduler_.RemoveEntry(entry, now);
 }
 
@@ -136,7 +194,7 @@
   if (news.empty()) {
     return;
   }
-  for (const auto& [entry, heard] : last_heard_) {
+  for (const auto& [entry, state] : entries_) {
     send_(entry, news);
   }
 }
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -23,7 +23,8 @@
   // `heartbeat` is the reply to heartbeats of entries.
   PlacementLeader(Heartbeat heartbeat,
                   const CrashBlameLimits& blame_limits,
-                  SendFunction send);
+                  SendFunction send,
+                  const TargetSignalLimits& signal_limits = {});
 
   // Handles any message of an entry. Other bodies only prove that it is alive.
   void OnMessage(const Message& message, Time now);
@@ -34,8 +35,12 @@
   void SendGoodbyes();
 
   bool HasQueuedRequests() const { return scheduler_.HasQueuedRequests(); }
-  size_t entry_count() const { return last_heard_.size(); }
+  size_t entry_count() const { return entries_.size(); }
+  // Whether all entries that this agent hears from have followed it for some
+  // time.
+  bool is_sole_leader() const { return is_sole_leader_; }
   const CrashBlame& blame() const { return scheduler_.blame(); }
+  const TargetSignalTable& signals() const { return scheduler_.signals(); }
   // Ends the suspicion and the block of a part, here and at all entries.
   bool LiftPart(PartKey part, Time now);
 
@@ -47,16 +52,28 @@
   void RemovePreviousIncarnations(const PeerId& entry, Time now);
   void RemoveEntry(const PeerId& entry, Time now);
   void UpdateJudging(Time now);
+  void UpdateRateShare(Time now);
   void SendDecisions();
   // The entries keep suspicions and blocks in case this agent stops, refuse
   // blocked requests without asking, and tell other leaders.
   void SpreadBlame(Time now);
+  // Tells all entries but the one that has reported it.
+  void SpreadSignals(const PeerId& from, const SignalReport& news);
+
+  struct Entry {
+    Time last_heard{};
+    Time last_led{};  // Last message that only a leader receives.
+  };
 
   const Heartbeat heartbeat_;
   const SendFunction send_;
   PlacementScheduler scheduler_;
-  std::map<PeerId, Time> last_heard_;
+  std::map<PeerId, Entry> entries_;
   Time last_led_at_{};  // Last message that only a leader receives.
+  // Last time at which some entry did not follow this agent.
+  Time last_shared_at_{};
+  bool is_sole_leader_ = false;
+  Time next_share_check_{};
 };
 
 }  // namespace burdockhatch
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -28,6 +28,14 @@
 // Minimum time between two attempts to place the queued requests, which any
 // event may trigger. The placing agent has only a fifth of a core.
 constexpr Duration kPlacementAttemptInterval = std::chrono::milliseconds(5);
+// How long a request may wait while rates, back-offs and suspicions shut all
+// targets, if no other request waits. Callers leave soon after.
+constexpr Duration kMaxShutWait = std::chrono::milliseconds(1'500);
+// Longest delay after which a caller is told to come back because all targets
+// are shut.
+constexpr Duration kMaxReturnDelay = std::chrono::seconds(5);
+// Interval at which rates are updated without an event.
+constexpr Duration kRateUpdateInterval = std::chrono::seconds(1);
 // Long prompts that may fail to be placed per attempt, in queue order; the
 // others are not tried. Limits the CPU time of an attempt.
 constexpr int kMaxFailedLongPlacements = 4;
@@ -56,8 +64,8 @@
   uint64_t sum = 0;
   for (const TargetDescription& it : list.targets) {
     const uint64_t cold = it.cold_left > Duration(0) ? 1 : 0;
-    sum +=
-        MixHash(StableHash(it.target.value()), StableHash(it.address) + cold);
+    sum += MixHash(StableHash(it.target.value()),
+                   StableHash(it.address) + cold + 2 * it.started_at);
   }
   return sum;
 }
@@ -79,13 +87,13 @@
   state.fill_order.clear();
   for (const TargetDescription& it : list.targets) {
     Target& target = state.targets[it.target];
-    const bool was_cold = now < target.cold_until;
+    if (target.description.started_at != it.started_at) {
+      target.back_offs.clear();
+    }
     target.description = it;
     target.listed = true;
     target.cold_until = now + it.cold_left;
-    if (!was_cold && cold_phase_seed_) {
-      target.next_cold_request = FirstColdRequest(state, target, now);
-    }
+    UpdateRate(state, target, now);
     state.fill_order.push_back(&target);
   }
   std::sort(state.fill_order.begin(), state.fill_order.end(),
@@ -103,45 +111,131 @@
   PlaceQueued(state, now);
 }
 
-void PlacementScheduler::LimitColdRate(double share,
-                                       uint64_t phase_seed,
-                                       Time now) {
-  cold_share_ = share;
-  cold_phase_seed_ = phase_seed;
+// --- Rates and signals of targets --------------------------------------------
+
+void PlacementScheduler::SetRateShare(double share,
+                                      std::optional<uint64_t> phase_seed,
+                                      Time now) {
+  rate_share_ = share;
+  rate_phase_seed_ = phase_seed;
   for (auto& [service, state] : services_) {
     for (auto& [id, target] : state.targets) {
-      target.next_cold_request = FirstColdRequest(state, target, now);
+      UpdateRate(state, target, now);
+      if (rate_phase_seed_) {
+        target.rate.Restart(RatePhase(id), now);
+      }
+    }
+  }
+}
+
+double PlacementScheduler::RatePhase(const TargetId& target) const {
+  if (!rate_phase_seed_) {
+    return 0;
+  }
+  const uint64_t hash = MixHash(*rate_phase_seed_, StableHash(target.value()));
+  return static_cast<double>(hash >> 11) * 0x1p-53;
+}
+
+void PlacementScheduler::UpdateRate(ServiceState& state,
+                                    Target& target,
+                                    Time now) {
+  const TargetId& id = target.description.target;
+  const uint64_t started_at = target.description.started_at;
+  target.is_leaving = signals_.IsLeaving(id, started_at, now);
+  std::optional<double> rate = signals_.RateOf(id, started_at);
+  if (now < target.cold_until && state.cold_requests_per_s > 0) {
+    rate = std::min(rate.value_or(state.cold_requests_per_s),
+                    state.cold_requests_per_s);
+    state.next_rate_update_at =
+        std::min(state.next_rate_update_at, target.cold_until);
+  }
+  if (rate) {
+    *rate *= rate_share_;
+  }
+  target.rate.Set(rate, RatePhase(id), now);
+}
+
+void PlacementScheduler::UpdateRates(ServiceState& state, Time now) {
+  if (now < state.next_rate_update_at) {
+    return;
+  }
+  state.next_rate_update_at = now + kRateUpdateInterval;
+  for (Target* it : state.fill_order) {
+    UpdateRate(state, *it, now);
+  }
+}
+
+void PlacementScheduler::UpdateRatesOf(const SignalReport& report, Time now) {
+  for (const SignalRecord& it : report.records) {
+    for (auto& [service, state] : services_) {
+      const auto target = state.targets.find(it.target);
+      if (target != state.targets.end()) {
+        UpdateRate(state, target->second, now);
+      }
+    }
+  }
+}
+
+void PlacementScheduler::SetBackOff(const PeerId& entry,
+                                    const TargetId& id,
+                                    Time until,
+                                    Time now) {
+  for (auto& [service, state] : services_) {
+    const auto target = state.targets.find(id);
+    if (until > now && target != state.targets.end()) {
+      std::map<PeerId, Time>& back_offs = target->second.back_offs;
+      std::erase_if(back_offs,
+                    [&](const auto& it) { return now >= it.second; });
+      back_offs[entry] = until;
     }
   }
 }
 
-Duration PlacementScheduler::ColdInterval(const ServiceState& state,
-                                          double share) {
-  return FromMs(1e3 / (state.cold_requests_per_s * share));
+void PlacementScheduler::OnResponse(const PeerId& entry,
+                                    const TargetId& target,
+                                    uint64_t started_at,
+                                    const TargetSignals& signals,
+                                    bool is_answer,
+                                    Time sent_at,
+                                    Time now) {
+  const std::optional<double> rate = signals_.RateOf(target, started_at);
+  signals_.OnResponse(target, started_at, signals, is_answer, sent_at, now);
+  if (signals.is_leaving || signals_.RateOf(target, started_at) != rate) {
+    SignalRecord changed;
+    changed.target = target;
+    UpdateRatesOf({{changed}}, now);
+  }
+  SetBackOff(entry, target, signals_.BackOffUntil(target, started_at), now);
 }
 
-Time PlacementScheduler::FirstColdRequest(const ServiceState& state,
-                                          const Target& target,
-                                          Time now) const {
-  if (now >= target.cold_until || state.cold_requests_per_s <= 0) {
-    return Time();
+SignalReport PlacementScheduler::MergeSignals(const PeerId& entry,
+                                              const SignalReport& report,
+                                              Time now) {
+  SignalReport news = signals_.Merge(report, now);
+  UpdateRatesOf(news, now);
+  for (const SignalRecord& it : report.records) {
+    SetBackOff(entry, it.target, now + it.back_off_left, now);
   }
-  const uint64_t hash =
-      MixHash(*cold_phase_seed_, StableHash(target.description.target.value()));
-  const double phase = static_cast<double>(hash >> 11) * 0x1p-53;
-  return now + FromMs(ToMs(ColdInterval(state, cold_share_)) * phase);
+  return news;
+}
+
+void PlacementScheduler::TakeFromRate(Target& target,
+                                      bool is_unsettled,
+                                      Time now) const {
+  const double share =
+      is_unsettled ? std::min(kUnsettledShare, rate_share_) : rate_share_;
+  target.rate.OnRequest(now, rate_share_ / share);
 }
 
+// --- Requests ----------------------------------------------------------------
+
 void PlacementScheduler::RequestPlacement(const PeerId& entry,
                                           const PlacementAsk& ask,
                                           Time now) {
   const auto it = services_.find(ask.service);
-  PlacementReply reply;
-  reply.number = ask.number;
-  reply.entries = static_cast<uint32_t>(std::max<size_t>(entries_.size(), 1));
   if (it == services_.end()) {
-    reply.verdict = PlacementVerdict::kUnknownList;
-    decisions_.push_back({entry, reply});
+    decisions_.push_back(
+        {entry, MakeReply(ask.number, PlacementVerdict::kUnknownList)});
     return;
   }
   ServiceState& state = it->second;
@@ -172,8 +266,11 @@
     Place(state, request, std::move(*assignment), now);
     return;
   }
-  reply.verdict = PlacementVerdict::kQueued;
-  decisions_.push_back({entry, reply});
+  if (RefuseIfShutOut(state, request, state.queue.size(), now)) {
+    return;
+  }
+  decisions_.push_back(
+      {entry, MakeReply(ask.number, PlacementVerdict::kQueued)});
   state.queue.push_back(std::move(request));
 }
 
@@ -228,9 +325,8 @@
       request.ask.parts, TrialOf(request.entry, request.ask.number), now);
   if (decision.verdict == CrashBlame::Verdict::kBlocked) {
     blame_.CountRefusal();
-    PlacementReply reply;
-    reply.number = request.ask.number;
-    reply.verdict = PlacementVerdict::kBlocked;
+    PlacementReply reply =
+        MakeReply(request.ask.number, PlacementVerdict::kBlocked);
     reply.retry_after = decision.blocked_left;
     decisions_.push_back({request.entry, std::move(reply)});
   }
@@ -281,6 +377,7 @@
       break;
     case PlacementEvent::kTargetFailed:
     case PlacementEvent::kTargetReplaced:
+    case PlacementEvent::kTargetRefused:
       break;
   }
   blame_.EndTrial(trial);
@@ -345,6 +442,9 @@
   for (auto& [service, state] : services_) {
     std::erase_if(state.queue,
                   [&](const QueuedRequest& it) { return it.entry == entry; });
+    for (auto& [id, target] : state.targets) {
+      target.back_offs.erase(entry);
+    }
     for (auto it = state.placed_requests.begin();
          it != state.placed_requests.end();) {
       const auto placed = it++;
@@ -404,14 +504,11 @@
   placed.is_unsettled = now < request.asked_at + ask.unsettled_left;
   AddPlacedRequest(state, {request.entry, ask.number}, std::move(placed), now);
 
-  PlacementReply reply;
-  reply.number = ask.number;
-  reply.verdict = PlacementVerdict::kPlaced;
+  PlacementReply reply = MakeReply(ask.number, PlacementVerdict::kPlaced);
   reply.target = std::move(assignment.target);
   reply.helpers = std::move(assignment.helpers);
   reply.holds = std::move(assignment.holds);
   reply.expected_first_event = assignment.expected_first_event;
-  reply.entries = static_cast<uint32_t>(std::max<size_t>(entries_.size(), 1));
   reply.list_fingerprint = state.fingerprint;
   decisions_.push_back({request.entry, std::move(reply)});
 }
@@ -429,11 +526,9 @@
     state.targets[it.target].memory_used += it.tokens;
   }
   ++target.gap_target_counts[placed.work.gap_target];
-  if (now < target.cold_until && state.cold_requests_per_s > 0) {
-    const double share = placed.is_unsettled
-                             ? std::min(kUnsettledColdShare, cold_share_)
-                             : cold_share_;
-    target.next_cold_request = now + ColdInterval(state, share);
+  TakeFromRate(target, placed.is_unsettled, now);
+  for (const TargetId& it : placed.work.helpers) {
+    TakeFromRate(state.targets[it], placed.is_unsettled, now);
   }
   placed.placement_id = next_placement_id_++;
   target.decoding += placed.work.reading ? 0 : 1;
@@ -506,11 +601,19 @@
   state.placed_requests.erase(placed);
 }
 
+PlacementReply PlacementScheduler::MakeReply(uint64_t number,
+                                             PlacementVerdict verdict) const {
+  PlacementReply reply;
+  reply.number = number;
+  reply.verdict = verdict;
+  reply.entries = static_cast<uint32_t>(std::max<size_t>(entries_.size(), 1));
+  return reply;
+}
+
 void PlacementScheduler::Refuse(const QueuedRequest& request,
                                 Duration retry_after) {
-  PlacementReply reply;
-  reply.number = request.ask.number;
-  reply.verdict = PlacementVerdict::kRefused;
+  PlacementReply reply =
+      MakeReply(request.ask.number, PlacementVerdict::kRefused);
   reply.retry_after = retry_after;
   decisions_.push_back({request.entry, std::move(reply)});
 }
@@ -581,6 +684,51 @@
   }
 }
 
+std::optional<ShutTargets> PlacementScheduler::FindShutTargets(
+    const ServiceState& state,
+    const QueuedRequest& request,
+    Time now) {
+  ShutTargets shut;
+  for (const Target* it : state.fill_order) {
+    const Time at = AvailableAt(*it, request);
+    if (at <= now) {
+      return std::nullopt;
+    }
+    shut.Add(at, it->rate);
+  }
+  return shut;
+}
+
+bool PlacementScheduler::RefuseIfShutOut(ServiceState& state,
+                                         const QueuedRequest& request,
+                                         size_t ahead,
+                                         Time now) {
+  const std::optional<ShutTargets> shut = FindShutTargets(state, request, now);
+  if (!shut) {
+    return false;
+  }
+  // With others ahead, a request that would be late is overtaken by new ones
+  // that can be in time, and would wait for nothing.
+  const Time longest = ahead == 0 || expects_leader_
+                           ? request.asked_at + kMaxShutWait
+                           : request.first_event_by;
+  const Time latest = std::min(longest, request.give_up_at);
+  const bool may_open = expects_leader_ && now < latest;
+  if (may_open || shut->OpenAt(ahead) <= latest) {
+    return false;
+  }
+  // Callers that are refused come back one after the other, at the rate at
+  // which the targets take requests.
+  const Time first = std::max(state.next_return_at, shut->OpenAt(ahead));
+  const Time last = now + (expects_leader_ ? kMaxShutWait : kMaxReturnDelay);
+  const Time return_at = std::min(first, last);
+  state.next_return_at =
+      return_at + (shut->requests_per_s > 0 ? FromMs(1e3 / shut->requests_per_s)
+                                            : Duration(0));
+  Refuse(request, return_at - now);
+  return true;
+}
+
 void PlacementScheduler::PlaceQueued(ServiceState& state, Time now) {
   if (state.queue.empty() || now < state.next_attempt_at) {
     return;
@@ -609,7 +757,9 @@
       Place(state, it, std::move(*assignment), now);
     } else {
       failed += is_long && verdict == CrashBlame::Verdict::kSend ? 1 : 0;
-      left.push_back(std::move(it));
+      if (!RefuseIfShutOut(state, it, left.size(), now)) {
+        left.push_back(std::move(it));
+      }
     }
   }
   state.queue = std::move(left);
@@ -632,11 +782,16 @@
       fmt::format_to(std::back_inserter(text),
                      "{}{{\"target\":\"{}\",\"short\":{},\"long\":{},"
                      "\"backlog_ms\":{:.0f},\"memory\":{},"
-                     "\"suspect_ms\":{:.0f}}}",
+                     "\"suspect_ms\":{:.0f},\"rate_per_s\":{},"
+                     "\"leaving\":{},\"back_offs\":{}}}",
                      first ? "" : ",", it.description.target.value(),
                      it.short_answers, it.long_answers,
                      it.pass_predictor.WaitMs(now), it.memory_used.value(),
-                     ToMs(std::max(it.suspect_until - now, Duration(0))));
+                     ToMs(std::max(it.suspect_until - now, Duration(0))),
+                     it.rate.is_limited()
+                         ? fmt::format("{:.3f}", *it.rate.requests_per_s())
+                         : "null",
+                     it.is_leaving, it.back_offs.size());
       first = false;
     }
     text += "]}";
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -23,6 +23,8 @@
 #include "src/ids.h"
 #include "src/messages.h"
 #include "src/pass_predictor.h"
+#include "src/shared_rate.h"
+#include "src/shut_targets.h"
 #include "src/target_signals.h"
 #include "src/units.h"
 
@@ -42,23 +44,27 @@
   // Agents that may place requests at the same time: the leader and its
   // possible successors, as entries may disagree on the leader.
   static constexpr int kMaxLeaders = 3;
-  // Share of a cold target's request rate that a leader uses. The leaders
-  // together stay within the overrun of one half that targets tolerate.
-  static constexpr double kLeaderColdShare = 1.5 / kMaxLeaders;
+  // Share of the rate of a cold target, or of one that states a limit, that a
+  // leader uses. The leaders together stay within the overrun of one half that
+  // targets tolerate.
+  static constexpr double kLeaderShare = 1.5 / kMaxLeaders;
+  // The same for a leader that all entries follow. A second one has
+  // kLeaderShare, as entries follow another leader too.
+  static constexpr double kSoleLeaderShare = 0.9;
   // The same while entries may disagree on the agents too, for example when all
   // have restarted and learn the target list. Suits six leaders within a
   // second.
-  static constexpr double kUnsettledColdShare = 0.35;
+  static constexpr double kUnsettledShare = 0.35;
 
   explicit PlacementScheduler(const CrashBlameLimits& blame_limits = {},
                               const TargetSignalLimits& signal_limits = {})
       : blame_(blame_limits), signals_(signal_limits) {}
 
-  // Sets the share of a cold target's request rate that this scheduler may use.
-  // `phase_seed` differs between schedulers that use the same small share at
-  // the same time: each sends its first request to a cold target at another
-  // point of its interval.
-  void LimitColdRate(double share, uint64_t phase_seed, Time now);
+  // Sets the share of targets' request rates that this scheduler may use.
+  // `phase_seed` is set for schedulers that use the same small share at the
+  // same time: each sends its first request to a target whose rate becomes
+  // limited at another point of its interval.
+  void SetRateShare(double share, std::optional<uint64_t> phase_seed, Time now);
 
   // Replaces the target list unless the known one is newer. A list of equal
   // revision is accepted because the withdrawals of an entry may have changed.
@@ -78,6 +84,25 @@
                        const PlacementSnapshot& snapshot,
                        Time now);
 
+  // Whether a leader is expected to take over soon: requests that all targets
+  // are shut for are then queued rather than refused at once.
+  void SetExpectsLeader(bool expects) { expects_leader_ = expects; }
+
+  // Records what a response to a request of `entry` says of its target, see
+  // TargetSignalTable.
+  void OnResponse(const PeerId& entry,
+                  const TargetId& target,
+                  uint64_t started_at,
+                  const TargetSignals& signals,
+                  bool is_answer,
+                  Time sent_at,
+                  Time now);
+  // Adds what responses to `entry`, or others that it knows of, have said.
+  // Returns the records that were news.
+  SignalReport MergeSignals(const PeerId& entry,
+                            const SignalReport& report,
+                            Time now);
+
   // Adds a request that another scheduler has placed.
   void ImportRequest(const PeerId& entry, const PlacedWork& work, Time now);
 
@@ -127,7 +152,11 @@
     TargetDescription description;
     bool listed = false;
     Time cold_until{};
-    Time next_cold_request{};
+    // The rate of requests, while the target is cold or states a limit.
+    SharedRate rate;
+    bool is_leaving = false;
+    // Ends of the times for which the target wants no request of an entry.
+    std::map<PeerId, Time> back_offs;
     uint32_t short_answers = 0;
     uint32_t long_answers = 0;
     uint32_t decoding = 0;    // Answers that have sent their first event.
@@ -170,6 +199,10 @@
     Time next_shrink_at{};
     // Earliest time of the next attempt to place queued requests.
     Time next_attempt_at{};
+    // Earliest time at which the next caller that is refused should come back.
+    Time next_return_at{};
+    // When the rates of the targets change next by the passage of time.
+    Time next_rate_update_at{};
   };
 
   struct Assignment {
@@ -209,9 +242,27 @@
   static double AvailablePrefillMs(const ServiceState& state,
                                    const Target& target,
                                    Time now);
+  // Returns the earliest time at which the target may get the request as far as
+  // rates, back-offs and suspicions are concerned, or Time::max() if it may
+  // not.
+  static Time AvailableAt(const Target& target, const QueuedRequest& request);
   static bool IsAvailable(const Target& target,
-                          const PlacementAsk& ask,
-                          Time now);
+                          const QueuedRequest& request,
+                          Time now) {
+    return now >= AvailableAt(target, request);
+  }
+  // Returns when targets open again if rates, back-offs and suspicions shut all
+  // of them to the request now, or nullopt if some target is open.
+  static std::optional<ShutTargets> FindShutTargets(
+      const ServiceState& state,
+      const QueuedRequest& request,
+      Time now);
+  // Refuses the request if all targets are shut for longer than it can wait.
+  // Returns whether it was refused.
+  bool RefuseIfShutOut(ServiceState& state,
+                       const QueuedRequest& request,
+                       size_t ahead,
+                       Time now);
   static void UpdateShortTargetCount(ServiceState& state,
                                      double long_prefill_ms,
                                      Time now);
@@ -299,6 +350,8 @@
   void RemovePlacedRequest(ServiceState& state,
                            std::map<RequestKey, PlacedRequest>::iterator placed,
                            Time now);
+  // Returns a reply that tells the number of entries.
+  PlacementReply MakeReply(uint64_t number, PlacementVerdict verdict) const;
   void Refuse(const QueuedRequest& request, Duration retry_after);
   // Whether the parts of the prompt allow the request to be placed now. Refuses
   // it if they are blocked.
@@ -312,17 +365,28 @@
   void BlameLeftRequests(Target& target, Time now);
   static uint64_t TrialOf(const PeerId& entry, uint64_t number);
   void PlaceQueued(ServiceState& state, Time now);
-  // Returns the time between two requests to a cold target.
-  static Duration ColdInterval(const ServiceState& state, double share);
-  // Returns the earliest time of the first request to a target that is cold.
-  Time FirstColdRequest(const ServiceState& state,
-                        const Target& target,
-                        Time now) const;
+  // Returns the point of an interval, from 0 to 1, at which this scheduler
+  // sends the first request to the target.
+  double RatePhase(const TargetId& target) const;
+  // Applies the signals of the target and the rate that it may get now.
+  void UpdateRate(ServiceState& state, Target& target, Time now);
+  // Does so for all targets if the passage of time may have changed them.
+  void UpdateRates(ServiceState& state, Time now);
+  // Does so for the targets of the report.
+  void UpdateRatesOf(const SignalReport& report, Time now);
+  void SetBackOff(const PeerId& entry,
+                  const TargetId& target,
+                  Time until,
+                  Time now);
+  // Takes the request from the rate of a target that decodes it, prefills a
+  // part of it, or both.
+  void TakeFromRate(Target& target, bool is_unsettled, Time now) const;
 
   CrashBlame blame_;
   TargetSignalTable signals_;
-  double cold_share_ = kLeaderColdShare;
-  std::optional<uint64_t> cold_phase_seed_;
+  bool expects_leader_ = false;
+  double rate_share_ = kLeaderShare;
+  std::optional<uint64_t> rate_phase_seed_;
   std::map<ServiceId, ServiceState> services_;
   std::set<PeerId> entries_;
   uint64_t next_placement_id_ = 1;
--- a/src/service_balancer.cc
+++ b/src/service_balancer.cc
@@ -25,13 +25,9 @@
 constexpr Duration kMaxSuspectTime = std::chrono::seconds(5);
 // A target that rejects a call as full is suspect for this long.
 constexpr Duration kRejectedSuspectTime = std::chrono::milliseconds(100);
-// Share of a cold target's rate that all entries together use.
-constexpr double kColdRateShare = 0.8;
-
-Duration Scale(Duration duration, double factor) {
-  return Duration(
-      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
+// Share of the rate of a cold target, or of one that states a limit, that all
+// entries together use.
+constexpr double kRateShare = 0.8;
 
 }  // namespace
 
@@ -53,58 +49,75 @@
   return score + random_.UniformReal() * kRemoteDataCentrePenaltyMs / 2;
 }
 
-// Returns the time between two calls of this entry to a cold target.
-Duration ServiceBalancer::ColdCallInterval(const ChoiceParams& params) {
-  const double own_rate = params.cold_requests_per_s * kColdRateShare /
-                          params.entry_count.value_or(kAssumedEntryCount);
-  return Duration(static_cast<int64_t>(1e6 / own_rate));
+// The first call of an entry to a target whose rate becomes limited comes at a
+// random point of its interval. Without this, each entry would be free to call
+// at once, and all of them together would exceed the target's rate.
+void ServiceBalancer::UpdateRates(
+    const std::vector<const FleetDirectory::KnownTarget*>& usable,
+    const ChoiceParams& params,
+    Time now) {
+  const double own_share =
+      kRateShare / params.entry_count.value_or(kAssumedEntryCount);
+  for (const FleetDirectory::KnownTarget* it : usable) {
+    std::optional<double> rate;
+    if (params.signals != nullptr) {
+      rate = params.signals->RateOf(it->record.target, it->record.started_at);
+    }
+    if (params.cold_requests_per_s > 0 && now < it->cold_until) {
+      rate = std::min(rate.value_or(params.cold_requests_per_s),
+                      params.cold_requests_per_s);
+    }
+    SharedRate& own = targets_[it->record.target].rate;
+    if (rate || own.is_limited()) {
+      own.Set(rate ? std::optional(*rate * own_share) : std::nullopt,
+              random_.UniformReal(), now);
+    }
+  }
+}
+
+Time ServiceBalancer::OpenAt(const FleetDirectory::KnownTarget& entry,
+                             const ChoiceParams& params,
+                             Time now) {
+  const TargetId& id = entry.record.target;
+  const auto& excluded = params.excluded_targets;
+  if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
+    return Time::max();
+  }
+  Time at = targets_[id].rate.next_request();
+  if (params.signals != nullptr) {
+    if (params.signals->IsLeaving(id, entry.record.started_at, now)) {
+      return Time::max();
+    }
+    at =
+        std::max(at, params.signals->BackOffUntil(id, entry.record.started_at));
+  }
+  return at;
 }
 
-// The first call of an entry to a cold target comes at a random point of its
-// interval. Without this, each entry would be free to call at once, and all of
-// them together would exceed the target's rate.
-void ServiceBalancer::UpdateColdCalls(
+std::optional<ShutTargets> ServiceBalancer::FindShutTargets(
     const std::vector<const FleetDirectory::KnownTarget*>& usable,
     const ChoiceParams& params,
     Time now) {
-  const bool is_limited = params.cold_requests_per_s > 0;
-  const Duration interval = is_limited ? ColdCallInterval(params) : Duration(0);
+  ShutTargets shut;
   for (const FleetDirectory::KnownTarget* it : usable) {
-    Target& target = targets_[it->record.target];
-    const bool was_cold =
-        std::exchange(target.is_cold, is_limited && now < it->cold_until);
-    if (!target.is_cold) {
-      continue;
+    const Time at = OpenAt(*it, params, now);
+    if (at <= now) {
+      return std::nullopt;
     }
-    if (!was_cold) {
-      target.next_cold_call = now + Scale(interval, random_.UniformReal());
-    } else if (now < target.next_cold_call &&
-               interval != target.cold_call_interval) {
-      // The number of entries has become known or has changed.
-      target.next_cold_call =
-          now +
-          Scale(target.next_cold_call - now,
-                static_cast<double>(interval.count()) /
-                    static_cast<double>(target.cold_call_interval.count()));
-    }
-    target.cold_call_interval = interval;
+    shut.Add(at, targets_[it->record.target].rate);
   }
+  return shut;
 }
 
 std::optional<TargetId> ServiceBalancer::BeginCall(
     const std::vector<const FleetDirectory::KnownTarget*>& usable,
     const ChoiceParams& params,
     Time now) {
-  UpdateColdCalls(usable, params, now);
+  UpdateRates(usable, params, now);
   const FleetDirectory::KnownTarget* best = nullptr;
   double best_score = 0;
   for (const FleetDirectory::KnownTarget* it : usable) {
-    const TargetId& id = it->record.target;
-    const bool excluded = std::find(params.excluded_targets.begin(),
-                                    params.excluded_targets.end(),
-                                    id) != params.excluded_targets.end();
-    const Target& target = targets_[id];
-    if (excluded || (target.is_cold && now < target.next_cold_call)) {
+    if (now < OpenAt(*it, params, now)) {
       continue;
     }
     const double score = Score(*it, params, now);
@@ -118,9 +131,7 @@
   }
   Target& target = targets_[best->record.target];
   ++target.in_progress;
-  if (target.is_cold) {
-    target.next_cold_call = now + ColdCallInterval(params);
-  }
+  target.rate.OnRequest(now);
   return best->record.target;
 }
 
--- a/src/service_balancer.h
+++ b/src/service_balancer.h
@@ -12,6 +12,9 @@
 #include "src/fleet_directory.h"
 #include "src/ids.h"
 #include "src/random.h"
+#include "src/shared_rate.h"
+#include "src/shut_targets.h"
+#include "src/target_signals.h"
 
 namespace burdockhatch {
 
@@ -28,8 +31,10 @@
     DataCentreId entry_data_centre;  // Its targets are preferred.
     std::vector<TargetId> excluded_targets;
     double cold_requests_per_s = 0;  // 0 means no limit.
-    // Entries that share a cold target's rate; nullopt if unknown.
+    // Entries that share the rate of a target; nullopt if unknown.
     std::optional<uint32_t> entry_count;
+    // What the targets say of themselves; may be null.
+    const TargetSignalTable* signals = nullptr;
   };
 
   explicit ServiceBalancer(uint64_t seed) : random_(seed) {}
@@ -41,6 +46,13 @@
       const ChoiceParams& params,
       Time now);
 
+  // Returns when targets open again if the rates and signals of all of them
+  // forbid calls now, or nullopt if some target may be called.
+  std::optional<ShutTargets> FindShutTargets(
+      const std::vector<const FleetDirectory::KnownTarget*>& usable,
+      const ChoiceParams& params,
+      Time now);
+
   // Records the outcome of a call that BeginCall started.
   void EndCall(const TargetId& target,
                CallOutcome outcome,
@@ -59,13 +71,17 @@
     double call_ms = 0;
     uint32_t consecutive_failures = 0;
     Time suspect_until{};
-    bool is_cold = false;
-    Time next_cold_call{};
-    Duration cold_call_interval{0};  // By which next_cold_call was set.
+    // This entry's part of the rate, while the target is cold or states a
+    // limit.
+    SharedRate rate;
   };
 
-  static Duration ColdCallInterval(const ChoiceParams& params);
-  void UpdateColdCalls(
+  // Returns the earliest time at which the target may be called, or Time::max()
+  // if it may not.
+  Time OpenAt(const FleetDirectory::KnownTarget& entry,
+              const ChoiceParams& params,
+              Time now);
+  void UpdateRates(
       const std::vector<const FleetDirectory::KnownTarget*>& usable,
       const ChoiceParams& params,
       Time now);
--- a/tests/target_signals_fleet_test.cc
+++ b/tests/target_signals_fleet_test.cc
@@ -174,11 +174,12 @@
         [&](const Target::Arrival& it) { return it.at >= since; }));
   }
 
-  size_t answered() const { return answered_; }
-  size_t refused() const { return refused_; }
-  // Longest time until a request that no target had room for was refused.
-  Duration slowest_refusal() const { return slowest_refusal_; }
-  const std::vector<Duration>& retry_afters() const { return retry_afters_; }
+  struct Refusal {
+    Duration waited{0};
+    Duration retry_after{0};
+  };
+  const std::vector<Refusal>& refusals() const { return refusals_; }
+  void ForgetRefusals() { refusals_.clear(); }
 
  private:
   struct EntryBus : PlacementBus {
@@ -298,9 +299,7 @@
             Arrive(index, self, number, reply.target);
             return;
           }
-          ++refused_;
-          slowest_refusal_ = std::max(slowest_refusal_, now_ - asked_at);
-          retry_afters_.push_back(reply.retry_after);
+          refusals_.push_back({now_ - asked_at, reply.retry_after});
         },
         now_);
   }
@@ -352,7 +351,6 @@
     if (!refuses) {
       AtEntry(now_ + milliseconds(240), index, self,
               [this, number](PlacementClient& client) {
-                ++answered_;
                 client.ReportEvent(number, PlacementEvent::kEnded, TargetId(),
                                    now_);
               });
@@ -389,7 +387,7 @@
     client.OnResponse(target.id, 0, signals, !refuses, sent_at, now_);
     client.ReportEvent(
         number,
-        refuses ? PlacementEvent::kTargetFailed : PlacementEvent::kFirstEvent,
+        refuses ? PlacementEvent::kTargetRefused : PlacementEvent::kFirstEvent,
         refuses ? target.id : TargetId(), now_);
   }
 
@@ -403,10 +401,7 @@
   std::map<std::pair<int, std::string>, Time> last_delivery_;
   std::map<std::pair<int, std::string>, Time> last_reply_;
   int hidden_agent_ = -1;
-  size_t answered_ = 0;
-  size_t refused_ = 0;
-  Duration slowest_refusal_{0};
-  std::vector<Duration> retry_afters_;
+  std::vector<Refusal> refusals_;
 };
 
 class SignalFleetTest : public testing::TestWithParam<int> {
@@ -494,5 +489,76 @@
   }
 }
 
+// Guards against targets that stay limited after they have ceased to say so, or
+// that keep an earlier limit when they state a lower one.
+TEST_P(SignalFleetTest, LimitFollowsWhatTheTargetStates) {
+  fleet_.Run(seconds(3), 60);
+  fleet_.SetLimits(14, 3);
+  fleet_.Run(seconds(5), 60);
+  fleet_.SetLimits(14, 1);
+  fleet_.Run(seconds(3), 60);
+  fleet_.ForgetArrivals();
+  fleet_.Run(seconds(8), 60);
+  ExpectWithinLimit(14, 1);
+  fleet_.SetLimits(14, std::nullopt);
+  fleet_.Run(seconds(6), 60);
+  const Time since = fleet_.now();
+  fleet_.Run(seconds(4), 200);
+  size_t most = 0;
+  for (int i = 0; i < 14; ++i) {
+    most = std::max(most, fleet_.ArrivalsSince(i, since));
+  }
+  EXPECT_GT(most, 20u);
+}
+
+// Guards against a target that is shut out for good because nothing is sent to
+// it that it could answer without a limit: it states a rate of zero.
+TEST_P(SignalFleetTest, TargetThatTakesNothingIsAskedAgain) {
+  fleet_.Run(seconds(3), 60);
+  fleet_.SetLimits(SignalFleet::kTargets, 0);
+  fleet_.Run(seconds(10), 60);
+  ExpectWithinLimit(SignalFleet::kTargets, 0);
+  fleet_.SetLimits(SignalFleet::kTargets, std::nullopt);
+  fleet_.Run(seconds(8), 60);
+  const Time since = fleet_.now();
+  fleet_.Run(seconds(4), 60);
+  size_t arrivals = 0;
+  for (int i = 0; i < SignalFleet::kTargets; ++i) {
+    arrivals += fleet_.ArrivalsSince(i, since);
+  }
+  EXPECT_GT(arrivals, 200u);
+}
+
+// Guards against limits that are obeyed by using hardly any of them.
+TEST_P(SignalFleetTest, LeaderUsesMostOfTheLimits) {
+  fleet_.Run(seconds(3), 60);
+  fleet_.SetLimits(SignalFleet::kTargets, 2);
+  fleet_.Run(seconds(5), 60);
+  const Time since = fleet_.now();
+  fleet_.Run(seconds(10), 60);
+  for (int i = 0; i < SignalFleet::kTargets; ++i) {
+    EXPECT_GE(fleet_.ArrivalsSince(i, since), 15u) << "target " << i;
+  }
+}
+
+// Guards against callers that wait although it is known that no target has room
+// in time, or that are told to come back long before or after there is room:
+// 20 targets take 10 requests a second, and 200 come.
+TEST_P(SignalFleetTest, CallersHearAtOnceWhenNoTargetHasRoom) {
+  fleet_.Run(seconds(3), 60);
+  fleet_.SetLimits(SignalFleet::kTargets, 0.5);
+  fleet_.Run(seconds(5), 60);
+  fleet_.ForgetRefusals();
+  fleet_.Run(seconds(10), 200);
+  ASSERT_GT(fleet_.refusals().size(), 1'000u);
+  size_t early = 0;
+  for (const SignalFleet::Refusal& it : fleet_.refusals()) {
+    EXPECT_GE(it.retry_after, milliseconds(500));
+    EXPECT_LE(it.retry_after, seconds(5));
+    early += it.waited <= milliseconds(20) ? 1 : 0;
+  }
+  EXPECT_GE(early, fleet_.refusals().size() * 95 / 100);
+}
+
 }  // namespace
 }  // namespace burdockhatch
