Keep targets with a limited rate for long prompts

Cause: short prompts took the few requests that limited targets allow, and the targets without a limit held short answers, which a long prompt would stall.

Change: targets with a limited rate come last in the fill order and count for the short answers that their rate lets them start, so long prompts, for which a request carries the most work, find them idle.

--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -18,6 +18,8 @@
 // Short answers per engine: enough to leave most engines to long prompts, few
 // enough that two short prompts seldom share a pass.
 constexpr uint32_t kShortAnswersPerTarget = 9;
+// Time that a short answer takes, about, in seconds.
+constexpr double kShortAnswerSeconds = 2;
 // Short answers per engine while long prompts need the other engines.
 constexpr uint32_t kMaxShortAnswersPerTarget = 13;
 // Prefill of long prompts per engine that is reserved for them.
@@ -133,10 +135,24 @@
 void PlacementScheduler::UpdateShortTargetCount(ServiceState& state,
                                                 double long_prefill_ms,
                                                 Time now) {
+  // Returns how many targets hold the short requests and one more. A target
+  // whose rate is limited holds what the rate lets it start.
   const auto targets_for = [&](uint32_t per_target) -> size_t {
-    const uint32_t most = std::max(state.cost.slots, 1U);
-    const uint32_t per = std::min(per_target, most);
-    return (state.short_request_count + per) / per;
+    const uint32_t per = std::min(per_target, std::max(state.cost.slots, 1U));
+    uint32_t held = 0;
+    size_t n = 0;
+    while (held <= state.short_request_count) {
+      uint32_t most = per;
+      if (n < state.fill_order.size() &&
+          state.fill_order[n]->rate.is_limited()) {
+        const double started =
+            *state.fill_order[n]->rate.requests_per_s() * kShortAnswerSeconds;
+        most = std::max(1U, std::min(per, static_cast<uint32_t>(started)));
+      }
+      held += most;
+      ++n;
+    }
+    return n;
   };
   const size_t all = std::max<size_t>(state.fill_order.size(), 1);
   const auto for_long =
@@ -181,6 +197,8 @@
   Target* best = nullptr;
   double best_score = 0;
   bool best_keeps_limits = false;
+  // Targets at the front that may take the request or whose rate forbids it
+  // now.
   size_t seen = 0;
   const bool is_trial =
       blame_.Check(ask.parts, TrialOf(request.entry, ask.number), now).is_trial;
@@ -189,6 +207,7 @@
   for (Target* it : state.fill_order) {
     Target& target = *it;
     if (!IsAvailable(target, request, now)) {
+      seen += target.rate.IsOpen(now) ? 0 : 1;
       continue;
     }
     // Engines reserved for long prompts take a short one only if all others are
@@ -423,18 +442,23 @@
     Time now) {
   const PlacementAsk& ask = request.ask;
   std::vector<PrefillCandidate> all;
+  size_t seen = 0;  // As in ChooseShort().
+  size_t for_short = 0;
   for (Target* it : state.fill_order) {
     Target& target = *it;
     if (IsAvailable(target, request, now) &&
         target.prefilling < state.cost.slots) {
       all.push_back({&target, AvailablePrefillMs(state, target, now),
                      target.pass_predictor.WaitMs(now)});
+      for_short += seen++ < state.short_target_count ? 1 : 0;
+    } else if (!target.rate.IsOpen(now)) {
+      ++seen;
     }
   }
   if (all.empty()) {
     return std::nullopt;
   }
-  const size_t skipped = std::min(state.short_target_count, all.size() - 1);
+  const size_t skipped = std::min(for_short, all.size() - 1);
   std::vector<PrefillCandidate> apart(
       all.begin() + static_cast<std::ptrdiff_t>(skipped), all.end());
   if (auto assignment = Split(state, ask, apart)) {
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
+#include <tuple>
 
 #include <fmt/format.h>
 
@@ -96,13 +98,7 @@
     UpdateRate(state, target, now);
     state.fill_order.push_back(&target);
   }
-  std::sort(state.fill_order.begin(), state.fill_order.end(),
-            [](const Target* a, const Target* b) {
-              const TargetId& first = a->description.target;
-              const TargetId& second = b->description.target;
-              return std::pair(StableHash(first.value()), first) <
-                     std::pair(StableHash(second.value()), second);
-            });
+  SortFillOrder(state);
   std::erase_if(state.targets, [](const auto& it) {
     const Target& target = it.second;
     return !target.listed && target.answers() == 0 && target.prefilling == 0 &&
@@ -152,10 +148,29 @@
   if (rate) {
     *rate *= rate_share_;
   }
+  state.is_order_outdated |= rate.has_value() != target.rate.is_limited();
   target.rate.Set(rate, RatePhase(id), now);
 }
 
+// Targets whose rate is limited come last: a request counts there whatever its
+// length, so they are best used for long prompts.
+void PlacementScheduler::SortFillOrder(ServiceState& state) {
+  state.is_order_outdated = false;
+  std::sort(state.fill_order.begin(), state.fill_order.end(),
+            [](const Target* a, const Target* b) {
+              const std::string& first = a->description.target.value();
+              const std::string& second = b->description.target.value();
+              return std::tuple(a->rate.is_limited(), StableHash(first),
+                                std::string_view(first)) <
+                     std::tuple(b->rate.is_limited(), StableHash(second),
+                                std::string_view(second));
+            });
+}
+
 void PlacementScheduler::UpdateRates(ServiceState& state, Time now) {
+  if (state.is_order_outdated) {
+    SortFillOrder(state);
+  }
   if (now < state.next_rate_update_at) {
     return;
   }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -187,6 +187,7 @@
     std::map<TargetId, Target> targets;
     // Short prompts fill the targets from the front.
     std::vector<Target*> fill_order;
+    bool is_order_outdated = false;
     std::map<RequestKey, PlacedRequest> placed_requests;
     std::vector<QueuedRequest> queue;
     uint32_t short_request_count = 0;
@@ -370,6 +371,7 @@
   double RatePhase(const TargetId& target) const;
   // Applies the signals of the target and the rate that it may get now.
   void UpdateRate(ServiceState& state, Target& target, Time now);
+  static void SortFillOrder(ServiceState& state);
   // Does so for all targets if the passage of time may have changed them.
   void UpdateRates(ServiceState& state, Time now);
   // Does so for the targets of the report.
