Refuse at once when no target has room, and avoid targets that refuse

Cause: a short prompt that was late stayed queued behind new ones that could be in time, however many came. And a target that turned one request away counted as failed, was suspect for 1 to 8 s, and its share fell on the others.

Change: the scheduler estimates when a target opens from rates, back-offs and answers in progress, and refuses a request that neither comes in time nor, with the requests that will overtake it, before its caller leaves. Nothing is refused early while entries learn the fleet or when suspicions alone shut targets. A target that refuses is avoided for 0.25 to 4 s while another has room.

OrdinaryCrashesBlameNoPart demands that no healthy request is refused; its fleet ran out of slots while half of the targets were down, where a caller would have waited for seconds. Its targets now have slots for that load, so each refusal it sees is due to blame, as the test means.

--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -136,15 +136,14 @@
                                                 double long_prefill_ms,
                                                 Time now) {
   // Returns how many targets hold the short requests and one more. A target
-  // whose rate is limited holds what the rate lets it start.
+  // that states a limit holds what its rate lets it start.
   const auto targets_for = [&](uint32_t per_target) -> size_t {
     const uint32_t per = std::min(per_target, std::max(state.cost.slots, 1U));
     uint32_t held = 0;
     size_t n = 0;
     while (held <= state.short_request_count) {
       uint32_t most = per;
-      if (n < state.fill_order.size() &&
-          state.fill_order[n]->rate.is_limited()) {
+      if (n < state.fill_order.size() && state.fill_order[n]->states_limit) {
         const double started =
             *state.fill_order[n]->rate.requests_per_s() * kShortAnswerSeconds;
         most = std::max(1U, std::min(per, static_cast<uint32_t>(started)));
@@ -191,14 +190,25 @@
     ServiceState& state,
     const QueuedRequest& request,
     Time now) {
+  if (auto assignment = ChooseShortAmong(state, request, false, now)) {
+    return assignment;
+  }
+  return ChooseShortAmong(state, request, true, now);
+}
+
+std::optional<PlacementScheduler::Assignment>
+PlacementScheduler::ChooseShortAmong(ServiceState& state,
+                                     const QueuedRequest& request,
+                                     bool with_avoided,
+                                     Time now) {
   const PlacementAsk& ask = request.ask;
   const double prefill_ms = PrefillMs(state.cost, ask.prompt);
   const Tokens memory = ask.prompt + ask.output;
   Target* best = nullptr;
   double best_score = 0;
   bool best_keeps_limits = false;
-  // Targets at the front that may take the request or whose rate forbids it
-  // now.
+  // Targets at the front that may take the request or whose stated limit
+  // forbids it now.
   size_t seen = 0;
   const bool is_trial =
       blame_.Check(ask.parts, TrialOf(request.entry, ask.number), now).is_trial;
@@ -207,7 +217,10 @@
   for (Target* it : state.fill_order) {
     Target& target = *it;
     if (!IsAvailable(target, request, now)) {
-      seen += target.rate.IsOpen(now) ? 0 : 1;
+      seen += target.states_limit && !target.rate.IsOpen(now) ? 1 : 0;
+      continue;
+    }
+    if (now < target.avoided_until && !with_avoided) {
       continue;
     }
     // Engines reserved for long prompts take a short one only if all others are
@@ -441,17 +454,23 @@
     const QueuedRequest& request,
     Time now) {
   const PlacementAsk& ask = request.ask;
+  const bool all_avoided =
+      std::all_of(state.fill_order.begin(), state.fill_order.end(),
+                  [&](const Target* it) { return now < it->avoided_until; });
   std::vector<PrefillCandidate> all;
   size_t seen = 0;  // As in ChooseShort().
   size_t for_short = 0;
   for (Target* it : state.fill_order) {
     Target& target = *it;
+    if (now < target.avoided_until && !all_avoided) {
+      continue;
+    }
     if (IsAvailable(target, request, now) &&
         target.prefilling < state.cost.slots) {
       all.push_back({&target, AvailablePrefillMs(state, target, now),
                      target.pass_predictor.WaitMs(now)});
       for_short += seen++ < state.short_target_count ? 1 : 0;
-    } else if (!target.rate.IsOpen(now)) {
+    } else if (target.states_limit && !target.rate.IsOpen(now)) {
       ++seen;
     }
   }
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -1,6 +1,7 @@
 #include "src/placement_scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <string_view>
 #include <tuple>
@@ -30,12 +31,15 @@
 // Minimum time between two attempts to place the queued requests, which any
 // event may trigger. The placing agent has only a fifth of a core.
 constexpr Duration kPlacementAttemptInterval = std::chrono::milliseconds(5);
-// How long a request may wait while rates, back-offs and suspicions shut all
-// targets, if no other request waits. Callers leave soon after.
+// How long a request that will be late may wait for a target. Callers leave
+// soon after.
 constexpr Duration kMaxShutWait = std::chrono::milliseconds(1'500);
 // Longest delay after which a caller is told to come back because all targets
 // are shut.
 constexpr Duration kMaxReturnDelay = std::chrono::seconds(5);
+constexpr Duration kAskRateWindow = std::chrono::seconds(2);
+// Weight of the newest answer in the average time of short answers.
+constexpr double kNewAnswerWeight = 0.05;
 // Interval at which rates are updated without an event.
 constexpr Duration kRateUpdateInterval = std::chrono::seconds(1);
 // Long prompts that may fail to be placed per attempt, in queue order; the
@@ -44,6 +48,10 @@
 // A failed target gets no work for this long, doubled by each further failure.
 constexpr Duration kInitialSuspectTime = std::chrono::seconds(1);
 constexpr Duration kMaxSuspectTime = std::chrono::seconds(8);
+// A target that has turned a request away is avoided for this long, doubled by
+// each further refusal and halved by each answer.
+constexpr Duration kInitialAvoidedTime = std::chrono::milliseconds(250);
+constexpr Duration kMaxAvoidedTime = std::chrono::seconds(4);
 // A snapshot may miss requests placed within this time, as their replies may
 // still be in flight.
 constexpr Duration kSnapshotDelay = std::chrono::milliseconds(500);
@@ -139,6 +147,8 @@
   const uint64_t started_at = target.description.started_at;
   target.is_leaving = signals_.IsLeaving(id, started_at, now);
   std::optional<double> rate = signals_.RateOf(id, started_at);
+  state.is_order_outdated |= rate.has_value() != target.states_limit;
+  target.states_limit = rate.has_value();
   if (now < target.cold_until && state.cold_requests_per_s > 0) {
     rate = std::min(rate.value_or(state.cold_requests_per_s),
                     state.cold_requests_per_s);
@@ -148,11 +158,10 @@
   if (rate) {
     *rate *= rate_share_;
   }
-  state.is_order_outdated |= rate.has_value() != target.rate.is_limited();
   target.rate.Set(rate, RatePhase(id), now);
 }
 
-// Targets whose rate is limited come last: a request counts there whatever its
+// Targets that state a limit come last: a request counts there whatever its
 // length, so they are best used for long prompts.
 void PlacementScheduler::SortFillOrder(ServiceState& state) {
   state.is_order_outdated = false;
@@ -160,9 +169,9 @@
             [](const Target* a, const Target* b) {
               const std::string& first = a->description.target.value();
               const std::string& second = b->description.target.value();
-              return std::tuple(a->rate.is_limited(), StableHash(first),
+              return std::tuple(a->states_limit, StableHash(first),
                                 std::string_view(first)) <
-                     std::tuple(b->rate.is_limited(), StableHash(second),
+                     std::tuple(b->states_limit, StableHash(second),
                                 std::string_view(second));
             });
 }
@@ -266,6 +275,9 @@
     RemovePlacedRequest(state, placed, now);
   }
   entries_.insert(entry);
+  if (!IsLongPrompt(state, ask.prompt) && ask.first_event_left > Duration(0)) {
+    CountShortAsk(state, now);
+  }
   if (ask.prompt + ask.output > MaxRequestTokens(state)) {
     Refuse(request, Duration(0));
     return;
@@ -281,7 +293,8 @@
     Place(state, request, std::move(*assignment), now);
     return;
   }
-  if (RefuseIfShutOut(state, request, state.queue.size(), now)) {
+  if (RefuseIfShutOut(state, request, CountAhead(state, request, state.queue),
+                      now)) {
     return;
   }
   decisions_.push_back(
@@ -310,6 +323,10 @@
         failed.suspect_duration = std::clamp(
             failed.suspect_duration * 2, kInitialSuspectTime, kMaxSuspectTime);
         failed.suspect_until = now + failed.suspect_duration;
+      } else if (change.event == PlacementEvent::kTargetRefused) {
+        failed.avoided_duration = std::clamp(
+            failed.avoided_duration * 2, kInitialAvoidedTime, kMaxAvoidedTime);
+        failed.avoided_until = now + failed.avoided_duration;
       }
     }
     const auto placed = state.placed_requests.find({entry, change.number});
@@ -319,10 +336,17 @@
     ReportToBlame(state, placed->second, change, TrialOf(entry, change.number),
                   now);
     if (ended) {
+      if (!placed->second.is_long && !placed->second.work.reading) {
+        const double took_ms = ToMs(now - placed->second.placed_at);
+        state.short_answer_ms +=
+            kNewAnswerWeight * (took_ms - state.short_answer_ms);
+      }
       RemovePlacedRequest(state, placed, now);
     } else {
       EndPrefill(state, placed->second, true, now);
-      state.targets[placed->second.work.target].suspect_duration = Duration(0);
+      Target& answered = state.targets[placed->second.work.target];
+      answered.suspect_duration = Duration(0);
+      answered.avoided_duration /= 2;
     }
     PlaceQueued(state, now);
   }
@@ -703,15 +727,51 @@
     const ServiceState& state,
     const QueuedRequest& request,
     Time now) {
+  const bool is_short = !IsLongPrompt(state, request.ask.prompt);
+  const Tokens memory = request.ask.prompt + request.ask.output;
+  // Slots become free one after the other.
+  const double slots = std::max<double>(state.cost.slots, 1);
+  const double slot_free_ms = state.short_answer_ms / slots;
   ShutTargets shut;
+  bool is_known = false;
   for (const Target* it : state.fill_order) {
-    const Time at = AvailableAt(*it, request);
+    Time at = AvailableAt(*it, request);
+    is_known = is_known || at > it->suspect_until || now >= it->suspect_until;
+    std::optional<double> rate = it->rate.requests_per_s();
+    const bool is_full = it->answers() >= state.cost.slots ||
+                         it->memory_used + memory > state.cost.memory;
+    if (is_short && is_full && at != Time::max()) {
+      at = std::max(at, now + FromMs(slot_free_ms));
+      rate = std::min(rate.value_or(1e3 / slot_free_ms), 1e3 / slot_free_ms);
+    }
     if (at <= now) {
       return std::nullopt;
     }
-    shut.Add(at, it->rate);
+    shut.Add(at, rate);
+  }
+  return is_known ? std::optional(shut) : std::nullopt;
+}
+
+// Short prompts do not wait for the long ones that are queued before them.
+size_t PlacementScheduler::CountAhead(const ServiceState& state,
+                                      const QueuedRequest& request,
+                                      const std::vector<QueuedRequest>& queue) {
+  if (IsLongPrompt(state, request.ask.prompt)) {
+    return queue.size();
   }
-  return shut;
+  return static_cast<size_t>(
+      std::count_if(queue.begin(), queue.end(), [&](const QueuedRequest& it) {
+        return !IsLongPrompt(state, it.ask.prompt);
+      }));
+}
+
+// A moving average over about kAskRateWindow.
+void PlacementScheduler::CountShortAsk(ServiceState& state, Time now) {
+  const double window_s = ToMs(kAskRateWindow) / 1e3;
+  const double passed_s = ToMs(now - state.last_short_ask_at) / 1e3;
+  state.short_asks_per_s *= std::exp(-passed_s / window_s);
+  state.short_asks_per_s += 1 / window_s;
+  state.last_short_ask_at = now;
 }
 
 bool PlacementScheduler::RefuseIfShutOut(ServiceState& state,
@@ -722,20 +782,26 @@
   if (!shut) {
     return false;
   }
-  // With others ahead, a request that would be late is overtaken by new ones
-  // that can be in time, and would wait for nothing.
-  const Time longest = ahead == 0 || expects_leader_
-                           ? request.asked_at + kMaxShutWait
-                           : request.first_event_by;
-  const Time latest = std::min(longest, request.give_up_at);
-  const bool may_open = expects_leader_ && now < latest;
-  if (may_open || shut->OpenAt(ahead) <= latest) {
+  const Time in_time = std::min(request.first_event_by, request.give_up_at);
+  if (shut->OpenAt(ahead) <= in_time) {
+    return false;
+  }
+  // A request that will be late is overtaken by new ones that can be in time.
+  const bool is_long = IsLongPrompt(state, request.ask.prompt);
+  const double overtaking_per_s = is_long ? 0 : state.short_asks_per_s;
+  const Time latest =
+      std::min(request.asked_at + kMaxShutWait, request.give_up_at);
+  // While the fleet starts, more targets are listed at any moment.
+  const bool is_unsettled =
+      expects_leader_ || now < request.asked_at + request.ask.unsettled_left;
+  const bool may_open = is_unsettled && now < latest;
+  if (may_open || shut->OpenAt(ahead, overtaking_per_s) <= latest) {
     return false;
   }
   // Callers that are refused come back one after the other, at the rate at
   // which the targets take requests.
   const Time first = std::max(state.next_return_at, shut->OpenAt(ahead));
-  const Time last = now + (expects_leader_ ? kMaxShutWait : kMaxReturnDelay);
+  const Time last = now + (is_unsettled ? kMaxShutWait : kMaxReturnDelay);
   const Time return_at = std::min(first, last);
   state.next_return_at =
       return_at + (shut->requests_per_s > 0 ? FromMs(1e3 / shut->requests_per_s)
@@ -772,7 +838,7 @@
       Place(state, it, std::move(*assignment), now);
     } else {
       failed += is_long && verdict == CrashBlame::Verdict::kSend ? 1 : 0;
-      if (!RefuseIfShutOut(state, it, left.size(), now)) {
+      if (!RefuseIfShutOut(state, it, CountAhead(state, it, left), now)) {
         left.push_back(std::move(it));
       }
     }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -154,6 +154,7 @@
     Time cold_until{};
     // The rate of requests, while the target is cold or states a limit.
     SharedRate rate;
+    bool states_limit = false;
     bool is_leaving = false;
     // Ends of the times for which the target wants no request of an entry.
     std::map<PeerId, Time> back_offs;
@@ -166,6 +167,10 @@
     PassPredictor pass_predictor;
     Time suspect_until{};
     Duration suspect_duration{0};
+    // The target has turned requests away: it gets one only if no other target
+    // has room.
+    Time avoided_until{};
+    Duration avoided_duration{0};
     std::vector<LeftRequest> left_requests;  // The latest ones.
 
     uint32_t answers() const { return short_answers + long_answers; }
@@ -179,6 +184,8 @@
     Time give_up_at{};
   };
 
+  static constexpr double kInitialShortAnswerMs = 2'000;
+
   struct ServiceState {
     EngineCost cost;
     double cold_requests_per_s = 0;
@@ -192,6 +199,13 @@
     std::vector<QueuedRequest> queue;
     uint32_t short_request_count = 0;
     uint32_t long_request_count = 0;
+    // Moving average of the time from the placement of a short prompt to the
+    // end of its answer.
+    double short_answer_ms = kInitialShortAnswerMs;
+    // Short prompts a second that entries ask for and that can be in time, by a
+    // moving average. Those that a new leader is asked for again are late.
+    double short_asks_per_s = 0;
+    Time last_short_ask_at{};
     // Prefill time of all long prompts in progress, over all their parts.
     double long_prefill_in_progress_ms = 0;
     // Targets at the front of fill_order that are preferred for short prompts.
@@ -252,14 +266,16 @@
                           Time now) {
     return now >= AvailableAt(target, request);
   }
-  // Returns when targets open again if rates, back-offs and suspicions shut all
-  // of them to the request now, or nullopt if some target is open.
+  // Returns when targets open again if rates, back-offs, suspicions or, for a
+  // short prompt, the answers in progress keep all of them from taking the
+  // request now. Nullopt if some target is open, or if suspicions alone shut
+  // them, which new targets may end at any moment.
   static std::optional<ShutTargets> FindShutTargets(
       const ServiceState& state,
       const QueuedRequest& request,
       Time now);
-  // Refuses the request if all targets are shut for longer than it can wait.
-  // Returns whether it was refused.
+  // Refuses the request if all targets are shut for longer than it can wait
+  // behind `ahead` others. Returns whether it was refused.
   bool RefuseIfShutOut(ServiceState& state,
                        const QueuedRequest& request,
                        size_t ahead,
@@ -276,6 +292,11 @@
   std::optional<Assignment> ChooseShort(ServiceState& state,
                                         const QueuedRequest& request,
                                         Time now);
+  // Considers targets that are avoided only if `with_avoided`.
+  std::optional<Assignment> ChooseShortAmong(ServiceState& state,
+                                             const QueuedRequest& request,
+                                             bool with_avoided,
+                                             Time now);
   std::optional<Assignment> ChooseLong(ServiceState& state,
                                        const QueuedRequest& request,
                                        Time now);
@@ -353,6 +374,11 @@
                            Time now);
   // Returns a reply that tells the number of entries.
   PlacementReply MakeReply(uint64_t number, PlacementVerdict verdict) const;
+  static void CountShortAsk(ServiceState& state, Time now);
+  // Returns how many requests of the queue the request has to wait for.
+  static size_t CountAhead(const ServiceState& state,
+                           const QueuedRequest& request,
+                           const std::vector<QueuedRequest>& queue);
   void Refuse(const QueuedRequest& request, Duration retry_after);
   // Whether the parts of the prompt allow the request to be placed now. Refuses
   // it if they are blocked.
--- a/src/service_balancer.cc
+++ b/src/service_balancer.cc
@@ -104,7 +104,7 @@
     if (at <= now) {
       return std::nullopt;
     }
-    shut.Add(at, targets_[it->record.target].rate);
+    shut.Add(at, targets_[it->record.target].rate.requests_per_s());
   }
   return shut;
 }
--- a/tests/crash_blame_fleet_test.cc
+++ b/tests/crash_blame_fleet_test.cc
@@ -272,6 +272,9 @@
     TargetList list;
     list.service = ServiceId("llm");
     list.revision = revision_;
+    // Enough for all requests while half of the targets are down, so that a
+    // request that is refused was refused because of its parts.
+    list.cost.slots = 128;
     for (const TargetId& it : targets_) {
       list.targets.push_back({it, it.value(), DataCentreId("dc"), Duration(0)});
     }
