Take a refusal only for the attempt that it answers

Report of other operators: a faulty replica wrote an earlier refusal once more on a kept connection, and callers heard 'not run' for requests that had run.

It could happen in both paths. Forwarding: a refusal was accepted before its attempt id was compared; each attempt has a connection of its own, so a copy needs a target that writes it there.

A refusal with another attempt id now proves nothing.

--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -76,7 +76,6 @@
 void DispatchServiceCall(AgentTables& tables, AcceptedAttempt& attempt) {
   Offer& offer = attempt.offer;
   ServiceRequest request;
-  request.repeatable = offer.repeatable;
   request.method = offer.method;
   request.path = offer.path;
   request.body = std::move(offer.body);
--- a/src/engine_http.cc
+++ b/src/engine_http.cc
@@ -65,13 +65,13 @@
                                         : OrderStatus::kFailed;
 }
 
+// Each call has a connection of its own: on one that is kept, a faulty engine
+// may write an earlier answer once more.
 HttpCall MakeCall(std::string method, std::string target) {
   HttpCall call;
   call.method = std::move(method);
   call.target = std::move(target);
   call.timeout = kCallTimeout;
-  // The engine's GET, PUT and DELETE calls are idempotent.
-  call.repeatable = call.method != "POST";
   return call;
 }
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -467,24 +467,34 @@
   RecordSignals();
   ends_with_connection_ = FindHeader(headers, "Content-Length") == nullptr &&
                           FindHeader(headers, "Transfer-Encoding") == nullptr;
-  if (response_fields_.not_executed || !IsSuccess(status)) {
+  // A response to another request is not forwarded, and its refusal says
+  // nothing about this one.
+  if (IsForOtherAttempt()) {
+    response_fields_.not_executed = false;
+    FailAttempt(AttemptFailure::kInvalid);
+    return;
+  }
+  if (response_fields_.not_executed) {
     return;
   }
-  // A response without a target's signature, or to another request, is not
-  // forwarded.
-  if (!response_fields_.is_signed ||
-      (!response_fields_.attempt_id.empty() &&
-       response_fields_.attempt_id != caller_fields_.attempt_id)) {
+  if (!IsSuccess(status)) {
+    return;
+  }
+  if (!response_fields_.is_signed) {
     FailAttempt(AttemptFailure::kInvalid);
     return;
   }
   is_streaming_ = route_->is_streaming;
 }
 
+bool ForwardRequest::IsForOtherAttempt() const {
+  return !response_fields_.attempt_id.empty() &&
+         response_fields_.attempt_id != caller_fields_.attempt_id;
+}
+
 // A response to another attempt may be old.
 void ForwardRequest::RecordSignals() {
-  if (!response_fields_.attempt_id.empty() &&
-      response_fields_.attempt_id != caller_fields_.attempt_id) {
+  if (IsForOtherAttempt()) {
     return;
   }
   context_->placement->OnResponse(
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -113,6 +113,7 @@
   void SendToTarget(const FleetDirectory::KnownTarget& entry,
                     std::vector<ForwardHelper> helpers);
   void OnResponseHead(uint32_t status, HeaderList headers);
+  bool IsForOtherAttempt() const;
   // Passes on what the response says of its target.
   void RecordSignals();
   void OnResponseBody(std::string_view data);
--- a/src/plain_service.h
+++ b/src/plain_service.h
@@ -18,7 +18,6 @@
   std::string body;
   std::optional<IdempotencyKey> key;
   Duration timeout{0};
-  bool repeatable = false;  // The service may receive the call twice.
 };
 
 enum class CallStatus : uint8_t {
--- a/src/plain_service_http.cc
+++ b/src/plain_service_http.cc
@@ -15,9 +15,10 @@
 
 constexpr Duration kHealthCheckTimeout = std::chrono::seconds(2);
 
+// Each call has a connection of its own: on one that is kept, a faulty service
+// may write an earlier answer once more.
 HttpCall ToCall(ServiceRequest request) {
   HttpCall call;
-  call.repeatable = request.repeatable;
   call.method = std::move(request.method);
   call.target = std::move(request.path);
   call.timeout = request.timeout;
@@ -61,7 +62,6 @@
     call.method = "GET";
     call.target = "/healthz";
     call.timeout = kHealthCheckTimeout;
-    call.repeatable = true;
     client_->Call(std::move(call), [&control = control_,
                                     done = std::move(done)](HttpReply reply) {
       const bool healthy = reply.status == CallStatus::kAnswered &&
--- a/src/plain_service_http.h
+++ b/src/plain_service_http.h
@@ -17,8 +17,8 @@
 // ServiceRequest::timeout starts at Call. The writing thread checks it just
 // before the first write and reports kNotSent if it has expired; after the
 // first byte it limits the wait for the response and expires with kUnknown.
-// Only repeatable requests use pooled connections and may reach the service
-// twice. Both contexts must outlive the service object.
+// No request reaches the service twice. Both contexts must outlive the service
+// object.
 std::unique_ptr<PlainService> MakeHttpPlainService(
     boost::asio::io_context& control,
     boost::asio::io_context& traffic,
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -818,6 +818,18 @@
   EXPECT_FALSE(exchange_->aborted);
 }
 
+// Guards against a refusal of another attempt, which a faulty target wrote once
+// more: the request that it seems to refuse may have run.
+TEST_F(ForwardRequestTest, RefusalOfAnotherAttemptProvesNothing) {
+  Send("/once/");
+  call(0).handlers.on_head(503, {{"attempt", "earlier"}, {"not-run", "1"}});
+  if (!call(0).stopped) {
+    End(0);
+  }
+  EXPECT_EQ(connector_.calls.size(), 1u);
+  EXPECT_EQ(exchange_->status, 502u);
+}
+
 // Guards against one part of prompts that crashes target after target: each
 // request with it, new or repeated, was sent to another one. Healthy requests
 // with the same API key and first part are served.
--- /dev/null
+++ b/tests/target_connection_test.cc
@@ -0,0 +1,176 @@
+// Calls of the product's own path to targets that misbehave on the connection,
+// over loopback.
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include "src/engine_http.h"
+#include "src/plain_service_http.h"
+
+namespace burdockhatch {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// Answers the requests of all its connections with `answers`, one after the
+// other. On a connection that is kept, each request is first answered with a
+// copy of the connection's previous answer.
+class RepeatingTarget {
+ public:
+  explicit RepeatingTarget(std::vector<std::string> answers)
+      : answers_(std::move(answers)),
+        acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        thread_([this] { Serve(); }) {}
+  ~RepeatingTarget() {
+    stopped_ = true;
+    // Wakes the thread from accept().
+    asio::io_context io;
+    tcp::socket socket(io);
+    error_code ignored;
+    socket.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+    for (std::thread& it : connections_) {
+      it.join();
+    }
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  void Serve() {
+    while (true) {
+      auto socket = std::make_shared<tcp::socket>(io_);
+      error_code ec;
+      acceptor_.accept(*socket, ec);
+      if (ec || stopped_) {
+        return;
+      }
+      connections_.emplace_back([this, socket] { Answer(*socket); });
+    }
+  }
+
+  void Answer(tcp::socket& socket) {
+    std::string previous;
+    error_code ec;
+    asio::streambuf input;
+    while (asio::read_until(socket, input, "\r\n\r\n", ec) > 0 && !ec) {
+      input.consume(input.size());
+      const std::string answer = answers_.at(next_answer_++);
+      asio::write(socket, asio::buffer(previous + answer), ec);
+      previous = answer;
+    }
+  }
+
+  std::vector<std::string> answers_;
+  std::atomic<size_t> next_answer_ = 0;
+  std::atomic<bool> stopped_ = false;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
+class TargetConnectionTest : public testing::Test {
+ protected:
+  ~TargetConnectionTest() override {
+    io_.stop();
+    thread_.join();
+  }
+
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_{
+      io_.get_executor()};
+  std::thread thread_{[this] { io_.run(); }};
+};
+
+std::string MakeAnswer(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// Guards against a refusal that a faulty service writes once more on a kept
+// connection and that is taken for the answer to the next call, which has run.
+TEST_F(TargetConnectionTest, ServiceCallIsNotAnsweredByEarlierRefusal) {
+  RepeatingTarget target({MakeAnswer(503, "full"), MakeAnswer(200, "done")});
+  const auto service = MakeHttpPlainService(io_, io_, target.address());
+  const auto call = [&] {
+    ServiceRequest request;
+    request.method = "GET";
+    request.path = "/stock/1";
+    request.timeout = std::chrono::seconds(5);
+    std::promise<ServiceResponse> promise;
+    service->Call(request, [&](ServiceResponse it) { promise.set_value(it); });
+    return promise.get_future().get();
+  };
+  EXPECT_EQ(call().http_status, 503u);
+  const ServiceResponse second = call();
+  EXPECT_EQ(second.http_status, 200u);
+  EXPECT_EQ(second.body, "done");
+}
+
+// Guards against the same at an engine: memory that it has imported would be
+// taken for refused.
+TEST_F(TargetConnectionTest, EngineCallIsNotAnsweredByEarlierRefusal) {
+  RepeatingTarget target({MakeAnswer(507, ""), MakeAnswer(200, "")});
+  const auto engine = MakeHttpEngine(io_, io_, target.address());
+  const auto import = [&](const char* cache) {
+    std::promise<StartStatus> promise;
+    engine->ImportCache(StreamId(cache), Tokens(10),
+                        [&](StartStatus it) { promise.set_value(it); });
+    return promise.get_future().get();
+  };
+  EXPECT_EQ(import("a"), StartStatus::kRefused);
+  EXPECT_EQ(import("b"), StartStatus::kStarted);
+}
+
+// Guards against an answer whose head or body ends halfway and that is taken
+// for a complete one.
+TEST_F(TargetConnectionTest, AnswerThatEndsHalfwayIsUnknown) {
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: "
+      "4\r\n\r\ndone";
+  for (size_t n = 1; n <= whole.size(); ++n) {
+    asio::io_context io;
+    tcp::acceptor acceptor(
+        io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    std::thread target([&] {
+      tcp::socket socket(io);
+      error_code ec;
+      acceptor.accept(socket, ec);
+      asio::streambuf input;
+      asio::read_until(socket, input, "\r\n\r\n", ec);
+      asio::write(socket, asio::buffer(whole.substr(0, n)), ec);
+    });
+    const auto service = MakeHttpPlainService(
+        io_, io_,
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    ServiceRequest request;
+    request.method = "POST";
+    request.path = "/orders";
+    request.timeout = std::chrono::seconds(5);
+    std::promise<ServiceResponse> promise;
+    service->Call(request, [&](ServiceResponse it) { promise.set_value(it); });
+    EXPECT_EQ(promise.get_future().get().status,
+              n < whole.size() ? CallStatus::kUnknown : CallStatus::kAnswered)
+        << "after " << n << " bytes";
+    target.join();
+  }
+}
+
+}  // namespace
+}  // namespace burdockhatch
