Abort a stream whose next target answers with an error

Report of other operators: a stream broke off, the next replica answered with an error, and clients found its text or head in the middle of their stream.

It could happen when forwarding: a final answer with a status of 204, 3xx or 4xx was sent as a whole response into the stream that had begun, or its text was appended as held events. After the first event only a response with the status and content type of the first may follow; anything else fails the attempt, and the stream is resumed elsewhere or aborted.

ErrorAfterBrokenStreamTest (204, 302, 400, 404 and 429 of 7 statuses) and TextAfterBrokenStreamIsNotAppended failed before.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -478,9 +478,13 @@
     return;
   }
   if (!IsSuccess(status)) {
+    // Nothing but events may follow those that the caller has.
+    if (stream_started_) {
+      FailAttempt(AttemptFailure::kErrorResponse);
+    }
     return;
   }
-  if (!response_fields_.is_signed) {
+  if (!response_fields_.is_signed || !ContinuesStream(headers)) {
     FailAttempt(AttemptFailure::kInvalid);
     return;
   }
@@ -492,6 +496,13 @@
          response_fields_.attempt_id != caller_fields_.attempt_id;
 }
 
+bool ForwardRequest::ContinuesStream(const HeaderList& headers) const {
+  const std::string* type = FindHeader(headers, "Content-Type");
+  return !stream_started_ ||
+         (response_status_ == stream_status_ &&
+          (type == nullptr ? "" : *type) == stream_content_type_);
+}
+
 // A response to another attempt may be old.
 void ForwardRequest::RecordSignals() {
   if (IsForOtherAttempt()) {
@@ -544,6 +555,9 @@
   const bool is_first_of_attempt = !std::exchange(attempt_has_events_, true);
   if (!stream_started_) {
     stream_started_ = true;
+    stream_status_ = response_status_;
+    const std::string* type = FindHeader(response_headers_, "Content-Type");
+    stream_content_type_ = type == nullptr ? "" : *type;
     first_event_at_ = context_->timers->Now();
     exchange_->StartStream(response_status_, response_headers_);
   }
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -114,6 +114,9 @@
                     std::vector<ForwardHelper> helpers);
   void OnResponseHead(uint32_t status, HeaderList headers);
   bool IsForOtherAttempt() const;
+  // Whether a response with these headers may follow the events that the caller
+  // has received.
+  bool ContinuesStream(const HeaderList& headers) const;
   // Passes on what the response says of its target.
   void RecordSignals();
   void OnResponseBody(std::string_view data);
@@ -210,6 +213,8 @@
 
   EventStream events_;
   bool stream_started_ = false;  // The response head was sent to the caller.
+  uint32_t stream_status_ = 0;   // Of that head.
+  std::string stream_content_type_;
   Time first_event_at_{};
   Time last_event_at_{};
   Duration longest_gap_{0};  // Between consecutive events sent to the caller.
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -830,6 +830,50 @@
   EXPECT_EQ(exchange_->status, 502u);
 }
 
+class ErrorAfterBrokenStreamTest
+    : public ForwardRequestTest,
+      public testing::WithParamInterface<uint32_t> {};
+
+INSTANTIATE_TEST_SUITE_P(Statuses,
+                         ErrorAfterBrokenStreamTest,
+                         testing::Values(204, 302, 400, 404, 429, 500, 503));
+
+// Guards against the error of the target at which a broken stream resumes: its
+// text, or its whole head, was found in the middle of the caller's stream, or
+// the stream ended as if it were complete.
+TEST_P(ErrorAfterBrokenStreamTest, StreamIsAborted) {
+  Send("/stream/");
+  Head(0);
+  Body(0, "id: 0\ndata: a\n\n");
+  End(0, ForwardCallResult::kBroken);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  Head(1, GetParam(), {{"Content-Length", "15"}});
+  if (!call(1).stopped) {
+    Body(1, "no such thing\n\n");
+    End(1);
+  }
+  EXPECT_EQ(exchange_->text, "id: 0\ndata: a\n\n");
+  EXPECT_EQ(exchange_->status, 200u);
+  EXPECT_EQ(exchange_->ends, 1);
+  EXPECT_TRUE(exchange_->aborted);
+}
+
+// Guards against the same with an error that has the status of a success.
+TEST_F(ForwardRequestTest, TextAfterBrokenStreamIsNotAppended) {
+  Send("/stream/");
+  Head(0, 200, {{"Content-Type", "text/event-stream"}});
+  Body(0, "id: 0\ndata: a\n\n");
+  End(0, ForwardCallResult::kBroken);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  Head(1, 200, {{"Content-Type", "text/plain"}, {"Content-Length", "7"}});
+  if (!call(1).stopped) {
+    Body(1, "error\n\n");
+    End(1);
+  }
+  EXPECT_EQ(exchange_->text, "id: 0\ndata: a\n\n");
+  EXPECT_TRUE(exchange_->aborted);
+}
+
 // Guards against one part of prompts that crashes target after target: each
 // request with it, new or repeated, was sent to another one. Healthy requests
 // with the same API key and first part are served.
