--- a/src/shut_targets.h
+++ b/src/shut_targets.h
@@ -46,6 +46,8 @@
     const double behind_ms = 1e3 * static_cast<double>(ahead) / spare_per_s;
     return std::min(unlimited_at, first_open_at + FromMs(behind_ms));
   }
+
+  bool operator==(const ShutTargets&) const = default;
 };
 
 }  // namespace burdockhatch
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <deque>
 #include <new>
+#include <set>
 #include <utility>
 
 #include <gtest/gtest.h>
@@ -54,6 +55,12 @@
     fields.is_wrong_target = status == 421;
     fields.not_executed =
         fields.is_wrong_target || FindHeader(headers, "not-run") != nullptr;
+    if (FindHeader(headers, "limit") != nullptr) {
+      fields.signals.requests_per_s =
+          static_cast<double>(Number(headers, "limit", 0));
+    }
+    fields.signals.is_leaving = FindHeader(headers, "leaving") != nullptr;
+    fields.signals.back_off = milliseconds(Number(headers, "back-off-ms", 0));
     return fields;
   }
   HeaderList EntryResponseHeaders(const CallerFields&) const override {
@@ -874,6 +881,109 @@
   EXPECT_TRUE(exchange_->aborted);
 }
 
+// --- What targets say of themselves ---
+
+// Guards against requests to a target that has said that it leaves, of both
+// kinds of services: new ones, retries and resumed streams.
+TEST_F(ForwardRequestTest, LeavingTargetGetsNoFurtherRequest) {
+  for (const char* path : {"/stream/", "/read/"}) {
+    Send(path);
+    const std::string leaving = connector_.calls.back()->spec.address;
+    const size_t first = connector_.calls.size() - 1;
+    Head(first, 200, {{"leaving", "1"}});
+    Body(first, "id: 0\ndata: a\n\n");
+    End(first, ForwardCallResult::kBroken);
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_NE(connector_.calls.back()->spec.address, leaving);
+      End(connector_.calls.size() - 1, ForwardCallResult::kNotSent);
+      timers_.Advance(milliseconds(700));
+      Send(path);
+    }
+  }
+}
+
+// Guards against requests to a target that has turned one away and asked for a
+// pause, and against a target that gets none after the pause.
+TEST_F(ForwardRequestTest, BackOffOfATargetIsKept) {
+  for (const char* path : {"/stream/", "/once/"}) {
+    Send(path);
+    const std::string refusing = connector_.calls.back()->spec.address;
+    const size_t first = connector_.calls.size() - 1;
+    Head(first, 503, {{"not-run", "1"}, {"back-off-ms", "3000"}});
+    End(first);
+    std::set<std::string> used;
+    for (int i = 0; i < 29; ++i) {
+      EXPECT_NE(connector_.calls.back()->spec.address, refusing);
+      exchange_->on_gone();
+      timers_.Advance(milliseconds(100));
+      Send(path);
+    }
+    exchange_->on_gone();
+    timers_.Advance(milliseconds(200));
+    for (int i = 0; i < 40; ++i) {
+      Send(path);
+      used.insert(connector_.calls.back()->spec.address);
+    }
+    EXPECT_TRUE(used.contains(refusing)) << path;
+  }
+}
+
+// Guards against a limit that retries and resumed streams exceed, without an
+// agent: the entry is the only one and uses a twentieth of the rate of engines.
+TEST_F(ForwardRequestTest, RetriesCountTowardsTheLimit) {
+  for (int i = 0; i < 200; ++i) {
+    Send("/read/");
+    const size_t call = connector_.calls.size() - 1;
+    Head(call, 200, {{"limit", "2"}});
+    End(call,
+        i % 2 == 0 ? ForwardCallResult::kComplete : ForwardCallResult::kBroken);
+    timers_.Advance(milliseconds(100));
+  }
+  // 20 s, three targets, all limited after a few calls; the number of entries
+  // is not known.
+  EXPECT_LE(connector_.calls.size(), 15u);
+}
+
+// Guards against helpers that leave: a part of a prompt is load as well.
+TEST_F(ForwardRequestTest, LeavingTargetHelpsNoPrompt) {
+  AddTargets("llm", 8);
+  Send("/stream/", {{"prompt", "1000000"}});
+  ASSERT_FALSE(connector_.calls.empty());
+  TargetSignals leaving;
+  leaving.is_leaving = true;
+  placement_.OnResponse(TargetId("llm3"), 0, leaving, true, timers_.Now(),
+                        timers_.Now());
+  const std::string address = "llm3:80";
+  for (int i = 0; i < 3; ++i) {
+    exchange_->on_gone();
+    const size_t calls = connector_.calls.size();
+    Send("/stream/", {{"prompt", "1000000"}});
+    ASSERT_EQ(connector_.calls.size(), calls + 1);
+    EXPECT_NE(connector_.calls.back()->spec.address, address);
+    for (const Header& it : connector_.calls.back()->spec.headers) {
+      EXPECT_FALSE(it.value.starts_with(address)) << it.value;
+    }
+  }
+}
+
+// Guards against callers that wait although all targets have asked for a pause,
+// and against a time to come back that is not theirs.
+TEST_F(ForwardRequestTest, CallerHearsAtOnceWhenAllTargetsWantAPause) {
+  TargetSignals refusal;
+  refusal.back_off = std::chrono::seconds(4);
+  for (int i = 0; i < 3; ++i) {
+    placement_.OnResponse(TargetId("orders" + std::to_string(i)), 0, refusal,
+                          false, timers_.Now(), timers_.Now());
+  }
+  Send("/once/");
+  EXPECT_EQ(exchange_->status, 503u);
+  ASSERT_NE(FindHeader(exchange_->headers, "Retry-After"), nullptr);
+  const double wait = std::stod(*FindHeader(exchange_->headers, "Retry-After"));
+  EXPECT_GE(wait, 4);
+  EXPECT_LE(wait, 4.5);
+  EXPECT_TRUE(connector_.calls.empty());
+}
+
 // Guards against one part of prompts that crashes target after target: each
 // request with it, new or repeated, was sent to another one. Healthy requests
 // with the same API key and first part are served.
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -212,5 +212,30 @@
             Paths{"/crash_blame/max_suspect"});
 }
 
+// Guards against settings of what targets say of themselves that are ignored,
+// or accepted without a check.
+TEST(SettingsTest, ReadsTargetSignals) {
+  Findings findings;
+  const std::string text =
+      Replace(kAgentSettings, "\"limits\"",
+              "\"target_signals\": {\"enabled\": false, "
+              "\"max_back_off_ms\": 20000, \"leaving_memory_ms\": 30000}, "
+              "\"limits\"");
+  const auto settings = ParseSettings(text, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  EXPECT_FALSE(settings->target_signals.enabled);
+  EXPECT_EQ(settings->target_signals.max_back_off, std::chrono::seconds(20));
+  EXPECT_EQ(settings->target_signals.leaving_memory, std::chrono::seconds(30));
+  using Paths = std::vector<std::string>;
+  EXPECT_EQ(ListPaths(Replace(text, "20000", "0")),
+            Paths{"/target_signals/max_back_off_ms"});
+  EXPECT_EQ(ListPaths(Replace(text, "30000", "-1")),
+            Paths{"/target_signals/leaving_memory_ms"});
+  EXPECT_EQ(ListPaths(Replace(text, "\"enabled\": false", "\"enabled\": 1")),
+            Paths{"/target_signals/enabled"});
+  EXPECT_EQ(ListPaths(Replace(text, "max_back_off", "max_backoff")),
+            Paths{"/target_signals/max_backoff_ms"});
+}
+
 }  // namespace
 }  // namespace burdockhatch
