--- a/src/ctl_main.cc
+++ b/src/ctl_main.cc
@@ -28,6 +28,7 @@
 #include "src/config_publisher.h"
 #include "src/ctl_commands.h"
 #include "src/ctl_parts.h"
+#include "src/ctl_signals.h"
 #include "src/http_call.h"
 #include "src/json_reader.h"
 #include "src/object_api_http.h"
@@ -37,11 +38,12 @@
           object_api,
           "127.0.0.1:7001",
           "ip:port of the object API");
-ABSL_FLAG(std::string,
-          entry,
-          "127.0.0.1:8080",
-          "ip:port of the HTTP interface of an entry; status and parts take "
-          "several, separated by commas");
+ABSL_FLAG(
+    std::string,
+    entry,
+    "127.0.0.1:8080",
+    "ip:port of the HTTP interface of an entry; status, parts and signals take "
+    "several, separated by commas");
 ABSL_FLAG(bool, json, false, "print JSON for programs");
 ABSL_FLAG(int, timeout, 10, "seconds that a command may take");
 ABSL_FLAG(std::string, account, "", "send: the client account");
@@ -73,6 +75,9 @@
                                    to the processes of --entry
   parts lift KEY                   ends the block of a part there (not offered
                                    where callers connect)
+  signals list                     what targets say of themselves, as known to
+                                   the processes of --entry: limits, leaving,
+                                   back-offs
   send PATH [BODY]                 a request to an entry; GET without a body
 
 Exit status: 0 done, 1 refused or conflict, 2 usage, 3 unreachable (nothing was
@@ -402,22 +407,33 @@
   return output;
 }
 
-CtlOutput ListParts() {
-  std::vector<ReportedSuspect> all;
+// Lists what `parse` finds in the states of the processes of --entry.
+template <class Parse, class Format>
+CtlOutput ListFromStates(Parse parse, Format format) {
+  typename std::invoke_result_t<Parse, std::string, std::string>::value_type
+      all;
   std::string silent;
   for (const std::string& it : SplitAddresses(absl::GetFlag(FLAGS_entry))) {
     const HttpReply reply = HttpGet(it, "/debug/state");
-    const auto suspects = ParseSuspects(it, reply.body);
-    if (!suspects) {
+    const auto found = parse(it, reply.body);
+    if (!found) {
       silent += (silent.empty() ? "" : ",") + it;
       continue;
     }
-    all.insert(all.end(), suspects->begin(), suspects->end());
+    all.insert(all.end(), found->begin(), found->end());
   }
   if (!silent.empty()) {
     return UnreachableOutput(silent);
   }
-  return {CtlExit::kOk, FormatSuspects(all, absl::GetFlag(FLAGS_json))};
+  return {CtlExit::kOk, format(all, absl::GetFlag(FLAGS_json))};
+}
+
+CtlOutput ListParts() {
+  return ListFromStates(ParseSuspects, FormatSuspects);
+}
+
+CtlOutput ListSignals() {
+  return ListFromStates(ParseSignals, FormatSignals);
 }
 
 CtlOutput LiftPart(const std::string& key) {
@@ -490,6 +506,9 @@
       IsPartKey(words[2])) {
     return LiftPart(words[2]);
   }
+  if (command == "signals" && words.size() == 2 && words[1] == "list") {
+    return ListSignals();
+  }
   if (command == "send" && (words.size() == 2 || words.size() == 3)) {
     return SendRequest(words);
   }
--- a/src/ctl_parts.cc
+++ b/src/ctl_parts.cc
@@ -10,6 +10,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "src/ctl_commands.h"
+#include "src/ctl_state.h"
 
 namespace burdockhatch {
 
@@ -19,56 +20,19 @@
 
 constexpr size_t kMaxKeyDigits = 16;
 
-// Returns the member as text, or an empty text.
-std::string TextOf(const json::object& object, std::string_view name) {
-  const json::value* value = object.if_contains({name.data(), name.size()});
-  if (value == nullptr) {
-    return "";
-  }
-  return value->is_string() ? std::string(value->get_string())
-                            : json::serialize(*value);
-}
-
-int64_t CountOf(const json::object& object, std::string_view name) {
-  const json::value* value = object.if_contains({name.data(), name.size()});
-  boost::system::error_code ec;
-  const int64_t count = value == nullptr ? 0 : value->to_number<int64_t>(ec);
-  return ec ? 0 : count;
-}
-
-std::string SecondsOf(const json::object& object, std::string_view name) {
-  const json::value* value = object.if_contains({name.data(), name.size()});
-  boost::system::error_code ec;
-  const double seconds = value == nullptr ? 0 : value->to_number<double>(ec);
-  return fmt::format("{:.1f}", ec ? 0 : seconds);
-}
-
-const json::object* FindObject(const json::object* object, const char* name) {
-  const json::value* value =
-      object == nullptr ? nullptr : object->if_contains(name);
-  return value == nullptr ? nullptr : value->if_object();
-}
-
 }  // namespace
 
 std::optional<std::vector<ReportedSuspect>> ParseSuspects(
     const std::string& address,
     std::string_view state) {
-  boost::system::error_code ec;
-  const json::value root = json::parse({state.data(), state.size()}, ec);
-  const json::object* blame = FindObject(
-      FindObject(ec ? nullptr : root.if_object(), "core"), "crash_blame");
-  const json::value* list =
-      blame == nullptr ? nullptr : blame->if_contains("suspects");
-  if (list == nullptr || !list->is_array()) {
+  const std::optional<std::vector<json::object>> list =
+      ReadStateList(state, "crash_blame", "suspects");
+  if (!list) {
     return std::nullopt;
   }
   std::vector<ReportedSuspect> suspects;
-  for (const json::value& it : list->get_array()) {
-    const json::object* object = it.if_object();
-    if (object == nullptr) {
-      return std::nullopt;
-    }
+  for (const json::object& it : *list) {
+    const json::object* object = &it;
     ReportedSuspect suspect;
     suspect.address = address;
     if (const json::value* parts = object->if_contains("parts");
