--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -99,20 +99,6 @@
                   kMaxBacklogMs - wait);
 }
 
-Time PlacementScheduler::AvailableAt(const Target& target,
-                                     const QueuedRequest& request) {
-  const std::vector<TargetId>& excluded = request.ask.excluded;
-  if (!target.listed || target.is_leaving ||
-      std::find(excluded.begin(), excluded.end(), target.description.target) !=
-          excluded.end()) {
-    return Time::max();
-  }
-  const auto back_off = target.back_offs.find(request.entry);
-  return std::max(
-      {target.suspect_until, target.rate.next_request(),
-       back_off == target.back_offs.end() ? Time() : back_off->second});
-}
-
 Tokens PlacementScheduler::MaxRequestTokens(const ServiceState& state) {
   const size_t most =
       std::min<size_t>(state.fill_order.size(), kMaxHelpers + 1);
--- a/src/placement_leader.cc
+++ b/src/placement_leader.cc
@@ -21,6 +21,7 @@
 // entry.
 constexpr Duration kLeadingTime = std::chrono::milliseconds(1'500);
 
+constexpr Duration kSignalSpreadInterval = std::chrono::milliseconds(100);
 constexpr Duration kShareCheckInterval = std::chrono::milliseconds(100);
 
 bool IsForLeaderOnly(const MessageBody& body) {
@@ -77,7 +78,9 @@
   } else if (const auto* it = std::get_if<BlameReport>(&message.body)) {
     scheduler_.blame().Merge(*it, now);
   } else if (const auto* it = std::get_if<SignalReport>(&message.body)) {
-    SpreadSignals(entry, scheduler_.MergeSignals(entry, *it, now));
+    const SignalReport news = scheduler_.MergeSignals(entry, *it, now);
+    signal_news_.records.insert(signal_news_.records.end(),
+                                news.records.begin(), news.records.end());
   } else if (std::holds_alternative<Heartbeat>(message.body)) {
     send_(entry, heartbeat_);
   } else if (std::holds_alternative<Goodbye>(message.body)) {
@@ -123,15 +126,19 @@
                           std::nullopt, now);
 }
 
-void PlacementLeader::SpreadSignals(const PeerId& from,
-                                    const SignalReport& news) {
-  if (news.empty()) {
+// News of many targets come at about the same time, so they are told together.
+void PlacementLeader::SpreadSignals(Time now) {
+  if (signal_news_.empty() || now < next_signal_spread_) {
     return;
   }
+  next_signal_spread_ = now + kSignalSpreadInterval;
+  SignalReport news;
+  std::swap(news, signal_news_);
+  if (news.records.size() > kMaxSignalRecords) {
+    news = scheduler_.signals().Export(now);
+  }
   for (const auto& [entry, state] : entries_) {
-    if (entry != from) {
-      send_(entry, news);
-    }
+    send_(entry, news);
   }
 }
 
@@ -151,6 +158,7 @@
   scheduler_.Tick(now);
   SendDecisions();
   SpreadBlame(now);
+  SpreadSignals(now);
 }
 
 void PlacementLeader::SendGoodbyes() {
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -57,8 +57,8 @@
   // The entries keep suspicions and blocks in case this agent stops, refuse
   // blocked requests without asking, and tell other leaders.
   void SpreadBlame(Time now);
-  // Tells all entries but the one that has reported it.
-  void SpreadSignals(const PeerId& from, const SignalReport& news);
+  // Tells all entries what one of them has reported of targets.
+  void SpreadSignals(Time now);
 
   struct Entry {
     Time last_heard{};
@@ -74,6 +74,8 @@
   Time last_shared_at_{};
   bool is_sole_leader_ = false;
   Time next_share_check_{};
+  SignalReport signal_news_;  // Not told to the entries yet.
+  Time next_signal_spread_{};
 };
 
 }  // namespace burdockhatch
--- a/src/target_signals.cc
+++ b/src/target_signals.cc
@@ -217,6 +217,8 @@
       is_news |= ApplyLeaving(it.target, *state,
                               TimeBefore(now, it.leaving_age), "report");
     }
+    // The sender, or who told it, has told the leader.
+    state->told_at = now;
     if (is_news) {
       news.records.push_back(it);
       news.records.back().back_off_left = Duration(0);
--- a/tests/target_signals_fleet_test.cc
+++ b/tests/target_signals_fleet_test.cc
@@ -174,6 +174,9 @@
         [&](const Target::Arrival& it) { return it.at >= since; }));
   }
 
+  size_t reports_to_entries() const { return reports_to_entries_; }
+  size_t reports_to_leaders() const { return reports_to_leaders_; }
+
   struct Refusal {
     Duration waited{0};
     Duration retry_after{0};
@@ -249,6 +252,7 @@
 
   void DeliverToAgent(int from, const InstanceId& to, MessageBody body) {
     const Entry& entry = *entries_[static_cast<size_t>(from)];
+    reports_to_leaders_ += std::holds_alternative<SignalReport>(body) ? 1 : 0;
     // Messages between two processes keep their order.
     Time& last = last_delivery_[{from, to.value()}];
     last = std::max(last, now_ + Delay());
@@ -267,6 +271,7 @@
                       const PeerId& agent,
                       const PeerId& to,
                       MessageBody body) {
+    reports_to_entries_ += std::holds_alternative<SignalReport>(body) ? 1 : 0;
     Time& last = last_reply_[{from, to.instance.value()}];
     last = std::max(last, now_ + Delay());
     At(last, [this, from, agent, to, body = std::move(body)] {
@@ -402,6 +407,8 @@
   std::map<std::pair<int, std::string>, Time> last_reply_;
   int hidden_agent_ = -1;
   std::vector<Refusal> refusals_;
+  size_t reports_to_entries_ = 0;
+  size_t reports_to_leaders_ = 0;
 };
 
 class SignalFleetTest : public testing::TestWithParam<int> {
@@ -541,6 +548,17 @@
   }
 }
 
+// Guards against a message to each entry for each answer of a limited target.
+TEST_P(SignalFleetTest, LimitsCostFewMessages) {
+  fleet_.Run(seconds(3), 60);
+  fleet_.SetLimits(SignalFleet::kTargets, 2);
+  fleet_.Run(seconds(10), 60);
+  const size_t reports = fleet_.reports_to_entries();
+  // At most one batch each 100 ms while the targets become limited.
+  EXPECT_LE(reports, static_cast<size_t>(GetParam()) * SignalFleet::kTargets);
+  EXPECT_LE(fleet_.reports_to_leaders(), 10u * 60 + SignalFleet::kTargets);
+}
+
 // Guards against callers that wait although it is known that no target has room
 // in time, or that are told to come back long before or after there is room:
 // 20 targets take 10 requests a second, and 200 come.
