Obey the pause that a plain service asks for in the product's own path too

An agent is the only one that calls its service, but sent it the next call at once after a refusal with Retry-After. It now refuses new and queued calls with the rest of the pause, which the entry and its caller hear, and dispatches again after it (10 minutes at most). AgentBackOffTest and TargetConnectionTest.BackOffOfAServiceIsRead cover it; the engines of this path state no such time in their protocol.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -213,6 +213,10 @@
   if (!IsReady(tables)) {
     return NotRunFailure(ErrorCode::kTargetNotReady, kRefusalRetryAfter);
   }
+  if (tables.now < tables.back_off_until) {
+    return NotRunFailure(ErrorCode::kOverloaded,
+                         tables.back_off_until - tables.now);
+  }
   return std::nullopt;
 }
 
--- a/src/agent_tables.h
+++ b/src/agent_tables.h
@@ -282,6 +282,8 @@
   Time list_asked_at;
   Time next_list_at;
   bool service_healthy = false;
+  // End of the time for which the plain service wants no call.
+  Time back_off_until;
 
   std::map<IdempotencyKeyHash, IdempotencyKeyStatus> keys;
   std::set<IdempotencyKeyHash> claimed_keys;  // Keys whose state is kClaimed.
--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -19,6 +19,8 @@
 // deadline the entry has already told the caller that the outcome is unknown,
 // although the call provably never ran.
 constexpr Duration kUnclaimedRefusalMargin = std::chrono::milliseconds(150);
+// Longest time for which a service is obeyed that wants no call.
+constexpr Duration kMaxServiceBackOff = std::chrono::minutes(10);
 // Streams that end within this time end by the same failure of the engine.
 constexpr Duration kEngineFailureWindow = std::chrono::seconds(1);
 
@@ -332,7 +334,23 @@
   }
 }
 
+// Refuses what is queued while the service wants no call.
+void RefuseQueuedInBackOff(AgentTables& tables) {
+  if (tables.now >= tables.back_off_until) {
+    return;
+  }
+  const auto queued =
+      SelectAttempts(tables, [](const AcceptedAttempt& attempt) {
+        return attempt.phase == AttemptPhase::kQueued;
+      });
+  for (const AttemptId& id : queued) {
+    CloseAsNotRun(tables, id, ErrorCode::kOverloaded,
+                  tables.back_off_until - tables.now);
+  }
+}
+
 void DispatchQueued(AgentTables& tables) {
+  RefuseQueuedInBackOff(tables);
   ReservedCapacity reserve;
   for (const AttemptId& id : DispatchOrder(tables)) {
     AcceptedAttempt& attempt = *FindAttempt(tables, id);
@@ -456,6 +474,11 @@
   if (answer.status == CallStatus::kAnswered) {
     RecordCompletion(tables, Tokens(1), Tokens(1));
   }
+  if (answer.back_off > Duration(0)) {
+    tables.back_off_until =
+        std::max(tables.back_off_until,
+                 tables.now + std::min(answer.back_off, kMaxServiceBackOff));
+  }
   AttemptResult result;
   switch (answer.status) {
     case CallStatus::kAnswered:
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -21,6 +21,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "src/http_headers.h"
 #include "src/ip_endpoint.h"
 #include "src/server_sent_events.h"
 
@@ -282,6 +283,10 @@
     reply_.http_status = message.result_int();
     reply_.content_type = std::string(message[http::field::content_type]);
     reply_.etag = std::string(message[http::field::etag]);
+    if (message.result() == http::status::service_unavailable) {
+      const auto text = message[http::field::retry_after];
+      reply_.retry_after = ParseRetryAfter({text.data(), text.size()});
+    }
     reply_.body = std::move(message.body());
     if (keep_alive) {
       server_->pool.Put(std::move(stream_));
--- a/src/http_call.h
+++ b/src/http_call.h
@@ -39,6 +39,7 @@
   std::string content_type;
   std::string etag;
   std::string body;
+  Duration retry_after{0};  // Of a response with status 503; 0 if none.
 };
 
 // Reason for the end of an event stream.
--- a/src/http_headers.cc
+++ b/src/http_headers.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
+#include <cmath>
 
 namespace burdockhatch {
 
@@ -21,6 +23,8 @@
     "proxy-authenticate",
     "proxy-authorization"};
 
+constexpr double kMaxRetryAfterS = 24 * 3'600;
+
 std::string_view Trim(std::string_view text) {
   const size_t begin = text.find_first_not_of(" \t");
   if (begin == std::string_view::npos) {
@@ -86,4 +90,38 @@
   }
 }
 
+std::vector<std::string_view> HeaderValues(const HeaderList& headers,
+                                           std::string_view name) {
+  std::vector<std::string_view> values;
+  for (const Header& it : headers) {
+    if (!IsSameHeaderName(it.name, name)) {
+      continue;
+    }
+    std::string_view text = it.value;
+    for (size_t comma = text.find(','); comma != std::string_view::npos;
+         comma = text.find(',')) {
+      values.push_back(Trim(text.substr(0, comma)));
+      text.remove_prefix(comma + 1);
+    }
+    values.push_back(Trim(text));
+  }
+  return values;
+}
+
+std::optional<double> ParseDecimal(std::string_view text, double most) {
+  double number = 0;
+  const auto [rest, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (ec != std::errc() || rest != text.data() + text.size() ||
+      !std::isfinite(number) || number < 0) {
+    return std::nullopt;
+  }
+  return std::min(number, most);
+}
+
+Duration ParseRetryAfter(std::string_view text) {
+  const double seconds = ParseDecimal(Trim(text), kMaxRetryAfterS).value_or(0);
+  return Duration(static_cast<int64_t>(std::ceil(seconds * 1e6)));
+}
+
 }  // namespace burdockhatch
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -2,10 +2,13 @@
 #ifndef SRC_HTTP_HEADERS_H_
 #define SRC_HTTP_HEADERS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "src/units.h"
+
 namespace burdockhatch {
 
 struct Header {
@@ -27,6 +30,19 @@
 // section 7.6.1), those named by Connection, and those that frame the body.
 HeaderList EndToEndHeaders(const HeaderList& headers);
 
+// Returns the values of all headers of this name. One header may hold several,
+// separated by commas.
+std::vector<std::string_view> HeaderValues(const HeaderList& headers,
+                                           std::string_view name);
+
+// Returns nullopt unless the text is a finite decimal number from 0 on. Larger
+// numbers than `most` count as `most`.
+std::optional<double> ParseDecimal(std::string_view text, double most);
+
+// Returns the seconds of a Retry-After header, which may have decimals, as a
+// duration of 24 hours at most; 0 if the text is no such number.
+Duration ParseRetryAfter(std::string_view text);
+
 // Appends "<name>: <value>" lines.
 void AppendHeaders(const HeaderList& headers, std::string* text);
 
--- a/src/plain_service.h
+++ b/src/plain_service.h
@@ -31,6 +31,8 @@
   uint32_t http_status = 0;
   std::string content_type;
   std::string body;
+  // With status 503: time for which the service wants no call.
+  Duration back_off{0};
 };
 
 class PlainService {
--- a/src/plain_service_http.cc
+++ b/src/plain_service_http.cc
@@ -34,7 +34,7 @@
 
 ServiceResponse ToResponse(HttpReply reply) {
   return {reply.status, reply.http_status, std::move(reply.content_type),
-          std::move(reply.body)};
+          std::move(reply.body), reply.retry_after};
 }
 
 class HttpPlainService : public PlainService {
--- a/tests/agent_admission_test.cc
+++ b/tests/agent_admission_test.cc
@@ -249,6 +249,33 @@
   EXPECT_EQ(ReservedMemory(agent_.core->tables()), Tokens(100'050));
 }
 
+// Guards against calls to a plain service that has asked for a pause: they are
+// refused at once, with the rest of the pause, and dispatched again after it.
+TEST(AgentBackOffTest, PauseOfAServiceIsKept) {
+  AgentSimulation simulation(5);
+  SimulatedNode& agent = simulation.AddServiceAgent("agent-1");
+  simulation.Run(seconds(1));
+  const auto send = [&](const std::string& key) {
+    const AttemptId id = simulation.SendOffer(
+        agent, simulation.MakeKeyedCallOffer(key, seconds(20)));
+    simulation.Run(milliseconds(300));
+    return id;
+  };
+  simulation.service_back_off = seconds(3);
+  send("refused");
+  simulation.service_back_off = Duration(0);
+  const AttemptId early = send("early");
+  EXPECT_EQ(simulation.executions[early], 0);
+  const auto& closed = agent.core->tables().closed_attempts;
+  ASSERT_TRUE(closed.contains(early));
+  const Failure& failure = closed.at(early).result.failure;
+  EXPECT_EQ(failure.code, ErrorCode::kOverloaded);
+  EXPECT_EQ(failure.outcome, Outcome::kNotRun);
+  EXPECT_GT(failure.retry_after, seconds(2));
+  simulation.Run(seconds(3));
+  EXPECT_EQ(simulation.executions[send("later")], 1);
+}
+
 // Guards against offers that are accepted before the agent knows which streams
 // and caches the engine holds.
 TEST_F(AgentAdmissionTest, RefusesOffersBeforeTheFirstEngineList) {
--- a/tests/agent_simulation.cc
+++ b/tests/agent_simulation.cc
@@ -482,7 +482,8 @@
     ++late_dispatches;
   }
   const bool lost = Chance(faults.call_lost);
-  if (!not_sent) {
+  const bool refused = !not_sent && service_back_off > Duration(0);
+  if (!not_sent && !refused) {
     ++executions[action.attempt];
     if (action.request.key) {
       ++key_executions[action.request.key->value()];
@@ -492,7 +493,8 @@
   answer.status = not_sent ? CallStatus::kNotSent
                   : lost   ? CallStatus::kUnknown
                            : CallStatus::kAnswered;
-  answer.http_status = 200;
+  answer.http_status = refused ? 503 : 200;
+  answer.back_off = refused ? service_back_off : Duration(0);
   answer.content_type = "text/plain";
   answer.body = "permit of " + ToString(action.attempt);
   const bool slow = Chance(faults.call_slow);
--- a/tests/agent_simulation.h
+++ b/tests/agent_simulation.h
@@ -135,6 +135,8 @@
   std::vector<std::unique_ptr<SimulatedNode>> nodes;
   std::map<AttemptId, OfferRecord> offers;
   std::map<AttemptId, int> dispatches;  // Dispatches by all agents.
+  // If not zero, services refuse all calls and want a pause of this length.
+  Duration service_back_off{0};
   std::map<AttemptId, int> executions;  // Executions at engines and services.
   std::map<std::string, int> key_executions;
   std::map<ObjectName, SimulatedObject> objects;
--- a/tests/target_connection_test.cc
+++ b/tests/target_connection_test.cc
@@ -123,6 +123,27 @@
   EXPECT_EQ(second.body, "done");
 }
 
+// Guards against a service whose pause is not read from its refusal.
+TEST_F(TargetConnectionTest, BackOffOfAServiceIsRead) {
+  for (const auto& [status, header, expected] :
+       {std::tuple(503, "2.5", Duration(std::chrono::milliseconds(2'500))),
+        std::tuple(503, "-1", Duration(0)),
+        std::tuple(503, "soon", Duration(0)),
+        std::tuple(200, "2", Duration(0))}) {
+    RepeatingTarget target({"HTTP/1.1 " + std::to_string(status) +
+                            " X\r\nRetry-After: " + header +
+                            "\r\nContent-Length: 0\r\n\r\n"});
+    const auto service = MakeHttpPlainService(io_, io_, target.address());
+    ServiceRequest request;
+    request.method = "GET";
+    request.path = "/stock/1";
+    request.timeout = std::chrono::seconds(5);
+    std::promise<ServiceResponse> promise;
+    service->Call(request, [&](ServiceResponse it) { promise.set_value(it); });
+    EXPECT_EQ(promise.get_future().get().back_off, expected) << header;
+  }
+}
+
 // Guards against the same at an engine: memory that it has imported would be
 // taken for refused.
 TEST_F(TargetConnectionTest, EngineCallIsNotAnsweredByEarlierRefusal) {
