End requests with the loop of a forwarding entry, and calls with their pool

Under the sanitizers an entry ended its planned stop with status 1: requests in progress own the timers and calls whose callbacks own them, and nothing ended them when the loop had stopped; calls of the object API owned the pool that owned them. Connections of callers are now closed after the last event, which ends their requests, and calls refer to their pool weakly.

StopOfAnEntryInterruptsNothing still reports a watch: the read of a pending watch keeps its call alive. An agent that has just started no longer takes itself for the only leader by an unset time.

--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -36,6 +36,9 @@
   // progress or has arrived. Connections that wait to be accepted are accepted
   // first.
   virtual void Stop() = 0;
+
+  // Closes all connections. Their exchanges end as if the callers had left.
+  virtual void CloseAll() = 0;
 };
 
 // Listens on `address` ("ip:port"). All handlers run on the one thread that
--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -91,6 +91,8 @@
     }
   }
 
+  void CloseNow() { Close(); }
+
   // --- CallerExchange ---
 
   void SendResponse(uint32_t status,
@@ -500,6 +502,12 @@
     }
   }
 
+  void CloseAll() override {
+    for (const auto& it : OpenConnections()) {
+      it->CloseNow();
+    }
+  }
+
  private:
   std::vector<std::shared_ptr<Connection>> OpenConnections() const {
     std::vector<std::shared_ptr<Connection>> open;
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -179,6 +179,9 @@
            since_stop_requested >= end;
   }
 
+  // Requests keep themselves alive until they end.
+  void OnLoopEnded() override { caller_server_->CloseAll(); }
+
   bool LiftPartNow(PartKey part, Time now) override {
     return placement_client_.LiftPart(part, now);
   }
--- a/src/forward_loop_daemon.cc
+++ b/src/forward_loop_daemon.cc
@@ -58,6 +58,7 @@
   WaitForSignal();
   Tick();
   RunLoopGuarded(io_);
+  OnLoopEnded();
   admin_server_->Stop();
   bus_->Stop();
   Log(LogLevel::kInfo, "stopped");
--- a/src/forward_loop_daemon.h
+++ b/src/forward_loop_daemon.h
@@ -57,6 +57,8 @@
   virtual void OnStopRequested() = 0;
   // Whether the process may exit, given the time since the stop was requested.
   virtual bool CanExit(Duration since_stop_requested) = 0;
+  // Ends what is still in progress. Called after the last event.
+  virtual void OnLoopEnded() {}
   // Ends the suspicion and the block of a part of prompts. Returns whether it
   // was suspect here.
   virtual bool LiftPartNow(PartKey part, Time now) = 0;
--- a/src/object_api_http.cc
+++ b/src/object_api_http.cc
@@ -207,7 +207,7 @@
   }
 
   // Starts the timeout. `pool` gets the connection back when the call ends.
-  void StartTimer(std::shared_ptr<ConnectionPool> pool, Duration timeout);
+  void StartTimer(std::weak_ptr<ConnectionPool> pool, Duration timeout);
   void Start(std::unique_ptr<Connection> connection,
              const tcp::endpoint& endpoint);
   // Drops the callback and closes the connection.
@@ -228,7 +228,8 @@
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
   std::unique_ptr<Connection> connection_;
-  std::shared_ptr<ConnectionPool> connection_pool_;
+  // The pool owns its calls.
+  std::weak_ptr<ConnectionPool> connection_pool_;
   Done done_;
 };
 
@@ -277,7 +278,7 @@
 };
 
 void ObjectApiHttp::PendingCall::StartTimer(
-    std::shared_ptr<ConnectionPool> pool,
+    std::weak_ptr<ConnectionPool> pool,
     Duration timeout) {
   connection_pool_ = std::move(pool);
   start_deadline_ = std::chrono::steady_clock::now() + timeout / 2;
@@ -379,15 +380,15 @@
     boost::system::error_code ignored;
     connection_->socket.close(ignored);
   }
-  const std::shared_ptr<ConnectionPool> pool =
-      std::exchange(connection_pool_, nullptr);
-  pool->OnCallEnded(this, std::move(reusable_connection));
+  if (const auto pool = std::exchange(connection_pool_, {}).lock()) {
+    pool->OnCallEnded(this, std::move(reusable_connection));
+  }
   done(std::move(reply));
 }
 
 void ObjectApiHttp::PendingCall::Cancel() {
   done_ = nullptr;
-  connection_pool_ = nullptr;
+  connection_pool_.reset();
   timer_.cancel();
   if (connection_ != nullptr) {
     boost::system::error_code ignored;
--- a/src/placement_leader.cc
+++ b/src/placement_leader.cc
@@ -109,7 +109,8 @@
         return it.second.last_led != Time() &&
                now - it.second.last_led < kLeadingTime;
       });
-  if (!all_follow) {
+  // An agent that has just started does not know of other leaders yet.
+  if (!all_follow || last_shared_at_ == Time()) {
     last_shared_at_ = now;
   }
   const bool is_sole =
