--- a/src/object_api_http.cc
+++ b/src/object_api_http.cc
@@ -277,9 +277,8 @@
   std::vector<std::unique_ptr<Connection>> idle_connections_;
 };
 
-void ObjectApiHttp::PendingCall::StartTimer(
-    std::weak_ptr<ConnectionPool> pool,
-    Duration timeout) {
+void ObjectApiHttp::PendingCall::StartTimer(std::weak_ptr<ConnectionPool> pool,
+                                            Duration timeout) {
   connection_pool_ = std::move(pool);
   start_deadline_ = std::chrono::steady_clock::now() + timeout / 2;
   timer_.expires_after(timeout);
--- a/tests/target_signals_test.cc
+++ b/tests/target_signals_test.cc
@@ -206,7 +206,8 @@
       directory_.Put(record, 1, now_);
     }
     for (int i = 0; i < GetParam(); ++i) {
-      entries_.push_back({ServiceBalancer(static_cast<uint64_t>(i)), {}});
+      entries_.push_back(
+          {ServiceBalancer(static_cast<uint64_t>(i)), TargetSignalTable()});
     }
   }
 
