Keep back-offs apart by the start of a target, and bound a log line

A back-off of a predecessor kept requests from a target that had started anew under the same id, at the leader only; an unreadable limit was logged for each answer.

--- a/src/placement_rates.cc
+++ b/src/placement_rates.cc
@@ -111,11 +111,13 @@
 
 void PlacementScheduler::SetBackOff(const PeerId& entry,
                                     const TargetId& id,
+                                    uint64_t started_at,
                                     Time until,
                                     Time now) {
   for (auto& [service, state] : services_) {
     const auto target = state.targets.find(id);
-    if (until > now && target != state.targets.end()) {
+    if (until > now && target != state.targets.end() &&
+        target->second.description.started_at == started_at) {
       std::map<PeerId, Time>& back_offs = target->second.back_offs;
       std::erase_if(back_offs,
                     [&](const auto& it) { return now >= it.second; });
@@ -138,7 +140,8 @@
     changed.target = target;
     UpdateRatesOf({{changed}}, now);
   }
-  SetBackOff(entry, target, signals_.BackOffUntil(target, started_at), now);
+  SetBackOff(entry, target, started_at,
+             signals_.BackOffUntil(target, started_at), now);
 }
 
 SignalReport PlacementScheduler::MergeSignals(const PeerId& entry,
@@ -147,7 +150,7 @@
   SignalReport news = signals_.Merge(report, now);
   UpdateRatesOf(news, now);
   for (const SignalRecord& it : report.records) {
-    SetBackOff(entry, it.target, now + it.back_off_left, now);
+    SetBackOff(entry, it.target, it.started_at, now + it.back_off_left, now);
   }
   return news;
 }
@@ -184,7 +187,7 @@
   const double slots = std::max<double>(state.cost.slots, 1);
   const double slot_free_ms = state.short_answer_ms / slots;
   ShutTargets shut;
-  bool is_known = false;
+  bool is_known = false;  // Something else than a suspicion shuts a target.
   for (const Target* it : state.fill_order) {
     Time at = AvailableAt(*it, request);
     is_known = is_known || at > it->suspect_until || now >= it->suspect_until;
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -397,13 +397,15 @@
   double RatePhase(const TargetId& target) const;
   // Applies the signals of the target and the rate that it may get now.
   void UpdateRate(ServiceState& state, Target& target, Time now);
-  static void SortFillOrder(ServiceState& state);
   // Does so for all targets if the passage of time may have changed them.
   void UpdateRates(ServiceState& state, Time now);
   // Does so for the targets of the report.
   void UpdateRatesOf(const SignalReport& report, Time now);
+  static void SortFillOrder(ServiceState& state);
+  // Records until when this start of the target wants no request of the entry.
   void SetBackOff(const PeerId& entry,
                   const TargetId& target,
+                  uint64_t started_at,
                   Time until,
                   Time now);
   // Takes the request from the rate of a target that decodes it, prefills a
--- a/src/target_signals.cc
+++ b/src/target_signals.cc
@@ -80,8 +80,11 @@
                               signals.back_off > Duration(0);
   if (signals.has_unreadable_rate) {
     ++counters_.unreadable;
-    Log(LogLevel::kWarning, "target_limit_unreadable",
-        {{"target", target.value()}});
+    if (now >= next_unreadable_log_) {
+      next_unreadable_log_ = now + kRepeatInterval;
+      Log(LogLevel::kWarning, "target_limit_unreadable",
+          {{"target", target.value()}});
+    }
   }
   // Most targets never say anything and need no state.
   if (!says_something && Find(target, started_at) == nullptr) {
--- a/src/target_signals.h
+++ b/src/target_signals.h
@@ -142,6 +142,7 @@
   TargetSignalLimits limits_;
   std::map<TargetId, State> states_;
   Time next_prune_{};
+  Time next_unreadable_log_{};
   bool has_changes_ = false;  // The state of some target has `changed` set.
   Counters counters_;
 };
