--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -176,10 +176,15 @@
     ServiceState& state,
     const QueuedRequest& request,
     Time now) {
-  if (auto assignment = ChooseShortAmong(state, request, false, now)) {
+  auto assignment = ChooseShortAmong(state, request, false, now);
+  if (assignment) {
     return assignment;
   }
-  return ChooseShortAmong(state, request, true, now);
+  const bool any_avoided =
+      std::any_of(state.fill_order.begin(), state.fill_order.end(),
+                  [now](const Target* it) { return now < it->avoided_until; });
+  return any_avoided ? ChooseShortAmong(state, request, true, now)
+                     : std::nullopt;
 }
 
 std::optional<PlacementScheduler::Assignment>
--- a/src/placement_rates.cc
+++ b/src/placement_rates.cc
@@ -208,13 +208,12 @@
 
 // Short prompts do not wait for the long ones that are queued before them.
 size_t PlacementScheduler::CountAhead(const ServiceState& state,
-                                      const QueuedRequest& request,
-                                      const std::vector<QueuedRequest>& queue) {
+                                      const QueuedRequest& request) {
   if (IsLongPrompt(state, request.ask.prompt)) {
-    return queue.size();
+    return state.queue.size();
   }
-  return static_cast<size_t>(
-      std::count_if(queue.begin(), queue.end(), [&](const QueuedRequest& it) {
+  return static_cast<size_t>(std::count_if(
+      state.queue.begin(), state.queue.end(), [&](const QueuedRequest& it) {
         return !IsLongPrompt(state, it.ask.prompt);
       }));
 }
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -145,8 +145,7 @@
     Place(state, request, std::move(*assignment), now);
     return;
   }
-  if (RefuseIfShutOut(state, request, CountAhead(state, request, state.queue),
-                      now)) {
+  if (RefuseIfShutOut(state, request, CountAhead(state, request), now)) {
     return;
   }
   decisions_.push_back(
@@ -583,6 +582,7 @@
   SortQueue(state, now);
   std::vector<QueuedRequest> queued = std::exchange(state.queue, {});
   std::vector<QueuedRequest> left;
+  size_t short_left = 0;
   int failed = 0;
   for (QueuedRequest& it : queued) {
     if (now >= it.give_up_at) {
@@ -603,7 +603,9 @@
       Place(state, it, std::move(*assignment), now);
     } else {
       failed += is_long && verdict == CrashBlame::Verdict::kSend ? 1 : 0;
-      if (!RefuseIfShutOut(state, it, CountAhead(state, it, left), now)) {
+      const size_t ahead = is_long ? left.size() : short_left;
+      if (!RefuseIfShutOut(state, it, ahead, now)) {
+        short_left += is_long ? 0 : 1;
         left.push_back(std::move(it));
       }
     }
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -375,10 +375,9 @@
   // Returns a reply that tells the number of entries.
   PlacementReply MakeReply(uint64_t number, PlacementVerdict verdict) const;
   static void CountShortAsk(ServiceState& state, Time now);
-  // Returns how many requests of the queue the request has to wait for.
+  // Returns how many requests of the queue a new request has to wait for.
   static size_t CountAhead(const ServiceState& state,
-                           const QueuedRequest& request,
-                           const std::vector<QueuedRequest>& queue);
+                           const QueuedRequest& request);
   void Refuse(const QueuedRequest& request, Duration retry_after);
   // Whether the parts of the prompt allow the request to be placed now. Refuses
   // it if they are blocked.
