Keep an attempt open while its target is silent

Callers saw a stream break off, or a 502, although the target that had their request was sound and only silent for a second.

Cause: on repeatable routes, silence of 600 ms or three expected gaps ended the attempt before another target had taken the request. If that one refused, broke off, could not be reached or answered with an error, or if none was left, the request failed: a failure detector that takes silence for death gave up the only copy of the work.

Now the silent attempt is set aside while another one is made. The first of them that makes progress ends the others; the request fails only when none is left. Placement hears of a silent target (kTargetSilent), which makes it suspect as before, but the work on it stays counted until it ends.

State of an attempt moves to forward_attempt.h. With it, events that one target sends out of order no longer make the stream invalid at the next target.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -40,12 +40,15 @@
 // plus an allowance for one engine pass and one lost packet.
 constexpr int kFirstEventTimeoutFactor = 3;
 constexpr Duration kFirstEventAllowance = std::chrono::milliseconds(500);
-// A target is considered dead when no event arrives for this multiple of the
-// gap target.
+// Another target is tried when no event arrives for this multiple of the gap
+// target.
 constexpr int kGapTimeoutFactor = 3;
 constexpr Duration kMinGapTimeout = std::chrono::milliseconds(600);
 // Interval at which a silent attempt that cannot be retried yet is checked.
 constexpr Duration kSilenceRecheckInterval = std::chrono::milliseconds(300);
+// Interval at which a request that waits for a silent target asks again for
+// another one after none could take it. Each ask takes from the retry budget.
+constexpr Duration kRefusedRecheckInterval = std::chrono::milliseconds(1'000);
 // Interval at which a request looks for an available target again.
 constexpr Duration kTargetRetryInterval = std::chrono::milliseconds(25);
 // Engine memory that was not free may become free after one or two passes.
@@ -57,10 +60,6 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
 constexpr int64_t kRetryAfterSpreadMs = 350;
 
-bool IsSuccess(uint32_t status) {
-  return status >= 200 && status < 300;
-}
-
 // Parts of a prompt that a log line names.
 constexpr size_t kMaxLoggedParts = 8;
 
@@ -92,8 +91,8 @@
   }
   Log(LogLevel::kError, "request_failed_by_exception",
       {{"request", caller_fields_.attempt_id}});
-  may_have_executed_ = may_have_executed_ || forward_call_ != nullptr;
-  CloseAttempt(PlacementEvent::kEnded, CallOutcome::kFailed);
+  may_have_executed_ = may_have_executed_ || HasCall();
+  EndAllAttempts(CallOutcome::kFailed);
   FinishWithFailure("internal_error");
 }
 
@@ -106,7 +105,7 @@
     return;
   }
   context_->retry_budget.OnRequest(service_, received_at_);
-  events_.set_last_id(caller_fields_.last_event_id);
+  last_event_id_ = caller_fields_.last_event_id;
   exchange_->SetDisconnectHandler([self = shared_from_this()] {
     self->Guard([&] { self->OnCallerGone(); });
   });
@@ -186,6 +185,7 @@
   if (finished_) {
     return;
   }
+  attempt_ = std::make_shared<ForwardAttempt>();
   if (pool_ != nullptr && pool_->engine) {
     RequestPlacement();
   } else {
@@ -206,28 +206,31 @@
   ask.excluded = excluded_targets_;
   ask.parts = MakePartKeys();
   ask.number = context_->placement->NextNumber();
-  placement_number_ = ask.number;
+  attempt_->placement_number = ask.number;
   context_->placement->RequestPlacement(
       std::move(ask),
-      [self = shared_from_this()](const PlacementReply& reply) {
-        self->Guard([&] { self->OnPlacementReply(reply); });
+      [self = shared_from_this(),
+       attempt = attempt_](const PlacementReply& reply) {
+        self->Guard([&] { self->OnPlacementReply(attempt, reply); });
       },
       now);
 }
 
-void ForwardRequest::OnPlacementReply(const PlacementReply& reply) {
-  if (finished_) {
+void ForwardRequest::OnPlacementReply(const ForwardAttemptPtr& attempt,
+                                      const PlacementReply& reply) {
+  if (finished_ || attempt != attempt_) {
     return;
   }
   const Time now = context_->timers->Now();
   if (reply.verdict == PlacementVerdict::kRefused) {
-    placement_number_.reset();
+    attempt->placement_number.reset();
     retry_after_ = reply.retry_after;
-    FinishWithFailure("refused_by_placement");
+    FailUnlessSilentAttemptLeft("refused_by_placement",
+                                kRefusedRecheckInterval);
     return;
   }
   if (reply.verdict == PlacementVerdict::kBlocked) {
-    placement_number_.reset();
+    attempt->placement_number.reset();
     FinishAsBlocked(reply.retry_after);
     return;
   }
@@ -237,9 +240,8 @@
       IsShut(*entry)) {
     // The placing agent knows less of the target than the entry does.
     excluded_targets_.push_back(reply.target);
-    context_->placement->ReportEvent(reply.number, PlacementEvent::kEnded,
-                                     TargetId(), now);
-    placement_number_.reset();
+    EndAttempt(*attempt, PlacementEvent::kEnded, TargetId(),
+               CallOutcome::kCallerGone);
     retry_timer_ =
         context_->timers->Schedule(Duration(0), [self = shared_from_this()] {
           self->Guard([&] { self->StartNextAttempt(); });
@@ -254,7 +256,7 @@
       helpers.push_back({helper->record.address, ""});
     }
   }
-  expected_first_event_delay_ = reply.expected_first_event;
+  attempt->expected_first_event = reply.expected_first_event;
   if (reply.holds.empty()) {
     SendToTarget(*entry, std::move(helpers));
   } else {
@@ -283,26 +285,39 @@
     }
   }
   const TargetId target = entry.record.target;
-  reservations_ = std::make_unique<ReservationSet>(
+  attempt_->reservations = std::make_unique<ReservationSet>(
       context_->engine_memory, context_->timers, std::move(wanted));
-  reservations_->Start([self = shared_from_this(), target,
-                        helpers = std::move(helpers)](bool reserved) mutable {
-    if (self->finished_) {
-      return;
-    }
-    const FleetDirectory::KnownTarget* found =
-        self->context_->directory.Find(target);
-    if (reserved && found != nullptr && !self->IsShut(*found)) {
-      self->SendToTarget(*found, std::move(helpers));
-      return;
-    }
-    Log(LogLevel::kWarning, "reservation_failed",
-        {{"request", self->caller_fields_.attempt_id},
-         {"target", target.value()}});
-    self->CloseAttempt(PlacementEvent::kEnded, CallOutcome::kCallerGone);
-    self->retry_timer_ = self->context_->timers->Schedule(
-        kReservationRetryDelay, [self] { self->StartNextAttempt(); });
-  });
+  attempt_->reservations->Start(
+      [self = shared_from_this(), attempt = std::weak_ptr(attempt_), target,
+       helpers = std::move(helpers)](bool reserved) mutable {
+        if (const ForwardAttemptPtr asking = attempt.lock()) {
+          self->Guard([&] {
+            self->OnReserved(asking, target, std::move(helpers), reserved);
+          });
+        }
+      });
+}
+
+void ForwardRequest::OnReserved(const ForwardAttemptPtr& attempt,
+                                const TargetId& target,
+                                std::vector<ForwardHelper> helpers,
+                                bool reserved) {
+  if (finished_ || attempt != attempt_) {
+    return;
+  }
+  const FleetDirectory::KnownTarget* found = context_->directory.Find(target);
+  if (reserved && found != nullptr && !IsShut(*found)) {
+    SendToTarget(*found, std::move(helpers));
+    return;
+  }
+  Log(LogLevel::kWarning, "reservation_failed",
+      {{"request", caller_fields_.attempt_id}, {"target", target.value()}});
+  EndAttempt(*attempt, PlacementEvent::kEnded, TargetId(),
+             CallOutcome::kCallerGone);
+  retry_timer_ = context_->timers->Schedule(
+      kReservationRetryDelay, [self = shared_from_this()] {
+        self->Guard([&] { self->StartNextAttempt(); });
+      });
 }
 
 bool ForwardRequest::IsShut(const FleetDirectory::KnownTarget& entry) const {
@@ -342,6 +357,7 @@
   const std::optional<TargetId> target =
       context_->balancer.BeginCall(usable, request, now);
   if (target) {
+    attempt_->is_balanced = true;
     SendToTarget(*context_->directory.Find(*target), {});
     return;
   }
@@ -350,7 +366,7 @@
   if (usable.empty() || may_have_executed_ ||
       TimeLeft() < 2 * kTargetRetryInterval ||
       now - received_at_ > kMaxTargetWait) {
-    FinishWithFailure("no_target");
+    FailUnlessSilentAttemptLeft("no_target", kRefusedRecheckInterval);
     return;
   }
   request.excluded_targets.clear();
@@ -376,33 +392,52 @@
 void ForwardRequest::SendToTarget(const FleetDirectory::KnownTarget& entry,
                                   std::vector<ForwardHelper> helpers) {
   const Time now = context_->timers->Now();
+  ForwardAttempt& attempt = *attempt_;
+  attempt.target = entry.record.target;
+  attempt.target_started_at = entry.record.started_at;
+  attempt.helpers = std::move(helpers);
+  attempt.sent_at = now;
   if (now >= deadline_) {
     // The process was paused, and the deadline timer runs later in this turn.
-    if (!placement_number_) {
-      context_->balancer.EndCall(entry.record.target, CallOutcome::kCallerGone,
-                                 Duration(0), now);
-    }
+    EndAttempt(attempt, PlacementEvent::kEnded, TargetId(),
+               CallOutcome::kCallerGone);
     OnDeadline();
     return;
   }
-  target_ = entry.record.target;
-  target_started_at_ = entry.record.started_at;
-  helpers_ = helpers;
+  attempt.events.set_last_id(last_event_id_);
+  target_ = attempt.target;
+  helper_count_ = attempt.helpers.size();
+  expected_first_event_delay_ = attempt.expected_first_event;
   sent_at_ = now;
-  response_status_ = 0;
-  response_headers_.clear();
-  DropBufferedBodies();
-  is_streaming_ = false;
-  attempt_has_events_ = false;
   ++attempt_count_;
   ++send_count_;
+  ForwardCallHandlers handlers;
+  handlers.on_head = [self = shared_from_this(), sent = attempt_](
+                         uint32_t status, HeaderList headers) {
+    self->Guard(
+        [&] { self->OnResponseHead(sent, status, std::move(headers)); });
+  };
+  handlers.on_body = [self = shared_from_this(),
+                      sent = attempt_](std::string_view data) {
+    self->Guard([&] { self->OnResponseBody(sent, data); });
+  };
+  handlers.on_end = [self = shared_from_this(),
+                     sent = attempt_](ForwardCallResult result) {
+    self->Guard([&] { self->OnCallEnd(sent, result); });
+  };
+  StartSilenceTimer(FirstResponseTimeout());
+  attempt.call =
+      context_->connector->Start(MakeCallSpec(entry), std::move(handlers));
+}
 
+ForwardCallSpec ForwardRequest::MakeCallSpec(
+    const FleetDirectory::KnownTarget& entry) const {
   ForwardFields fields;
-  fields.target = target_;
+  fields.target = attempt_->target;
   fields.time_left = TimeLeft();
   fields.account = account_;
-  fields.helpers = std::move(helpers);
-  fields.last_event_id = events_.last_id();
+  fields.helpers = attempt_->helpers;
+  fields.last_event_id = last_event_id_;
   ForwardCallSpec spec;
   spec.address = entry.record.address;
   spec.method = request_.method;
@@ -410,26 +445,12 @@
   spec.headers = context_->protocol->BuildForwardHeaders(
       EndToEndHeaders(request_.headers), fields);
   spec.body = request_.body;
-
-  const auto self = shared_from_this();
-  ForwardCallHandlers handlers;
-  handlers.on_head = [self](uint32_t status, HeaderList headers) {
-    self->Guard([&] { self->OnResponseHead(status, std::move(headers)); });
-  };
-  handlers.on_body = [self](std::string_view data) {
-    self->Guard([&] { self->OnResponseBody(data); });
-  };
-  handlers.on_end = [self](ForwardCallResult result) {
-    self->Guard([&] { self->OnCallEnd(result); });
-  };
-  StartSilenceTimer(FirstResponseTimeout());
-  forward_call_ =
-      context_->connector->Start(std::move(spec), std::move(handlers));
+  return spec;
 }
 
 Duration ForwardRequest::FirstResponseTimeout() const {
   if (route_->is_streaming) {
-    return expected_first_event_delay_ * kFirstEventTimeoutFactor +
+    return attempt_->expected_first_event * kFirstEventTimeoutFactor +
            kFirstEventAllowance;
   }
   const auto target = static_cast<double>(route_->latency_target.count());
@@ -447,146 +468,196 @@
 }
 
 void ForwardRequest::OnSilenceTimeout() {
-  if (finished_ || !forward_call_ || attempt_count_ >= route_->max_attempts ||
+  if (finished_ || attempt_count_ >= route_->max_attempts ||
       TimeLeft() < kMinTimeForRetry) {
     return;
   }
-  // The target may be slow and sound: without a retry its answer is awaited
-  // until the deadline.
-  if (!AllowRetry(AttemptFailure::kTimedOut)) {
+  if (!TakeRetry()) {
     StartSilenceTimer(kSilenceRecheckInterval);
     return;
   }
-  FailAttempt(AttemptFailure::kTimedOut);
+  if (attempt_) {
+    SetAttemptAside();
+  }
+  StartNextAttempt();
 }
 
-void ForwardRequest::OnResponseHead(uint32_t status, HeaderList headers) {
-  response_status_ = status;
-  response_fields_ = context_->protocol->ParseTargetFields(status, headers);
-  response_headers_ = EndToEndHeaders(headers);
-  RecordSignals();
-  ends_with_connection_ = FindHeader(headers, "Content-Length") == nullptr &&
-                          FindHeader(headers, "Transfer-Encoding") == nullptr;
+// A silent target may be sound. Its attempt ends only when another one has
+// made progress, because the others may refuse or fail.
+void ForwardRequest::SetAttemptAside() {
+  const Time now = context_->timers->Now();
+  const ForwardAttemptPtr silent = std::exchange(attempt_, nullptr);
+  Log(LogLevel::kWarning, "target_silent",
+      {{"request", caller_fields_.attempt_id},
+       {"target", silent->target.value()},
+       {"status", std::to_string(silent->status)},
+       {"after_ms", FormatMs(now - silent->sent_at)},
+       {"progress", std::string(ProgressOf(*silent))}});
+  context_->metrics->IncrementCounter(
+      "burdockhatch_silent_attempts_total",
+      fmt::format("progress=\"{}\"", ProgressOf(*silent)));
+  may_have_executed_ = true;
+  if (silent->placement_number) {
+    context_->placement->ReportEvent(*silent->placement_number,
+                                     PlacementEvent::kTargetSilent,
+                                     silent->target, now);
+  } else if (std::exchange(silent->is_balanced, false)) {
+    context_->balancer.EndCall(silent->target, CallOutcome::kFailed,
+                               now - silent->sent_at, now);
+  }
+  ExcludeTarget(silent->target);
+  silent_attempts_.push_back(silent);
+}
+
+void ForwardRequest::OnResponseHead(const ForwardAttemptPtr& attempt,
+                                    uint32_t status,
+                                    HeaderList headers) {
+  attempt->status = status;
+  attempt->fields = context_->protocol->ParseTargetFields(status, headers);
+  attempt->headers = EndToEndHeaders(headers);
+  attempt->ends_with_connection =
+      FindHeader(headers, "Content-Length") == nullptr &&
+      FindHeader(headers, "Transfer-Encoding") == nullptr;
   // A response to another request is not forwarded, and its refusal says
   // nothing about this one.
-  if (IsForOtherAttempt()) {
-    response_fields_.not_executed = false;
-    FailAttempt(AttemptFailure::kInvalid);
+  if (!AnswersAttempt(attempt->fields, caller_fields_.attempt_id)) {
+    attempt->fields.not_executed = false;
+    FailAttempt(attempt, AttemptFailure::kInvalid);
     return;
   }
-  if (response_fields_.not_executed) {
+  RecordSignals(*attempt);
+  if (attempt->fields.not_executed) {
     return;
   }
-  if (!IsSuccess(status)) {
+  if (!IsSuccessStatus(status)) {
     // Nothing but events may follow those that the caller has.
     if (stream_started_) {
-      FailAttempt(AttemptFailure::kErrorResponse);
+      FailAttempt(attempt, AttemptFailure::kErrorResponse);
     }
     return;
   }
-  if (!response_fields_.is_signed || !ContinuesStream(headers)) {
-    FailAttempt(AttemptFailure::kInvalid);
+  if (!attempt->fields.is_signed || !ContinuesStream(status, headers)) {
+    FailAttempt(attempt, AttemptFailure::kInvalid);
     return;
   }
-  is_streaming_ = route_->is_streaming;
-}
-
-bool ForwardRequest::IsForOtherAttempt() const {
-  return !response_fields_.attempt_id.empty() &&
-         response_fields_.attempt_id != caller_fields_.attempt_id;
+  attempt->is_streaming = route_->is_streaming;
 }
 
-bool ForwardRequest::ContinuesStream(const HeaderList& headers) const {
+bool ForwardRequest::ContinuesStream(uint32_t status,
+                                     const HeaderList& headers) const {
   const std::string* type = FindHeader(headers, "Content-Type");
   return !stream_started_ ||
-         (response_status_ == stream_status_ &&
+         (status == stream_status_ &&
           (type == nullptr ? "" : *type) == stream_content_type_);
 }
 
-// A response to another attempt may be old.
-void ForwardRequest::RecordSignals() {
-  if (IsForOtherAttempt()) {
-    return;
-  }
+void ForwardRequest::RecordSignals(const ForwardAttempt& attempt) {
   context_->placement->OnResponse(
-      target_, target_started_at_, response_fields_.signals,
-      response_fields_.is_signed, sent_at_, context_->timers->Now());
+      attempt.target, attempt.target_started_at, attempt.fields.signals,
+      attempt.fields.is_signed, attempt.sent_at, context_->timers->Now());
 }
 
-void ForwardRequest::OnResponseBody(std::string_view data) {
-  if (is_streaming_) {
-    ForwardEvents(data);
+void ForwardRequest::OnResponseBody(const ForwardAttemptPtr& attempt,
+                                    std::string_view data) {
+  if (attempt->is_streaming) {
+    ForwardEvents(attempt, data);
     return;
   }
-  if (ExceedsResponseLimits(data.size())) {
-    FailAttempt(AttemptFailure::kTooLarge);
+  if (ExceedsResponseLimits(*attempt, data.size())) {
+    FailAttempt(attempt, AttemptFailure::kTooLarge);
     return;
   }
-  response_body_.append(data);
+  attempt->body.append(data);
   buffered_bytes_ += data.size();
   context_->buffered_response_bytes += data.size();
 }
 
-bool ForwardRequest::ExceedsResponseLimits(size_t more) const {
+bool ForwardRequest::ExceedsResponseLimits(const ForwardAttempt& attempt,
+                                           size_t more) const {
   const ResponseLimits& limits = context_->response_limits;
-  return response_body_.size() + more >
+  return attempt.body.size() + more >
              static_cast<size_t>(limits.max_response.value()) ||
          context_->buffered_response_bytes + more >
              static_cast<size_t>(limits.max_buffered_responses.value());
 }
 
-// The last error response stays, as it may be the final one.
-void ForwardRequest::DropBufferedBodies() {
-  response_body_ = std::string();
-  const size_t kept = error_response_ ? error_response_->body.size() : 0;
-  context_->buffered_response_bytes -= buffered_bytes_ - kept;
-  buffered_bytes_ = kept;
+void ForwardRequest::DropBody(ForwardAttempt& attempt) {
+  buffered_bytes_ -= attempt.body.size();
+  context_->buffered_response_bytes -= attempt.body.size();
+  attempt.body = std::string();
 }
 
-void ForwardRequest::ForwardEvents(std::string_view data) {
-  std::string complete_events = events_.Feed(data);
-  if (events_.is_invalid()) {
-    FailAttempt(AttemptFailure::kInvalid);
+void ForwardRequest::ForwardEvents(const ForwardAttemptPtr& attempt,
+                                   std::string_view data) {
+  std::string complete_events = attempt->events.Feed(data);
+  if (attempt->events.is_invalid()) {
+    FailAttempt(attempt, AttemptFailure::kInvalid);
     return;
   }
   if (complete_events.empty()) {
     return;
   }
-  const bool is_first_of_attempt = !std::exchange(attempt_has_events_, true);
+  ChooseAttempt(attempt);
+  const Time now = context_->timers->Now();
+  const bool is_first_of_attempt = !std::exchange(attempt->has_events, true);
   if (!stream_started_) {
     stream_started_ = true;
-    stream_status_ = response_status_;
-    const std::string* type = FindHeader(response_headers_, "Content-Type");
+    stream_status_ = attempt->status;
+    const std::string* type = FindHeader(attempt->headers, "Content-Type");
     stream_content_type_ = type == nullptr ? "" : *type;
-    first_event_at_ = context_->timers->Now();
-    exchange_->StartStream(response_status_, response_headers_);
+    first_event_at_ = now;
+    exchange_->StartStream(attempt->status, attempt->headers);
   }
-  if (placement_number_ && is_first_of_attempt) {
-    context_->placement->ReportEvent(*placement_number_,
+  if (attempt->placement_number && is_first_of_attempt) {
+    context_->placement->ReportEvent(*attempt->placement_number,
                                      PlacementEvent::kFirstEvent, TargetId(),
-                                     context_->timers->Now());
+                                     now);
   }
-  const Time now = context_->timers->Now();
   if (last_event_at_ != Time()) {
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
+  last_event_id_ = attempt->events.last_id();
   StartSilenceTimer(GapTimeout());
   exchange_->Write(std::move(complete_events));
   PauseWhileCongested();
 }
 
+void ForwardRequest::ChooseAttempt(const ForwardAttemptPtr& attempt) {
+  if (attempt != attempt_) {
+    Log(LogLevel::kInfo, "silent_target_resumed",
+        {{"request", caller_fields_.attempt_id},
+         {"target", attempt->target.value()},
+         {"after_ms", FormatMs(context_->timers->Now() - attempt->sent_at)}});
+    context_->metrics->IncrementCounter(
+        "burdockhatch_resumed_attempts_total",
+        fmt::format("progress=\"{}\"", ProgressOf(*attempt)));
+    retry_timer_.reset();
+    SetWaitsForTarget(false);
+    if (const ForwardAttemptPtr later = std::exchange(attempt_, attempt)) {
+      EndAttempt(*later, PlacementEvent::kEnded, TargetId(),
+                 CallOutcome::kCallerGone);
+    }
+  }
+  for (const ForwardAttemptPtr& it : std::exchange(silent_attempts_, {})) {
+    if (it != attempt) {
+      EndAttempt(*it, PlacementEvent::kEnded, TargetId(),
+                 CallOutcome::kCallerGone);
+    }
+  }
+}
+
 void ForwardRequest::PauseWhileCongested() {
-  if (!exchange_->IsCongested() || !forward_call_) {
+  if (!exchange_->IsCongested() || !attempt_ || !attempt_->call) {
     return;
   }
-  forward_call_->PauseReading();
+  attempt_->call->PauseReading();
   silence_timer_.reset();
   exchange_->SetDrainedHandler([self = shared_from_this()] {
     self->Guard([&] {
-      if (!self->finished_ && self->forward_call_) {
+      if (!self->finished_ && self->attempt_ && self->attempt_->call) {
         self->StartSilenceTimer(self->GapTimeout());
-        self->forward_call_->ResumeReading();
+        self->attempt_->call->ResumeReading();
       }
     });
   });
@@ -596,153 +667,147 @@
   return std::max(route_->gap_target * kGapTimeoutFactor, kMinGapTimeout);
 }
 
-void ForwardRequest::OnCallEnd(ForwardCallResult result) {
+void ForwardRequest::OnCallEnd(const ForwardAttemptPtr& attempt,
+                               ForwardCallResult result) {
   if (result == ForwardCallResult::kNotSent) {
-    FailAttempt(AttemptFailure::kNotSent);
+    FailAttempt(attempt, AttemptFailure::kNotSent);
     return;
   }
   if (result == ForwardCallResult::kBroken) {
-    FailAttempt(AttemptFailure::kBroken);
+    FailAttempt(attempt, AttemptFailure::kBroken);
     return;
   }
-  if (response_fields_.not_executed) {
-    FailAttempt(AttemptFailure::kNotExecuted);
+  if (attempt->fields.not_executed) {
+    FailAttempt(attempt, AttemptFailure::kNotExecuted);
     return;
   }
-  if (is_streaming_) {
-    if (!IsStreamComplete()) {
-      FailAttempt(AttemptFailure::kBroken);
+  if (attempt->is_streaming) {
+    if (!IsStreamComplete(*attempt)) {
+      FailAttempt(attempt, AttemptFailure::kBroken);
       return;
     }
-    CloseAttempt(PlacementEvent::kEnded, CallOutcome::kAnswered);
-    exchange_->Write(events_.TakeHeldEvents());
+    ChooseAttempt(attempt);
+    EndAttempt(*attempt, PlacementEvent::kEnded, TargetId(),
+               CallOutcome::kAnswered);
+    exchange_->Write(attempt->events.TakeHeldEvents());
     exchange_->EndStream();
     Finish(200, "streamed");
     return;
   }
-  if (response_status_ >= 500) {
-    FailAttempt(AttemptFailure::kErrorResponse);
+  if (attempt->status >= 500) {
+    FailAttempt(attempt, AttemptFailure::kErrorResponse);
     return;
   }
-  SendBufferedResponse();
+  SendBufferedResponse(attempt);
 }
 
 // A connection that ends before the first event of a resumed stream says
 // nothing about the rest, unless the framing marks the end of the response.
-bool ForwardRequest::IsStreamComplete() const {
-  return stream_started_ && !events_.has_partial_event() &&
-         (attempt_has_events_ || !ends_with_connection_);
-}
-
-void ForwardRequest::SendBufferedResponse() {
-  CloseAttempt(PlacementEvent::kEnded, CallOutcome::kAnswered);
-  exchange_->SendResponse(response_status_, response_headers_, response_body_);
-  Finish(response_status_, "answered");
+bool ForwardRequest::IsStreamComplete(const ForwardAttempt& attempt) const {
+  return stream_started_ && !attempt.events.has_partial_event() &&
+         (attempt.has_events || !attempt.ends_with_connection);
 }
 
-std::string_view ForwardRequest::ToString(AttemptFailure failure) {
-  switch (failure) {
-    case AttemptFailure::kNotSent:
-      return "not_sent";
-    case AttemptFailure::kNotExecuted:
-      return "not_run";
-    case AttemptFailure::kBroken:
-      return "broken";
-    case AttemptFailure::kInvalid:
-      return "invalid";
-    case AttemptFailure::kTimedOut:
-      return "silent";
-    case AttemptFailure::kErrorResponse:
-      return "failed_answer";
-    case AttemptFailure::kTooLarge:
-      return "too_large";
-  }
-  return "unknown";
+void ForwardRequest::SendBufferedResponse(const ForwardAttemptPtr& attempt) {
+  ChooseAttempt(attempt);
+  EndAttempt(*attempt, PlacementEvent::kEnded, TargetId(),
+             CallOutcome::kAnswered);
+  exchange_->SendResponse(attempt->status, attempt->headers, attempt->body);
+  Finish(attempt->status, "answered");
 }
 
-std::string_view ForwardRequest::AttemptProgress() const {
-  if (attempt_has_events_) {
-    return "events";
-  }
-  return IsSuccess(response_status_) ? "head" : "none";
-}
-
-TargetId ForwardRequest::FindFailedTarget(AttemptFailure failure) const {
+TargetId ForwardRequest::FindFailedTarget(const ForwardAttempt& attempt,
+                                          AttemptFailure failure) const {
   if (failure != AttemptFailure::kNotExecuted ||
-      response_fields_.failed_helper.empty()) {
-    return target_;
+      attempt.fields.failed_helper.empty()) {
+    return attempt.target;
   }
   for (const auto& [id, entry] : context_->directory.targets()) {
-    if (entry.record.address == response_fields_.failed_helper) {
+    if (entry.record.address == attempt.fields.failed_helper) {
       return id;
     }
   }
-  return target_;
+  return attempt.target;
 }
 
-void ForwardRequest::FailAttempt(AttemptFailure failure) {
+void ForwardRequest::ExcludeTarget(const TargetId& target) {
+  excluded_targets_.push_back(target);
+  if (excluded_targets_.size() >= static_cast<size_t>(kMaxExcludedTargets)) {
+    excluded_targets_.erase(excluded_targets_.begin());
+  }
+}
+
+void ForwardRequest::FailAttempt(const ForwardAttemptPtr& attempt,
+                                 AttemptFailure failure) {
   const Time now = context_->timers->Now();
+  const bool is_silent = attempt != attempt_;
   Log(LogLevel::kWarning, "attempt_failed",
       {{"request", caller_fields_.attempt_id},
-       {"target", target_.value()},
+       {"target", attempt->target.value()},
        {"why", std::string(ToString(failure))},
-       {"status", std::to_string(response_status_)},
-       {"after_ms", FormatMs(now - sent_at_)},
-       {"helpers", std::to_string(helpers_.size())},
+       {"status", std::to_string(attempt->status)},
+       {"after_ms", FormatMs(now - attempt->sent_at)},
+       {"helpers", std::to_string(attempt->helpers.size())},
        {"last_event",
-        events_.last_id() ? std::to_string(*events_.last_id()) : "none"},
-       {"progress", std::string(AttemptProgress())},
+        last_event_id_ ? std::to_string(*last_event_id_) : "none"},
+       {"progress", std::string(ProgressOf(*attempt))},
+       {"was_silent", is_silent ? "true" : "false"},
        {"parts", FormatParts(caller_fields_.shared_parts)}});
   context_->metrics->IncrementCounter(
       "burdockhatch_attempt_failures_total",
       fmt::format("why=\"{}\",progress=\"{}\"", ToString(failure),
-                  AttemptProgress()));
+                  ProgressOf(*attempt)));
   if (failure == AttemptFailure::kNotExecuted &&
-      response_fields_.is_wrong_target) {
-    context_->directory.MarkReplaced(target_);
+      attempt->fields.is_wrong_target) {
+    context_->directory.MarkReplaced(attempt->target);
   }
-  if (failure == AttemptFailure::kErrorResponse && response_fields_.is_signed &&
+  if (failure == AttemptFailure::kErrorResponse && attempt->fields.is_signed &&
       (route_->repeatable ||
-       (response_status_ != 503 && response_status_ != 429))) {
-    error_response_ = ErrorResponse{response_status_, response_headers_,
-                                    std::exchange(response_body_, {})};
+       (attempt->status != 503 && attempt->status != 429))) {
+    KeepErrorResponse(*attempt);
   }
+  DropBody(*attempt);
   const bool not_sent = failure == AttemptFailure::kNotSent;
   const bool not_executed = failure == AttemptFailure::kNotExecuted;
   may_have_executed_ = may_have_executed_ || (!not_sent && !not_executed);
   attempt_count_ -= not_sent || not_executed ? 1 : 0;
   failed_connection_count_ += not_sent ? 1 : 0;
-  const TargetId failed = FindFailedTarget(failure);
+  const TargetId failed = FindFailedTarget(*attempt, failure);
   const bool is_fault = failure != AttemptFailure::kErrorResponse;
-  const std::optional<uint64_t> placement =
-      std::exchange(placement_number_, {});
-  silence_timer_.reset();
-  if (forward_call_) {
-    std::exchange(forward_call_, nullptr)->Stop();
-  }
-  reservations_.reset();
-  events_.DropPartialEvent();
-  if (placement) {
-    context_->placement->ReportEvent(*placement, FailureEvent(failure),
-                                     is_fault ? failed : TargetId(), now);
-  } else {
-    context_->balancer.EndCall(target_,
-                               not_executed ? CallOutcome::kRejected
-                               : is_fault   ? CallOutcome::kFailed
-                                            : CallOutcome::kAnswered,
-                               now - sent_at_, now);
-  }
-  excluded_targets_.push_back(failed);
-  if (excluded_targets_.size() >= static_cast<size_t>(kMaxExcludedTargets)) {
-    excluded_targets_.erase(excluded_targets_.begin());
+  EndAttempt(*attempt, PlacementEventOf(*attempt, failure),
+             is_fault ? failed : TargetId(),
+             not_executed ? CallOutcome::kRejected
+             : is_fault   ? CallOutcome::kFailed
+                          : CallOutcome::kAnswered);
+  ExcludeTarget(failed);
+  if (is_silent) {
+    std::erase(silent_attempts_, attempt);
+    if (attempt_ || !silent_attempts_.empty()) {
+      return;
+    }
   }
-  // OnSilenceTimeout has taken the retry already.
-  if (failure != AttemptFailure::kTimedOut && !AllowRetry(failure)) {
-    FinishWithFailure("no_further_attempt");
+  attempt_.reset();
+  silence_timer_.reset();
+  RetryAfterFailure(failure);
+}
+
+// The last error response may be the final one.
+void ForwardRequest::KeepErrorResponse(ForwardAttempt& attempt) {
+  const size_t replaced = error_response_ ? error_response_->body.size() : 0;
+  buffered_bytes_ -= replaced;
+  context_->buffered_response_bytes -= replaced;
+  error_response_ = ErrorResponse{attempt.status, attempt.headers,
+                                  std::exchange(attempt.body, {})};
+}
+
+void ForwardRequest::RetryAfterFailure(AttemptFailure failure) {
+  if (!AllowRetry(failure)) {
+    FailUnlessSilentAttemptLeft("no_further_attempt", kSilenceRecheckInterval);
     return;
   }
   const uint32_t rejected = RejectedSends();
-  if (!not_executed || rejected <= kImmediateRejectionRetries) {
+  if (failure != AttemptFailure::kNotExecuted ||
+      rejected <= kImmediateRejectionRetries) {
     StartNextAttempt();
     return;
   }
@@ -753,27 +818,6 @@
       });
 }
 
-PlacementEvent ForwardRequest::FailureEvent(AttemptFailure failure) const {
-  if (failure == AttemptFailure::kErrorResponse) {
-    return PlacementEvent::kEnded;
-  }
-  if (failure == AttemptFailure::kNotExecuted &&
-      response_fields_.is_wrong_target) {
-    return PlacementEvent::kTargetReplaced;
-  }
-  if (failure == AttemptFailure::kNotExecuted) {
-    return PlacementEvent::kTargetRefused;
-  }
-  if (failure != AttemptFailure::kBroken) {
-    return PlacementEvent::kTargetFailed;
-  }
-  if (attempt_has_events_) {
-    return PlacementEvent::kBrokenAfterStart;
-  }
-  return IsSuccess(response_status_) ? PlacementEvent::kBrokenAtStart
-                                     : PlacementEvent::kBrokenUnanswered;
-}
-
 PartKeys ForwardRequest::MakePartKeys() const {
   PartKeys keys;
   for (const std::string& it : caller_fields_.shared_parts) {
@@ -787,36 +831,57 @@
 }
 
 bool ForwardRequest::AllowRetry(AttemptFailure failure) {
-  const Time now = context_->timers->Now();
   if (TimeLeft() < kMinTimeForRetry) {
     return false;
   }
   if (failure == AttemptFailure::kNotSent) {
     return failed_connection_count_ < kMaxFailedConnects;
   }
-  const uint32_t rejected =
-      send_count_ - failed_connection_count_ - attempt_count_;
   const bool allowed = failure == AttemptFailure::kNotExecuted
-                           ? rejected <= kMaxRejectedSends
+                           ? RejectedSends() <= kMaxRejectedSends
                            : route_->repeatable;
-  return allowed && attempt_count_ < route_->max_attempts &&
-         context_->retry_budget.TryTakeRetry(
-             service_, context_->placement->entry_count(), now);
+  return allowed && TakeRetry();
+}
+
+bool ForwardRequest::TakeRetry() {
+  return attempt_count_ < route_->max_attempts &&
+         context_->retry_budget.TryTakeRetry(service_,
+                                             context_->placement->entry_count(),
+                                             context_->timers->Now());
 }
 
-void ForwardRequest::CloseAttempt(PlacementEvent event, CallOutcome outcome) {
+void ForwardRequest::EndAttempt(ForwardAttempt& attempt,
+                                PlacementEvent event,
+                                const TargetId& failed,
+                                CallOutcome outcome) {
   const Time now = context_->timers->Now();
+  if (attempt.call) {
+    std::exchange(attempt.call, nullptr)->Stop();
+  }
+  attempt.reservations.reset();
+  if (attempt.placement_number) {
+    context_->placement->ReportEvent(
+        *std::exchange(attempt.placement_number, {}), event, failed, now);
+  } else if (std::exchange(attempt.is_balanced, false)) {
+    context_->balancer.EndCall(attempt.target, outcome, now - attempt.sent_at,
+                               now);
+  }
+}
+
+void ForwardRequest::EndAllAttempts(CallOutcome outcome) {
   silence_timer_.reset();
-  if (placement_number_) {
-    context_->placement->ReportEvent(*std::exchange(placement_number_, {}),
-                                     event, TargetId(), now);
-  } else if (forward_call_) {
-    context_->balancer.EndCall(target_, outcome, now - sent_at_, now);
+  retry_timer_.reset();
+  std::vector<ForwardAttemptPtr> open = std::exchange(silent_attempts_, {});
+  if (attempt_) {
+    open.push_back(std::exchange(attempt_, nullptr));
   }
-  if (forward_call_) {
-    std::exchange(forward_call_, nullptr)->Stop();
+  for (const ForwardAttemptPtr& it : open) {
+    EndAttempt(*it, PlacementEvent::kEnded, TargetId(), outcome);
   }
-  reservations_.reset();
+}
+
+bool ForwardRequest::HasCall() const {
+  return !silent_attempts_.empty() || (attempt_ && attempt_->call);
 }
 
 // --- Completion -------------------------------------------------------------
@@ -825,7 +890,7 @@
   if (finished_) {
     return;
   }
-  CloseAttempt(PlacementEvent::kEnded, CallOutcome::kCallerGone);
+  EndAllAttempts(CallOutcome::kCallerGone);
   Finish(0, "caller_gone");
 }
 
@@ -833,8 +898,8 @@
   if (finished_) {
     return;
   }
-  may_have_executed_ = may_have_executed_ || forward_call_ != nullptr;
-  CloseAttempt(PlacementEvent::kEnded, CallOutcome::kFailed);
+  may_have_executed_ = may_have_executed_ || HasCall();
+  EndAllAttempts(CallOutcome::kFailed);
   FinishWithFailure("deadline");
 }
 
@@ -843,8 +908,27 @@
   const Failure failure{
       ErrorCode::kPartBlocked,
       may_have_executed_ ? Outcome::kUnknown : Outcome::kNotRun, blocked_left};
-  FinishWithFailure("part_blocked",
-                    ErrorResponseBody(failure, ErrorMessageFor(failure.code)));
+  FailUnlessSilentAttemptLeft(
+      "part_blocked", Duration(0),
+      ErrorResponseBody(failure, ErrorMessageFor(failure.code)));
+}
+
+void ForwardRequest::FailUnlessSilentAttemptLeft(std::string_view reason,
+                                                 Duration next_attempt_in,
+                                                 std::string body) {
+  attempt_.reset();
+  silence_timer_.reset();
+  if (silent_attempts_.empty()) {
+    FinishWithFailure(reason, std::move(body));
+    return;
+  }
+  Log(LogLevel::kInfo, "silent_target_awaited",
+      {{"request", caller_fields_.attempt_id},
+       {"target", silent_attempts_.back()->target.value()},
+       {"reason", std::string(reason)}});
+  if (next_attempt_in > Duration(0)) {
+    StartSilenceTimer(next_attempt_in);
+  }
 }
 
 void ForwardRequest::FinishWithFailure(std::string_view reason,
@@ -888,7 +972,7 @@
   finished_ = true;
   SetWaitsForTarget(false);
   error_response_.reset();
-  DropBufferedBodies();
+  context_->buffered_response_bytes -= std::exchange(buffered_bytes_, 0);
   deadline_timer_.reset();
   silence_timer_.reset();
   retry_timer_.reset();
@@ -904,7 +988,7 @@
        {"prompt", std::to_string(caller_fields_.prompt.value())},
        {"parts", FormatParts(caller_fields_.shared_parts)},
        {"sends", std::to_string(send_count_)},
-       {"helpers", std::to_string(helpers_.size())},
+       {"helpers", std::to_string(helper_count_)},
        {"waited_ms", FormatMs(send_count_ > 0 ? sent_at_ - received_at_
                                               : now - received_at_)},
        {"expected_ms", FormatMs(expected_first_event_delay_)},
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -14,15 +14,14 @@
 
 #include "src/caller_exchange.h"
 #include "src/clock.h"
-#include "src/event_stream.h"
 #include "src/fleet_directory.h"
+#include "src/forward_attempt.h"
 #include "src/forward_call.h"
 #include "src/forward_protocol.h"
 #include "src/metrics.h"
 #include "src/placement_client.h"
 #include "src/random.h"
 #include "src/request_retry_budget.h"
-#include "src/reservations.h"
 #include "src/routes.h"
 #include "src/service_balancer.h"
 #include "src/timers.h"
@@ -70,26 +69,10 @@
   void Start();
 
  private:
-  // Why an attempt ended without a complete successful response.
-  enum class AttemptFailure : uint8_t {
-    kNotSent,        // The connection failed before a byte was written.
-    kNotExecuted,    // The target stated that it did not execute the request.
-    kBroken,         // The connection broke, or ended inside the response.
-    kInvalid,        // The response belongs to no target or request.
-    kTimedOut,       // No response or event arrived in time.
-    kErrorResponse,  // A complete response with a 5xx status.
-    kTooLarge,       // The response exceeds a limit.
-  };
-
   // Runs `step`; an exception ends this request only.
   template <class Step>
   void Guard(Step&& step);
 
-  static std::string_view ToString(AttemptFailure failure);
-  // How far the attempt in progress has come: "none", "head" after the head of
-  // a successful response, or "events".
-  std::string_view AttemptProgress() const;
-
   // --- Admission ---
   void Admit();
   // Sets the route, client account and service. On failure rejects the request
@@ -102,7 +85,8 @@
   // --- Attempts ---
   void StartNextAttempt();
   void RequestPlacement();
-  void OnPlacementReply(const PlacementReply& reply);
+  void OnPlacementReply(const ForwardAttemptPtr& attempt,
+                        const PlacementReply& reply);
   void BalanceAndSend();
   // Whether the target has said to this entry, or to others, that it wants no
   // request now.
@@ -110,49 +94,78 @@
   void ReserveAndSend(const FleetDirectory::KnownTarget& entry,
                       std::vector<ForwardHelper> helpers,
                       const std::vector<MemoryHold>& holds);
+  void OnReserved(const ForwardAttemptPtr& attempt,
+                  const TargetId& target,
+                  std::vector<ForwardHelper> helpers,
+                  bool reserved);
   void SendToTarget(const FleetDirectory::KnownTarget& entry,
                     std::vector<ForwardHelper> helpers);
-  void OnResponseHead(uint32_t status, HeaderList headers);
-  bool IsForOtherAttempt() const;
+  ForwardCallSpec MakeCallSpec(const FleetDirectory::KnownTarget& entry) const;
+  void OnResponseHead(const ForwardAttemptPtr& attempt,
+                      uint32_t status,
+                      HeaderList headers);
   // Whether a response with these headers may follow the events that the caller
   // has received.
-  bool ContinuesStream(const HeaderList& headers) const;
+  bool ContinuesStream(uint32_t status, const HeaderList& headers) const;
   // Passes on what the response says of its target.
-  void RecordSignals();
-  void OnResponseBody(std::string_view data);
-  void OnCallEnd(ForwardCallResult result);
-  void ForwardEvents(std::string_view data);
+  void RecordSignals(const ForwardAttempt& attempt);
+  void OnResponseBody(const ForwardAttemptPtr& attempt, std::string_view data);
+  void OnCallEnd(const ForwardAttemptPtr& attempt, ForwardCallResult result);
+  void ForwardEvents(const ForwardAttemptPtr& attempt, std::string_view data);
   // Whether a stream whose response has ended is complete.
-  bool IsStreamComplete() const;
+  bool IsStreamComplete(const ForwardAttempt& attempt) const;
   // Reads the stream no faster than the caller does.
   void PauseWhileCongested();
-  bool ExceedsResponseLimits(size_t more) const;
-  void DropBufferedBodies();
-  // Restarts the timer. On a route that is not repeatable it only stops it.
-  void StartSilenceTimer(Duration timeout);
-  Duration FirstResponseTimeout() const;
-  Duration GapTimeout() const;
-  void OnSilenceTimeout();
-  void FailAttempt(AttemptFailure failure);
+  bool ExceedsResponseLimits(const ForwardAttempt& attempt, size_t more) const;
+  void DropBody(ForwardAttempt& attempt);
+  // Makes `attempt` the only one: its response is forwarded.
+  void ChooseAttempt(const ForwardAttemptPtr& attempt);
+  void FailAttempt(const ForwardAttemptPtr& attempt, AttemptFailure failure);
+  void KeepErrorResponse(ForwardAttempt& attempt);
+  void RetryAfterFailure(AttemptFailure failure);
   // Takes from the retry budget of the service when it returns true, except for
   // failed connections.
   bool AllowRetry(AttemptFailure failure);
+  bool TakeRetry();
   // Returns the number of sends that targets reported as not executed.
   uint32_t RejectedSends() const;
   // The target at fault: a helper that the response names, else the target that
   // the request was sent to.
-  TargetId FindFailedTarget(AttemptFailure failure) const;
-  void CloseAttempt(PlacementEvent event, CallOutcome outcome);
+  TargetId FindFailedTarget(const ForwardAttempt& attempt,
+                            AttemptFailure failure) const;
+  void ExcludeTarget(const TargetId& target);
+  // Stops the attempt and tells placement or the balancer how it has ended.
+  void EndAttempt(ForwardAttempt& attempt,
+                  PlacementEvent event,
+                  const TargetId& failed,
+                  CallOutcome outcome);
+  // Ends the attempt in progress and the silent ones.
+  void EndAllAttempts(CallOutcome outcome);
+  bool HasCall() const;
   PartKeys MakePartKeys() const;
-  // The event that tells placement about the failure of a target.
-  PlacementEvent FailureEvent(AttemptFailure failure) const;
+
+  // --- Silent targets ---
+  // Restarts the timer. On a route that is not repeatable it only stops it.
+  void StartSilenceTimer(Duration timeout);
+  Duration FirstResponseTimeout() const;
+  Duration GapTimeout() const;
+  void OnSilenceTimeout();
+  // Keeps the attempt in progress open, as its target may be sound, while
+  // another one is made.
+  void SetAttemptAside();
 
   void SetWaitsForTarget(bool waits);
 
   // --- Completion ---
   void OnDeadline();
   void OnCallerGone();
-  void SendBufferedResponse();
+  void SendBufferedResponse(const ForwardAttemptPtr& attempt);
+  // No further attempt is possible now: fails the request, unless a silent
+  // target may still respond. In that case the next attempt is made after
+  // `next_attempt_in`; never if it is 0.
+  void FailUnlessSilentAttemptLeft(std::string_view reason,
+                                   Duration next_attempt_in,
+                                   std::string body = "");
   void FinishWithFailure(std::string_view reason, std::string body = "");
   // Rejects the request because of a part of its prompt that crashes targets.
   void FinishAsBlocked(Duration blocked_left);
@@ -182,24 +195,18 @@
   std::vector<TargetId> excluded_targets_;
   bool may_have_executed_ = false;
 
-  // The attempt in progress.
-  std::shared_ptr<ForwardCall> forward_call_;
-  std::optional<uint64_t> placement_number_;  // Of the attempt's placement ask.
+  // The attempt in progress; null while only silent ones are left.
+  ForwardAttemptPtr attempt_;
+  // Attempts whose targets are silent, in the order in which they were set
+  // aside. The first attempt that goes on ends the others.
+  std::vector<ForwardAttemptPtr> silent_attempts_;
+  Duration retry_after_{0};  // Advised when placement refuses.
+
+  // Of the latest send.
   TargetId target_;
-  uint64_t target_started_at_ = 0;  // As in TargetRecord.
-  std::vector<ForwardHelper> helpers_;
-  std::unique_ptr<ReservationSet> reservations_;
+  size_t helper_count_ = 0;
   Duration expected_first_event_delay_{0};
-  Duration retry_after_{0};  // Advised when placement refuses.
   Time sent_at_{};
-  uint32_t response_status_ = 0;  // 0 until the response head arrives.
-  HeaderList response_headers_;
-  TargetFields response_fields_;
-  std::string response_body_;
-  bool is_streaming_ = false;        // Events are forwarded as they arrive.
-  bool attempt_has_events_ = false;  // This attempt has delivered an event.
-  // The response has neither a length nor chunks.
-  bool ends_with_connection_ = false;
 
   // The last error response of a target. Returned to the caller if no later
   // attempt succeeds.
@@ -211,7 +218,7 @@
   std::optional<ErrorResponse> error_response_;
   size_t buffered_bytes_ = 0;  // Part of context_->buffered_response_bytes.
 
-  EventStream events_;
+  std::optional<uint64_t> last_event_id_;  // That the caller has.
   bool stream_started_ = false;  // The response head was sent to the caller.
   uint32_t stream_status_ = 0;   // Of that head.
   std::string stream_content_type_;
--- a/src/messages.h
+++ b/src/messages.h
@@ -386,7 +386,7 @@
 enum class PlacementEvent : uint8_t {
   kFirstEvent,      // The prompt is processed; output has begun.
   kEnded,           // The request no longer uses its targets.
-  kTargetFailed,    // Ended: a target broke the answer off or was silent.
+  kTargetFailed,    // Ended: a target broke the answer off.
   kTargetReplaced,  // Ended: another target now has the address.
   // As kTargetFailed: the connection broke before the response head.
   kBrokenUnanswered,
@@ -394,8 +394,16 @@
   kBrokenAtStart,
   kBrokenAfterStart,  // As kTargetFailed: it broke after the first event.
   kTargetRefused,     // Ended: the target did not execute the request.
+  // The target is silent. The request still uses it.
+  kTargetSilent,
 };
 
+// Returns whether the request no longer uses its targets after the event.
+constexpr bool EndsPlacement(PlacementEvent event) {
+  return event != PlacementEvent::kFirstEvent &&
+         event != PlacementEvent::kTargetSilent;
+}
+
 // Entry to agent: progress or end of a placed request.
 struct PlacementChange {
   uint64_t number = 0;
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -213,7 +213,7 @@
                                   const TargetId& failed,
                                   Time now) {
   const PlacementChange change{number, event, failed};
-  if (event != PlacementEvent::kFirstEvent) {
+  if (EndsPlacement(event)) {
     pending_.erase(number);
   }
   local_scheduler_.ApplyChange(self_, change, now);
--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -74,8 +74,8 @@
                         std::function<void(const PlacementReply&)> done,
                         Time now);
 
-  // Reports an event of a placed or queued request. Every event but kFirstEvent
-  // ends the request. `failed` is the target at fault, empty if there is none.
+  // Reports an event of a placed or queued request. EndsPlacement() tells
+  // which events end the request. `failed` is the target at fault, empty if there is none.
   void ReportEvent(uint64_t number,
                    PlacementEvent event,
                    const TargetId& failed,
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -50,6 +50,7 @@
 
 bool IsTargetFailure(PlacementEvent event) {
   return event == PlacementEvent::kTargetFailed ||
+         event == PlacementEvent::kTargetSilent ||
          event == PlacementEvent::kBrokenUnanswered ||
          event == PlacementEvent::kBrokenAtStart ||
          event == PlacementEvent::kBrokenAfterStart;
@@ -157,7 +158,7 @@
                                      const PlacementChange& change,
                                      Time now) {
   for (auto& [service, state] : services_) {
-    const bool ended = change.event != PlacementEvent::kFirstEvent;
+    const bool ended = EndsPlacement(change.event);
     if (ended) {
       std::erase_if(state.queue, [&](const QueuedRequest& it) {
         return it.entry == entry && it.ask.number == change.number;
@@ -193,7 +194,7 @@
             kNewAnswerWeight * (took_ms - state.short_answer_ms);
       }
       RemovePlacedRequest(state, placed, now);
-    } else {
+    } else if (change.event == PlacementEvent::kFirstEvent) {
       EndPrefill(state, placed->second, true, now);
       Target& answered = state.targets[placed->second.work.target];
       answered.suspect_duration = Duration(0);
@@ -240,6 +241,8 @@
   const PlacedWork& work = placed.work;
   Target& target = state.targets[work.target];
   switch (change.event) {
+    case PlacementEvent::kTargetSilent:
+      return;
     case PlacementEvent::kFirstEvent:
       if (work.reading) {
         blame_.OnAnswer(work.parts, now);
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -663,7 +663,7 @@
   PlacementChange ReadBody(const wire::PlacementChange& from) {
     PlacementChange to;
     to.number = from.number();
-    to.event = ReadEnum(from.event(), PlacementEvent::kTargetRefused);
+    to.event = ReadEnum(from.event(), PlacementEvent::kTargetSilent);
     to.failed = ReadOptionalId<TargetId>(from.failed());
     return to;
   }
