Keep a stream whose start is unanswered when its entry resumes it

Callers saw a 502 with an unknown outcome, or waited for a second attempt, for a completion whose engine or agent had only been silent for about a second.

Cause: an entry sends Resume 500 ms after an unanswered offer, and 1 s after the last sign of a stream. An agent that had not yet an answer to its own POST of the stream then asked the engine for the events of the stream on another connection. An engine that handles that request first answers 404, which ends the attempt with an unknown outcome while the start still runs.

Now a Resume of a stream whose start is unanswered is confirmed, as it is for queued work, and the reader is opened when the start is answered.

--- a/src/dispatch.cc
+++ b/src/dispatch.cc
@@ -512,7 +512,10 @@
                   const Resume& resume) {
   if (AcceptedAttempt* attempt = FindAttempt(tables, resume.attempt)) {
     attempt->entry = from;
-    if (IsModelEngineAgent(tables) && IsDispatched(*attempt)) {
+    // A start that is not answered yet may not have reached the engine, which
+    // would answer that it has no such stream.
+    if (IsModelEngineAgent(tables) &&
+        attempt->phase == AttemptPhase::kRunning) {
       attempt->next_chunk = resume.next_chunk;
       ReattachStream(tables, *attempt);
     } else {
--- a/tests/agent_simulation.cc
+++ b/tests/agent_simulation.cc
@@ -326,9 +326,11 @@
     arrive(Latency());
     answer(StartStatus::kUnknown, kAnswerTimeout);
   } else {
-    arrive(Latency());
-    answer(StartStatus::kStarted, Latency() + milliseconds(3));
-    ScheduleAfter(milliseconds(8), [this, &node, id = action.spec.stream,
+    const bool slow = faults.start_slow > 0 && Chance(faults.start_slow);
+    const Duration silence = slow ? seconds(1) : seconds(0);
+    arrive(silence + Latency());
+    answer(StartStatus::kStarted, silence + Latency() + milliseconds(3));
+    ScheduleAfter(silence + milliseconds(8), [this, &node, id = action.spec.stream,
                                     from = action.spec.first_chunk] {
       if (node.engine.streams.contains(id) ||
           node.engine.finished.contains(id)) {
--- a/tests/agent_simulation.h
+++ b/tests/agent_simulation.h
@@ -25,6 +25,7 @@
   double start_lost = 0;         // The start is lost and gets no answer.
   double start_answer_lost = 0;  // The start arrives; its answer is lost.
   double start_late = 0;         // The start arrives after the answer timeout.
+  double start_slow = 0;         // The start arrives and is answered after 1 s.
   double start_refused = 0;
   double start_not_sent = 0;
   double cancel_lost = 0;
--- a/tests/agent_streams_test.cc
+++ b/tests/agent_streams_test.cc
@@ -273,6 +273,21 @@
   EXPECT_EQ(tables.warmup.budget, Tokens(50'000));
 }
 
+// Guards against a stream that ends as unknown because its entry resumes it while
+// a silent engine has not answered the start.
+TEST_F(AgentStreamsTest, ResumeBeforeTheStartIsAnsweredKeepsTheStream) {
+  simulation_.faults.start_slow = 1;
+  const AttemptId id = StartStream();
+  simulation_.offers[id].accepted_at.reset();
+  simulation_.Send(node_, Resume{id, 0, seconds(20)});
+  EXPECT_TRUE(simulation_.offers[id].accepted_at);
+  simulation_.Run(seconds(4));
+  ASSERT_EQ(FinishCount(id), 1u);
+  EXPECT_EQ(LastFailure(id).code, ErrorCode::kNone);
+  EXPECT_EQ(simulation_.dispatches[id], 1);
+  CheckAllInvariants(simulation_);
+}
+
 // Guards against an entry that considers an agent failed because the Resume of
 // a call gets no reply.
 TEST(AgentResumeTest, ResumeOfACallIsConfirmed) {
