Detect lost connections of the bus by TCP instead of heartbeats

Operators saw an agent end by itself with code 134 and "Assertion failed: !_io_error (src/stream_engine_base.cpp:331)" of libzmq 4.3.4; callers of its requests waited for another attempt.

Cause: a connection of which a received message cannot be queued stops its input, because the receive queue is full, or because a later connection with the same routing id has replaced it (ZMQ_ROUTER_HANDOVER). When the peer then resets it, the engine leaves the poll set and stays until the queue is read, or for ever. The timer of ZMQ_HEARTBEAT_IVL still runs and writes to it, which the assertion forbids.

Now sockets have no heartbeats. TCP keep-alive closes an idle connection, and ZMQ_TCP_MAXRT one with unacknowledged bytes, after the same 20 s (BusOptions::connection_timeout). A replaced connection that fails with an unqueued message still keeps a descriptor until the bus stops.

HalfOpenConnectionsAreReplacedAndClosed needs the new option; with the heartbeats in its place it fails, as these close after 20 s.

--- a/src/bus.cc
+++ b/src/bus.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 #include <zmq.h>
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <chrono>
@@ -34,10 +35,8 @@
 constexpr int64_t kMaxMessageBytes = 80 * 1024 * 1024;
 constexpr int kReconnectIntervalMs = 50;
 constexpr int kMaxReconnectIntervalMs = 1'000;
-// Heartbeats detect half-open connections. The timeout is long, so that a
-// paused peer keeps its connection and the messages queued in it.
-constexpr int kHeartbeatIntervalMs = 5'000;
-constexpr int kHeartbeatTimeoutMs = 20'000;
+// Probes of an idle connection that stay unanswered until it counts as lost.
+constexpr int kKeepAliveProbeCount = 3;
 // Time to transmit messages written just before a planned stop, e.g. a Goodbye.
 constexpr int kStopLingerMs = 300;
 constexpr int kPollTimeoutMs = 1'000;
@@ -184,13 +183,31 @@
     SetOption(socket, ZMQ_RCVHWM, options_.high_water_mark);
     SetOption(socket, ZMQ_RECONNECT_IVL, kReconnectIntervalMs);
     SetOption(socket, ZMQ_RECONNECT_IVL_MAX, kMaxReconnectIntervalMs);
-    SetOption(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatIntervalMs);
-    SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeoutMs);
+    SetConnectionTimeout(socket);
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &kMaxMessageBytes,
                    sizeof(kMaxMessageBytes));
     return socket;
   }
 
+  // The kernel detects half-open connections. ZMQ_HEARTBEAT_IVL is not used:
+  // its timer aborts the process when it expires on a connection that has
+  // failed while a received message could not be queued (libzmq 4.3.4).
+  void SetConnectionTimeout(void* socket) {
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    const Duration timeout = options_.connection_timeout;
+    const Duration interval = timeout / (kKeepAliveProbeCount + 1);
+    const auto interval_s =
+        static_cast<int>(std::chrono::duration_cast<seconds>(interval).count());
+    SetOption(socket, ZMQ_TCP_KEEPALIVE, 1);
+    SetOption(socket, ZMQ_TCP_KEEPALIVE_IDLE, std::max(interval_s, 1));
+    SetOption(socket, ZMQ_TCP_KEEPALIVE_INTVL, std::max(interval_s, 1));
+    SetOption(socket, ZMQ_TCP_KEEPALIVE_CNT, kKeepAliveProbeCount);
+    SetOption(socket, ZMQ_TCP_MAXRT,
+              static_cast<int>(
+                  std::chrono::duration_cast<milliseconds>(timeout).count()));
+  }
+
   static void SetOption(void* socket, int option, int value) {
     zmq_setsockopt(socket, option, &value, sizeof(value));
   }
--- a/src/bus.h
+++ b/src/bus.h
@@ -5,6 +5,7 @@
 #ifndef SRC_BUS_H_
 #define SRC_BUS_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,6 +17,7 @@
 
 #include "src/ids.h"
 #include "src/messages.h"
+#include "src/units.h"
 
 namespace burdockhatch {
 
@@ -27,6 +29,10 @@
   size_t max_queued_bytes = 256 * 1024 * 1024;
   // Maximum number of messages queued per connection and direction.
   int high_water_mark = 4 * 1024;
+  // A connection whose peer acknowledges nothing for this long is closed. It is
+  // long enough for a paused machine to keep its connections and the messages
+  // queued in them.
+  Duration connection_timeout = std::chrono::seconds(20);
 };
 
 // Totals since the start of the process, except `connections` and `queued`.
--- a/tests/agent_simulation.cc
+++ b/tests/agent_simulation.cc
@@ -330,13 +330,14 @@
     const Duration silence = slow ? seconds(1) : seconds(0);
     arrive(silence + Latency());
     answer(StartStatus::kStarted, silence + Latency() + milliseconds(3));
-    ScheduleAfter(silence + milliseconds(8), [this, &node, id = action.spec.stream,
-                                    from = action.spec.first_chunk] {
-      if (node.engine.streams.contains(id) ||
-          node.engine.finished.contains(id)) {
-        Relay(node, id, from);
-      }
-    });
+    ScheduleAfter(
+        silence + milliseconds(8),
+        [this, &node, id = action.spec.stream, from = action.spec.first_chunk] {
+          if (node.engine.streams.contains(id) ||
+              node.engine.finished.contains(id)) {
+            Relay(node, id, from);
+          }
+        });
   }
 }
 
--- a/tests/agent_streams_test.cc
+++ b/tests/agent_streams_test.cc
@@ -273,8 +273,8 @@
   EXPECT_EQ(tables.warmup.budget, Tokens(50'000));
 }
 
-// Guards against a stream that ends as unknown because its entry resumes it while
-// a silent engine has not answered the start.
+// Guards against a stream that ends as unknown because its entry resumes it
+// while a silent engine has not answered the start.
 TEST_F(AgentStreamsTest, ResumeBeforeTheStartIsAnsweredKeepsTheStream) {
   simulation_.faults.start_slow = 1;
   const AttemptId id = StartStream();
--- a/tests/bus_test.cc
+++ b/tests/bus_test.cc
@@ -1,7 +1,12 @@
 #include "src/bus.h"
 
+#include <linux/filter.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 #include <fmt/format.h>
@@ -25,9 +30,9 @@
  public:
   BusPeer(const std::string& instance,
           uint64_t incarnation,
-          std::string address)
+          std::string address,
+          BusOptions options = {})
       : address_(std::move(address)) {
-    BusOptions options;
     options.self = {InstanceId(instance), Incarnation(incarnation)};
     options.bind_address = address_;
     Bus::Handlers handlers;
@@ -49,6 +54,17 @@
     return messages_.size();
   }
 
+  // Until Release(), the bus thread waits at the next message that it receives.
+  void Hold() {
+    const std::lock_guard lock(mutex_);
+    held_ = true;
+  }
+  void Release() {
+    const std::lock_guard lock(mutex_);
+    held_ = false;
+    changed_.notify_all();
+  }
+
   // Waits for `count` messages and returns all received. The timeout expires
   // only in a failing test.
   std::vector<Message> WaitFor(size_t count) {
@@ -60,7 +76,8 @@
 
  private:
   void Add(Message message) {
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return !held_; });
     messages_.push_back(std::move(message));
     changed_.notify_all();
   }
@@ -69,6 +86,7 @@
   PeerId self_;
   std::mutex mutex_;
   std::condition_variable changed_;
+  bool held_ = false;
   std::vector<Message> messages_;
   std::unique_ptr<Bus> bus_;
 };
@@ -230,6 +248,121 @@
   EXPECT_TRUE(IsHandledByIncarnation(message, Incarnation(5)));
 }
 
+uint16_t PortOf(const std::string& address) {
+  return static_cast<uint16_t>(
+      std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+uint16_t PortOf(int fd, decltype(getsockname)* get_name) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  const bool found =
+      get_name(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0 &&
+      address.sin_family == AF_INET;
+  return found ? ntohs(address.sin_port) : 0;
+}
+
+// Returns the descriptors of the connections in this process to the socket that
+// listens on `address`: the accepted ends, or the connecting ones.
+std::vector<int> ConnectionsTo(const std::string& address, bool accepted) {
+  constexpr int kMaxDescriptor = 1024;
+  std::vector<int> found;
+  for (int fd = 0; fd < kMaxDescriptor; ++fd) {
+    const uint16_t own = PortOf(fd, getsockname);
+    const uint16_t peer = PortOf(fd, getpeername);
+    if (peer != 0 && (accepted ? own : peer) == PortOf(address)) {
+      found.push_back(fd);
+    }
+  }
+  return found;
+}
+
+// Makes the kernel reset the connection when it is closed.
+bool ResetOnClose(int fd) {
+  const linger option{1, 0};
+  return setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option)) == 0;
+}
+
+// Makes the kernel drop all that arrives on the connection, also the
+// acknowledgements.
+bool DropIncoming(int fd) {
+  sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{1, &drop_all};
+  return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                    sizeof(program)) == 0;
+}
+
+// Interval of the heartbeats that ended the process, plus a margin.
+constexpr std::chrono::milliseconds kPastHeartbeatInterval{5'500};
+
+// Guards against an abort of libzmq, on a timer, after a connection has failed
+// whose received messages could not be queued: because a later connection with
+// the same routing id has replaced it, or because the queue was full.
+TEST(BusTest, FailedConnectionsWithUnqueuedMessagesEndNothing) {
+  BusOptions small_queue;
+  small_queue.high_water_mark = 4;
+  BusPeer agent("agent", 20, UnusedAddress());
+  BusPeer slow_agent("slow", 30, UnusedAddress(), small_queue);
+  BusPeer current("entry", 10, UnusedAddress());
+  {
+    BusPeer replaced("entry", 10, UnusedAddress());
+    replaced.bus().Connect(agent.self().instance, agent.address());
+    ASSERT_GE(SendUntilWritten(replaced, agent.self(), Goodbye{}), 0);
+    agent.WaitFor(1);
+    for (const int fd : ConnectionsTo(agent.address(), false)) {
+      ASSERT_TRUE(ResetOnClose(fd));
+    }
+    current.bus().Connect(agent.self().instance, agent.address());
+    ASSERT_GE(SendUntilWritten(current, agent.self(), Goodbye{}), 0);
+    agent.WaitFor(2);
+    replaced.bus().Send(agent.self(), Goodbye{});
+
+    BusPeer flood("flood", 40, UnusedAddress());
+    flood.bus().Connect(slow_agent.self().instance, slow_agent.address());
+    slow_agent.Hold();
+    ASSERT_GE(SendUntilWritten(flood, slow_agent.self(), Goodbye{}), 0);
+    for (const int fd : ConnectionsTo(slow_agent.address(), false)) {
+      ASSERT_TRUE(ResetOnClose(fd));
+    }
+    for (int i = 0; i < 2'000; ++i) {
+      flood.bus().Send(slow_agent.self(), Goodbye{});
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  std::this_thread::sleep_for(kPastHeartbeatInterval);
+  slow_agent.Release();
+  current.bus().Send(agent.self(), Subscribe{Duration(5)});
+  EXPECT_EQ(agent.WaitFor(3).size(), 3u);
+  current.bus().Connect(slow_agent.self().instance, slow_agent.address());
+  EXPECT_GE(SendUntilWritten(current, slow_agent.self(), Goodbye{}), 0);
+}
+
+// Guards against a connection that is kept for ever although its network path
+// is gone: the sender must connect again, and neither side keep the old one.
+TEST(BusTest, HalfOpenConnectionsAreReplacedAndClosed) {
+  BusOptions options;
+  options.connection_timeout = std::chrono::seconds(2);
+  BusPeer entry("entry", 10, UnusedAddress(), options);
+  BusPeer agent("agent", 20, UnusedAddress(), options);
+  const std::string& address = agent.address();
+  entry.bus().Connect(agent.self().instance, address);
+  ASSERT_GE(SendUntilWritten(entry, agent.self(), Goodbye{}), 0);
+  ASSERT_EQ(agent.WaitFor(1).size(), 1u);
+  const std::vector<int> before = ConnectionsTo(address, true);
+  ASSERT_EQ(before.size(), 1u);
+  ASSERT_TRUE(DropIncoming(before[0]));
+
+  for (int i = 0; i < 1'000 && agent.count() < 2; ++i) {
+    entry.bus().Send(agent.self(), Goodbye{});
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_GE(agent.count(), 2u);
+  for (int i = 0; i < 1'000 && ConnectionsTo(address, true).size() != 1; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_EQ(ConnectionsTo(address, true).size(), 1u);
+}
+
 TEST(BusTest, AcceptsOnlyIpAddressesWithPort) {
   EXPECT_TRUE(IsIpv4AddressWithPort("127.0.0.1:4000"));
   for (const char* it : {"localhost:4000", "127.0.0.1", "127.0.0.1:0",
