Call a target's machine lost after five seconds of silence

Callers of non-repeatable calls saw a 502 with an unknown outcome, and of repeatable ones a second attempt, when the machine of a sound target was silent for little more than a second during the call.

Cause: TCP keep-alive probed a call's connection once, after an idle second, and closed it a second later. A single probe that is lost ended the call.

Now four probes must stay unanswered, five seconds in all, which is the idle timeout of event streams.

SilenceOfASoundServiceEndsNoCall fails on for the three calls whose network is silent; for the three whose service only writes nothing it guards what holds.

--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -148,8 +148,9 @@
   ConnectionPool pool;
 };
 
-// Sets TCP keep-alive so that the connection fails about two seconds after its
-// peer stops acknowledging probes.
+// Sets TCP keep-alive so that the connection fails about five seconds after its
+// peer stops acknowledging probes. A sound machine may be silent for a second or
+// two.
 void SetKeepAlive(tcp::socket& socket) {
   using IdleSeconds =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
@@ -161,7 +162,7 @@
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(IdleSeconds(1), ignored);
   socket.set_option(ProbeIntervalSeconds(1), ignored);
-  socket.set_option(ProbeCount(1), ignored);
+  socket.set_option(ProbeCount(4), ignored);
 }
 
 // Closes a connection without a graceful shutdown.
--- a/tests/bus_test.cc
+++ b/tests/bus_test.cc
@@ -1,6 +1,5 @@
 #include "src/bus.h"
 
-#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -14,6 +13,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "tests/socket_faults.h"
+
 namespace burdockhatch {
 namespace {
 
@@ -277,21 +278,6 @@
   return found;
 }
 
-// Makes the kernel reset the connection when it is closed.
-bool ResetOnClose(int fd) {
-  const linger option{1, 0};
-  return setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option)) == 0;
-}
-
-// Makes the kernel drop all that arrives on the connection, also the
-// acknowledgements.
-bool DropIncoming(int fd) {
-  sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-  const sock_fprog program{1, &drop_all};
-  return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
-                    sizeof(program)) == 0;
-}
-
 // Interval of the heartbeats that ended the process, plus a margin.
 constexpr std::chrono::milliseconds kPastHeartbeatInterval{5'500};
 
--- a/tests/target_connection_test.cc
+++ b/tests/target_connection_test.cc
@@ -16,6 +16,7 @@
 
 #include "src/engine_http.h"
 #include "src/plain_service_http.h"
+#include "tests/socket_faults.h"
 
 namespace burdockhatch {
 namespace {
@@ -193,5 +194,80 @@
   }
 }
 
+// A service that reads one request, sends the first `sent_before` bytes of its
+// answer, falls silent, and then sends the rest. If `is_network_silent`, its
+// kernel drops all that arrives during the middle of that time.
+class SilentService {
+ public:
+  SilentService(size_t sent_before, bool is_network_silent)
+      : sent_before_(sent_before),
+        is_network_silent_(is_network_silent),
+        acceptor_(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        thread_([this] { Serve(); }) {}
+  ~SilentService() { thread_.join(); }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  void Serve() {
+    const std::string answer = MakeAnswer(200, "done");
+    tcp::socket socket(io_);
+    error_code ec;
+    acceptor_.accept(socket, ec);
+    asio::streambuf input;
+    asio::read_until(socket, input, "\r\n\r\n", ec);
+    asio::write(socket, asio::buffer(answer.substr(0, sent_before_)), ec);
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    if (is_network_silent_) {
+      EXPECT_TRUE(DropIncoming(socket.native_handle()));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'400));
+    if (is_network_silent_) {
+      EXPECT_TRUE(AcceptIncoming(socket.native_handle()));
+    }
+    asio::write(socket, asio::buffer(answer.substr(sent_before_)), ec);
+  }
+
+  size_t sent_before_;
+  bool is_network_silent_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+// Guards against a call that ends as unknown because its sound service, or the
+// machine of the service, is silent for about a second.
+TEST_F(TargetConnectionTest, SilenceOfASoundServiceEndsNoCall) {
+  constexpr size_t kWithinHead = 10;
+  const size_t within_body = MakeAnswer(200, "done").size() - 2;
+  std::vector<std::unique_ptr<SilentService>> targets;
+  std::vector<std::unique_ptr<PlainService>> services;
+  std::vector<std::future<ServiceResponse>> answers;
+  for (const size_t sent_before : {size_t{0}, kWithinHead, within_body}) {
+    for (const bool is_network_silent : {false, true}) {
+      targets.push_back(
+          std::make_unique<SilentService>(sent_before, is_network_silent));
+      services.push_back(
+          MakeHttpPlainService(io_, io_, targets.back()->address()));
+      ServiceRequest request;
+      request.method = "POST";
+      request.path = "/orders";
+      request.timeout = std::chrono::seconds(20);
+      auto promise = std::make_shared<std::promise<ServiceResponse>>();
+      answers.push_back(promise->get_future());
+      services.back()->Call(request, [promise](ServiceResponse it) {
+        promise->set_value(std::move(it));
+      });
+    }
+  }
+  for (auto& it : answers) {
+    const ServiceResponse answer = it.get();
+    EXPECT_EQ(answer.status, CallStatus::kAnswered);
+    EXPECT_EQ(answer.body, "done");
+  }
+}
+
 }  // namespace
 }  // namespace burdockhatch
