--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -77,7 +77,7 @@
     OnFailure(reply);
     return;
   }
-  OnSuccess();
+  OnSuccess(reply);
   if (first_page_revision_ == 0) {
     // Watching starts at the revision of the first page, because its items may
     // change while later pages are read.
@@ -123,7 +123,7 @@
     OnFailure(reply);
     return;
   }
-  OnSuccess();
+  OnSuccess(reply);
   revision_ = std::max(revision_, reply.revision);
   if (reply.items.empty()) {
     Watch();
@@ -160,7 +160,8 @@
       });
 }
 
-void FeedFollower::OnSuccess() {
+void FeedFollower::OnSuccess(const FeedReply& reply) {
+  unreadable_items_ += reply.unreadable_items;
   consecutive_failures_ = 0;
   if (unavailable_since_ == Time()) {
     return;
--- a/src/feed_follower.h
+++ b/src/feed_follower.h
@@ -39,6 +39,8 @@
   // succeed.
   Time unavailable_since() const { return unavailable_since_; }
   uint64_t revision() const { return revision_; }
+  // Elements read so far that describe no valid item.
+  uint64_t unreadable_items() const { return unreadable_items_; }
 
  private:
   void List(std::string after);
@@ -46,7 +48,7 @@
   void Watch();
   void OnWatch(FeedReply reply);
   void OnFailure(const FeedReply& reply);
-  void OnSuccess();
+  void OnSuccess(const FeedReply& reply);
   void ScheduleWatch(Duration delay);
   bool StoreWasUnavailable() const;
 
@@ -61,6 +63,7 @@
   uint64_t first_page_revision_ = 0;  // Of the listing in progress.
   bool is_listing_ = true;
   uint64_t revision_ = 0;
+  uint64_t unreadable_items_ = 0;
   uint32_t consecutive_failures_ = 0;
   Time unavailable_since_{};
   Time recovered_at_{};
--- a/src/fleet_feed.h
+++ b/src/fleet_feed.h
@@ -38,6 +38,8 @@
   FeedStatus status = FeedStatus::kFailed;
   std::vector<FeedItem> items;
   uint64_t revision = 0;
+  // Elements of the reply that describe no valid item.
+  uint32_t unreadable_items = 0;
   std::string next;  // Lists only: `after` of the next page; empty on the last.
   std::string reason;  // Set for kFailed, for the log.
 };
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -204,8 +204,9 @@
                                ? 0
                                : (now - it.unavailable_since()).count() / 1'000;
       feeds += fmt::format(
-          "{}\"{}\":{{\"revision\":{},\"away_ms\":{}}}", i == 0 ? "" : ",",
-          ToString(static_cast<FeedKind>(i)), it.revision(), away);
+          "{}\"{}\":{{\"revision\":{},\"away_ms\":{},\"unreadable\":{}}}",
+          i == 0 ? "" : ",", ToString(static_cast<FeedKind>(i)), it.revision(),
+          away, it.unreadable_items());
     }
     std::string withdrawn;
     for (const DataCentreId& it : context_.directory.withdrawn_data_centres()) {
--- a/src/relayed_feed.cc
+++ b/src/relayed_feed.cc
@@ -175,6 +175,7 @@
     return;
   }
   feed.known = delta.revision;
+  feed.received.unreadable_items += reply.unreadable_items;
   feed.received.items.insert(feed.received.items.end(),
                              std::make_move_iterator(reply.items.begin()),
                              std::make_move_iterator(reply.items.end()));
