--- a/src/ip_endpoint.cc
+++ b/src/ip_endpoint.cc
@@ -8,7 +8,8 @@
 std::optional<boost::asio::ip::tcp::endpoint> ParseIpEndpoint(
     const std::string& address) {
   const size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
+  // make_address() ignores what follows a null byte.
+  if (colon == std::string::npos || address.find('\0') != std::string::npos) {
     return std::nullopt;
   }
   boost::system::error_code ec;
