--- a/src/feed_follower.cc
+++ b/src/feed_follower.cc
@@ -64,6 +64,7 @@
     listed_items_.clear();
     first_page_revision_ = 0;
   }
+  page_after_ = after;
   const std::weak_ptr<bool> alive = alive_;
   feed_->List(kind_, after, [this, alive](FeedReply reply) {
     if (!alive.expired()) {
@@ -86,10 +87,15 @@
   listed_items_.insert(listed_items_.end(),
                        std::make_move_iterator(reply.items.begin()),
                        std::make_move_iterator(reply.items.end()));
-  if (!reply.next.empty()) {
+  if (!reply.next.empty() && reply.next != page_after_) {
     List(reply.next);
     return;
   }
+  if (!reply.next.empty()) {
+    Log(LogLevel::kError, "feed_list_cut",
+        {{"feed", std::string(ToString(kind_))},
+         {"items", std::to_string(listed_items_.size())}});
+  }
   revision_ = first_page_revision_;
   is_listing_ = false;
   observer_({true, std::exchange(listed_items_, {}), revision_,
--- a/src/feed_follower.h
+++ b/src/feed_follower.h
@@ -60,6 +60,7 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<Timer> next_call_timer_;
   std::vector<FeedItem> listed_items_;
+  std::string page_after_;            // Of the page that is being read.
   uint64_t first_page_revision_ = 0;  // Of the listing in progress.
   bool is_listing_ = true;
   uint64_t revision_ = 0;
--- a/tests/feed_follower_test.cc
+++ b/tests/feed_follower_test.cc
@@ -114,6 +114,26 @@
   EXPECT_EQ(feed.Take().revision, 3u);
 }
 
+// Guards against a list that is read for ever because a page names the item
+// before it as its last.
+TEST(FeedFollowerListTest, PageThatDoesNotAdvanceEndsTheList) {
+  ManualTimers timers;
+  FakeFeed feed;
+  std::vector<FeedUpdate> updates;
+  FeedFollower follower(
+      FeedKind::kTargets, &feed, &timers, 1,
+      [&](FeedUpdate update) { updates.push_back(std::move(update)); });
+  follower.Start();
+  FeedReply page = Ok(3, {DataCentreId("a")});
+  page.next = "a";
+  feed.Take().done(page);
+  page.items.clear();
+  feed.Take().done(page);
+  ASSERT_EQ(updates.size(), 1u);
+  EXPECT_EQ(updates[0].items.size(), 1u);
+  EXPECT_FALSE(feed.Take().is_list);
+}
+
 // Guards against missing changes when the store has lost its history.
 TEST_F(FeedFollowerTest, ListsAgainWhenTheHistoryHasExpired) {
   feed_.Take().done(WithStatus(FeedStatus::kHistoryExpired));
