--- a/src/lenient_json.cc
+++ b/src/lenient_json.cc
@@ -177,13 +177,17 @@
   return result;
 }
 
+bool HasUnreadableKey(const json::object& object) {
+  return object.contains(kUnreadableKey);
+}
+
 bool HasUnreadablePart(const json::value& value) {
   if (const json::array* array = value.if_array()) {
     return std::any_of(array->begin(), array->end(), HasUnreadablePart);
   }
   const json::object* object = value.if_object();
   return object != nullptr &&
-         (object->contains(kUnreadableKey) ||
+         (HasUnreadableKey(*object) ||
           std::any_of(object->begin(), object->end(), [](const auto& it) {
             return HasUnreadablePart(it.value());
           }));
--- a/src/lenient_json.h
+++ b/src/lenient_json.h
@@ -26,6 +26,10 @@
 // its parts then cannot be told apart.
 std::optional<LenientJson> ParseLenientJson(std::string_view text);
 
+// Returns whether a key of `object` is unreadable, so that it may lack any
+// member, or whether it is a placeholder.
+bool HasUnreadableKey(const boost::json::object& object);
+
 // Returns whether `value` is or contains a placeholder.
 bool HasUnreadablePart(const boost::json::value& value);
 
