--- a/src/feed_follower.h
+++ b/src/feed_follower.h
@@ -39,6 +39,8 @@
   // succeed.
   Time unavailable_since() const { return unavailable_since_; }
   uint64_t revision() const { return revision_; }
+  // Elements read so far that describe no valid item.
+  uint64_t unreadable_items() const { return unreadable_items_; }
 
  private:
   void List(std::string after);
@@ -46,7 +48,7 @@
   void Watch();
   void OnWatch(FeedReply reply);
   void OnFailure(const FeedReply& reply);
-  void OnSuccess();
+  void OnSuccess(const FeedReply& reply);
   void ScheduleWatch(Duration delay);
   bool StoreWasUnavailable() const;
 
@@ -58,9 +60,11 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<Timer> next_call_timer_;
   std::vector<FeedItem> listed_items_;
+  std::string page_after_;            // Of the page that is being read.
   uint64_t first_page_revision_ = 0;  // Of the listing in progress.
   bool is_listing_ = true;
   uint64_t revision_ = 0;
+  uint64_t unreadable_items_ = 0;
   uint32_t consecutive_failures_ = 0;
   Time unavailable_since_{};
   Time recovered_at_{};
