Report connections that end with an unanswered request

Callers saw a whole request end with neither an answer nor a refusal, and no log line named it: a connection that was closed wrote none, so that a timeout, a stop, a full table, an exception and a caller that left looked alike.

Requests that are refused before they are handled have request_refused_unhandled and a counter. A whole request that its caller gave up keeps its one line, request_finished.

CallerServerHttpTest.UnansweredRequestsAreCounted covers the reports; the code before has no counters to test.

--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -16,6 +16,7 @@
 #include <boost/leaf/error.hpp>
 
 #include "src/caller_server.h"
+#include "src/connection_ends.h"
 #include "src/ip_endpoint.h"
 #include "src/log.h"
 
@@ -87,11 +88,11 @@
 
   void CloseIfIdle() {
     if (!in_exchange_ && !HasPendingInput()) {
-      Close();
+      Close(ConnectionEnd::kStop);
     }
   }
 
-  void CloseNow() { Close(); }
+  void CloseNow() { Close(ConnectionEnd::kStop); }
 
   // --- CallerExchange ---
 
@@ -134,7 +135,7 @@
     // the close of the connection.
     error_code ec;
     stream_.socket().set_option(asio::socket_base::linger(true, 0), ec);
-    Close();
+    Close(ConnectionEnd::kAborted);
   }
 
   bool IsCongested() const override { return congested_; }
@@ -167,7 +168,9 @@
         buffer_.prepare(kReadBufferBytes),
         [self = shared_from_this()](error_code ec, size_t n) {
           if (ec) {
-            self->Close();
+            self->Close(ec == beast::error::timeout
+                            ? ConnectionEnd::kIdleTimeout
+                            : ConnectionEnd::kDisconnect);
             return;
           }
           self->buffer_.commit(n);
@@ -212,7 +215,8 @@
     if (connection_ended ||
         ec.category() !=
             http::make_error_code(http::error::bad_method).category()) {
-      Close();
+      Close(ec == beast::error::timeout ? ConnectionEnd::kReadTimeout
+                                        : ConnectionEnd::kDisconnect);
       return;
     }
     uint32_t status = 400;
@@ -222,7 +226,9 @@
       status = 413;
     }
     Log(LogLevel::kWarning, "request_malformed", {{"reason", ec.message()}});
+    ReportRefused(ConnectionEnd::kMalformed, status);
     keep_alive_ = false;
+    is_refused_ = true;
     StartExchange();
     SendResponse(status, {}, "");
   }
@@ -272,7 +278,7 @@
       return;
     }
     if (read_ec || n == 0) {
-      Close();
+      Close(ConnectionEnd::kDisconnect);
     }
   }
 
@@ -332,7 +338,8 @@
       return;
     }
     if (ec) {
-      Close();
+      Close(ec == beast::error::timeout ? ConnectionEnd::kWriteTimeout
+                                        : ConnectionEnd::kWriteFailed);
       return;
     }
     written_bytes_ += n;
@@ -374,6 +381,11 @@
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.expires_after(kCloseTimeout);
+    if (buffer_.size() > 0 && !is_refused_) {
+      ReportUnanswered(ConnectionEnd::kConnectionClose, RequestProgress::kPart,
+                       buffer_.size());
+    }
+    draining_input_ = true;
     DrainInput();
   }
 
@@ -382,7 +394,7 @@
     stream_.async_read_some(buffer_.prepare(kReadBufferBytes),
                             [self = shared_from_this()](error_code ec, size_t) {
                               if (ec) {
-                                self->Close();
+                                self->Close(ConnectionEnd::kConnectionClose);
                               } else {
                                 self->DrainInput();
                               }
@@ -408,10 +420,23 @@
     }
   }
 
-  void Close() {
+  // What has been read of a request that is not answered.
+  RequestProgress UnansweredProgress() {
+    if (in_exchange_) {
+      return RequestProgress::kWhole;
+    }
+    return !draining_input_ && HasPendingInput() ? RequestProgress::kPart
+                                                 : RequestProgress::kNone;
+  }
+
+  void Close(ConnectionEnd reason) {
     if (closed_) {
       return;
     }
+    const RequestProgress progress = UnansweredProgress();
+    if (progress != RequestProgress::kNone) {
+      ReportUnanswered(reason, progress, buffer_.size());
+    }
     closed_ = true;
     const auto self = shared_from_this();
     const auto disconnect_handler = std::move(disconnect_handler_);
@@ -435,6 +460,8 @@
   bool is_head_request_ = false;
   bool reading_request_ = false;  // A request has been received in part.
   bool in_exchange_ = false;
+  bool is_refused_ = false;      // The buffer may hold the rest of the request.
+  bool draining_input_ = false;  // The last response has been sent.
   bool chunked_ = false;
   bool response_ends_ = false;  // The queued output completes the response.
   bool disconnect_watch_pending_ = false;
@@ -545,6 +572,8 @@
       Accept();
       if (shared_->connections.size() < shared_->max_connections) {
         std::make_shared<Connection>(std::move(socket), shared_)->Start();
+      } else {
+        ReportUnanswered(ConnectionEnd::kTableFull, RequestProgress::kNone, 0);
       }
     });
   }
--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -18,6 +18,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/config_edit.h"
+#include "src/connection_ends.h"
 #include "src/daemon_common.h"
 #include "src/exception_guard.h"
 #include "src/log.h"
@@ -407,6 +408,7 @@
 
 void DaemonLoop::UpdateMetrics() {
   ExportBusCounters(bus_->Stats(), &metrics_);
+  ExportConnectionEnds(&metrics_);
   const HttpEntryStats http = http_server_->Stats();
   metrics_.SetGauge("burdockhatch_connections", "",
                     static_cast<int64_t>(http.connections));
--- a/src/forward_loop_daemon.cc
+++ b/src/forward_loop_daemon.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "src/connection_ends.h"
 #include "src/daemon_common.h"
 #include "src/exception_guard.h"
 #include "src/log.h"
@@ -171,6 +172,7 @@
   ExportBusCounters(bus_->Stats(), &metrics_);
   metrics_.SetGauge("burdockhatch_caught_exceptions", "",
                     static_cast<int64_t>(CaughtExceptions()));
+  ExportConnectionEnds(&metrics_);
   return metrics_.ExpositionText();
 }
 
--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -27,6 +27,7 @@
 
 #include "src/answer_assembler.h"
 #include "src/caller_api.h"
+#include "src/connection_ends.h"
 #include "src/exception_guard.h"
 #include "src/log.h"
 
@@ -205,7 +206,10 @@
     EndRequest();
   }
 
-  void Close() {
+  void Close(ConnectionEnd reason) {
+    if (!closed_) {
+      ReportIfUnanswered(reason);
+    }
     boost::system::error_code ec;
     closed_ = true;
     EndProgress();
@@ -248,7 +252,8 @@
             http::make_error_code(http::error::bad_method).category() &&
         ec != http::error::end_of_stream && ec != http::error::partial_message;
     if (ec && !parse_error) {
-      Close();
+      Close(ec == beast::error::timeout ? ConnectionEnd::kReadTimeout
+                                        : ConnectionEnd::kDisconnect);
       return;
     }
     if (ec) {
@@ -256,7 +261,9 @@
                      "the request is not valid HTTP");
       return;
     }
-    Handle(parser_->release());
+    http::request<http::string_body> request = parser_->release();
+    parser_.reset();
+    Handle(std::move(request));
   }
 
   // Sends an error response and closes the connection, whose remaining input
@@ -264,10 +271,18 @@
   void RejectAndClose(const Failure& failure, std::string_view message) {
     keep_alive_ = false;
     must_drain_input_ = true;
+    parser_.reset();
+    ReportRefused(RefusalReason(failure.code),
+                  static_cast<uint32_t>(HttpStatusOf(failure.code)));
     CountOutcome(failure.code);
     WriteError(failure, message);
   }
 
+  static ConnectionEnd RefusalReason(ErrorCode code) {
+    return code == ErrorCode::kOverloaded ? ConnectionEnd::kTableFull
+                                          : ConnectionEnd::kMalformed;
+  }
+
   static std::string HeaderValue(
       const http::request<http::string_body>& request,
       std::string_view name) {
@@ -454,17 +469,32 @@
     // Readable input without an error is a pipelined request, which is read
     // after the current one.
     if (ec) {
-      HandleCallerDisconnect();
+      HandleCallerDisconnect(ConnectionEnd::kDisconnect);
     }
   }
 
-  void HandleCallerDisconnect() {
+  void HandleCallerDisconnect(ConnectionEnd reason) {
+    // Before EndRequest, so that the request in progress is still known.
+    if (!closed_) {
+      ReportIfUnanswered(reason);
+    }
+    closed_ = true;
     if (request_active_) {
       CountOutcome("caller_gone");
       shared_->delegate->OnCallerDisconnected(head_.request);
       EndRequest();
     }
-    Close();
+    Close(reason);
+  }
+
+  void ReportIfUnanswered(ConnectionEnd reason) {
+    const bool is_whole = request_active_ || counted_in_progress_;
+    const bool is_part = (parser_ && parser_->got_some()) || buffer_.size() > 0;
+    if (is_whole || is_part) {
+      ReportUnanswered(
+          reason, is_whole ? RequestProgress::kWhole : RequestProgress::kPart,
+          buffer_.size());
+    }
   }
 
   // --- Writing ---
@@ -554,7 +584,9 @@
     write_pending_ = false;
     stream_.expires_never();
     if (ec || closed_) {
-      HandleCallerDisconnect();
+      HandleCallerDisconnect(ec == beast::error::timeout
+                                 ? ConnectionEnd::kWriteTimeout
+                                 : ConnectionEnd::kWriteFailed);
       return;
     }
     if (!queued_output_.empty()) {
@@ -572,7 +604,7 @@
     } else if (must_drain_input_) {
       DrainInput();
     } else {
-      Close();
+      Close(ConnectionEnd::kConnectionClose);
     }
   }
 
@@ -591,7 +623,7 @@
         buffer_.prepare(kReadBufferBytes),
         [self = shared_from_this()](boost::system::error_code ec, size_t) {
           if (ec) {
-            self->Close();
+            self->Close(ConnectionEnd::kConnectionClose);
           } else {
             self->DrainNextInput();
           }
@@ -797,6 +829,7 @@
     // Connections above the limit get an error response; above twice the limit
     // they are closed without one.
     if (open >= 2 * limit) {
+      ReportUnanswered(ConnectionEnd::kTableFull, RequestProgress::kNone, 0);
       return;
     }
     std::make_shared<Session>(std::move(socket), shared_, open >= limit)
@@ -828,7 +861,7 @@
       }
     }
     for (const auto& it : sessions) {
-      it->Post([self = it.get()] { self->Close(); });
+      it->Post([self = it.get()] { self->Close(ConnectionEnd::kStop); });
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -16,6 +16,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/caller_server.h"
+#include "src/connection_ends.h"
 
 namespace burdockhatch {
 namespace {
@@ -79,6 +80,36 @@
 
 constexpr char kRequest[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
+// Guards against connections that end silently with a request that was read.
+TEST_F(CallerServerHttpTest, UnansweredRequestsAreCounted) {
+  answers_ = false;
+  const uint64_t gone =
+      UnansweredCount(ConnectionEnd::kDisconnect, RequestProgress::kWhole);
+  const uint64_t stopped =
+      UnansweredCount(ConnectionEnd::kStop, RequestProgress::kPart);
+  client_.connect(endpoint_);
+  Send(kRequest);
+  Run();
+  client_.close();
+  Run();
+  client_ = tcp::socket(client_io_);
+  client_.connect(endpoint_);
+  Send("GET /x HTTP/1.1\r\nHos");
+  Run();
+  server_->CloseAll();
+  EXPECT_EQ(
+      UnansweredCount(ConnectionEnd::kDisconnect, RequestProgress::kWhole),
+      gone + 1);
+  EXPECT_EQ(UnansweredCount(ConnectionEnd::kStop, RequestProgress::kPart),
+            stopped + 1);
+  Metrics metrics;
+  ExportConnectionEnds(&metrics);
+  EXPECT_NE(metrics.ExpositionText().find(
+                "burdockhatch_connections_unanswered_total{reason=\"stop\","
+                "read=\"part\"}"),
+            std::string::npos);
+}
+
 // Guards against a planned stop that resets a connection which waits to be
 // accepted: its request has been sent already.
 TEST_F(CallerServerHttpTest, QueuedConnectionIsAnsweredDuringTheStop) {
