Read the input that has arrived before a caller's timeout ends its request

Callers saw a connection close without an answer although their request had arrived: the timer of beast::tcp_stream closes the socket itself. If it ran in a turn of the loop in which the request came, or after the process was held up, the request was dropped unread. A request that was received in part and timed out, or whose caller sent no more, ended without a refusal.

The server now waits for input on its own timer. When it runs, input that has arrived is read and handled first; time by which the timer itself ran late is not charged to the caller. What is still incomplete then gets 408 (it has not run), and 400 if the caller has ended its input, both with Connection: close. Reading and parsing move to caller_request_http, so that one handler decides what follows each piece of input; a connection that waits holds no read buffer.

--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -7,14 +7,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/leaf/error.hpp>
 
+#include "src/caller_request_http.h"
 #include "src/caller_server.h"
 #include "src/connection_ends.h"
 #include "src/ip_endpoint.h"
@@ -23,11 +19,11 @@
 namespace burdockhatch {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 namespace leaf = boost::leaf;
 using asio::ip::tcp;
 using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
 
 namespace {
 
@@ -37,7 +33,10 @@
 // Time for the caller to close a connection after the server has shut down its
 // sending side.
 constexpr auto kCloseTimeout = std::chrono::seconds(1);
-constexpr size_t kReadBufferBytes = 64 * 1024;
+// Bounds the time that one connection takes from the others.
+constexpr int kMaxReceivesPerTurn = 16;
+// A timer that runs later than this shows that the process was held up.
+constexpr auto kMaxTimerDelay = std::chrono::milliseconds(100);
 // Output that waits for a slow caller: above the first mark the response is
 // not read on, below the second it is again.
 constexpr size_t kCongestedOutputBytes = 256 * 1024;
@@ -60,7 +59,9 @@
                    public std::enable_shared_from_this<Connection> {
  public:
   Connection(tcp::socket socket, std::shared_ptr<SharedState> shared)
-      : stream_(std::move(socket)), shared_(std::move(shared)) {}
+      : socket_(std::move(socket)),
+        timer_(socket_.get_executor()),
+        shared_(std::move(shared)) {}
 
   ~Connection() override {
     EndExchange();
@@ -70,9 +71,9 @@
   void Start() {
     shared_->connections[this] = weak_from_this();
     error_code ec;
-    stream_.socket().set_option(tcp::no_delay(true), ec);
-    stream_.socket().set_option(asio::socket_base::keep_alive(true), ec);
-    stream_.socket().non_blocking(true, ec);
+    socket_.set_option(tcp::no_delay(true), ec);
+    socket_.set_option(asio::socket_base::keep_alive(true), ec);
+    socket_.non_blocking(true, ec);
     WaitForRequest();
   }
 
@@ -82,8 +83,8 @@
       return false;
     }
     error_code ec;
-    return reading_request_ || buffer_.size() > 0 ||
-           stream_.socket().available(ec) > 0;
+    return (!draining_input_ && reader_.has_input()) ||
+           socket_.available(ec) > 0;
   }
 
   void CloseIfIdle() {
@@ -134,7 +135,7 @@
     // A reset signals the truncation also for a response whose end is marked by
     // the close of the connection.
     error_code ec;
-    stream_.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
     Close(ConnectionEnd::kAborted);
   }
 
@@ -152,81 +153,77 @@
   // --- Reading ---
 
   void WaitForRequest() {
-    parser_.emplace();
-    parser_->header_limit(
-        static_cast<uint32_t>(shared_->limits.max_header.value()) + 1024);
-    parser_->body_limit(
-        static_cast<uint64_t>(shared_->limits.max_body.value()));
-    if (buffer_.size() > 0) {
-      ReadHeader();
-      return;
+    reader_.Begin(shared_->limits);
+    BeginWait(Wait::kRequest);
+    if (!HandleInput()) {
+      WatchInput();
     }
-    // Callers reuse a connection until the idle timeout. Half of it in addition
-    // prevents closing the connection while a request is in transit.
-    stream_.expires_after(shared_->limits.idle_timeout * 3 / 2);
-    stream_.async_read_some(
-        buffer_.prepare(kReadBufferBytes),
-        [self = shared_from_this()](error_code ec, size_t n) {
-          if (ec) {
-            self->Close(ec == beast::error::timeout
-                            ? ConnectionEnd::kIdleTimeout
-                            : ConnectionEnd::kDisconnect);
-            return;
+  }
+
+  // Handles what has been read. Returns false if more input is needed.
+  bool HandleInput() {
+    while (true) {
+      switch (reader_.Parse()) {
+        case CallerRequestReader::State::kNeedsInput:
+          if (wait_ == Wait::kRequest && reader_.has_input()) {
+            BeginWait(Wait::kHeader);
           }
-          self->buffer_.commit(n);
-          self->ReadHeader();
-        });
+          return false;
+        case CallerRequestReader::State::kHeaderRead:
+          OnHeaderRead();
+          break;
+        case CallerRequestReader::State::kComplete:
+          OnRequest();
+          return true;
+        case CallerRequestReader::State::kMalformed:
+          Log(LogLevel::kWarning, "request_malformed",
+              {{"reason", reader_.error_message()}});
+          Refuse(reader_.error_status(), ConnectionEnd::kMalformed);
+          return true;
+      }
+    }
   }
 
-  void ReadHeader() {
-    reading_request_ = true;
-    stream_.expires_after(shared_->limits.header_timeout * 2);
-    http::async_read_header(stream_, buffer_, *parser_,
-                            [self = shared_from_this()](error_code ec, size_t) {
-                              if (ec) {
-                                self->RejectMalformed(ec);
-                                return;
-                              }
-                              self->ReadBody();
-                            });
-  }
-
-  void ReadBody() {
-    http_version_ = parser_->get().version();
-    keep_alive_ = parser_->keep_alive();
-    stream_.expires_after(shared_->limits.idle_timeout * 2);
-    const auto expect = parser_->get()[http::field::expect];
-    if (beast::iequals(expect, "100-continue")) {
+  void OnHeaderRead() {
+    http_version_ = reader_.http_version();
+    keep_alive_ = reader_.keep_alive();
+    BeginWait(Wait::kBody);
+    if (reader_.expects_continue()) {
       Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code ec, size_t) {
-                       if (ec) {
-                         self->RejectMalformed(ec);
-                         return;
-                       }
-                       self->OnRequest();
-                     });
-  }
-
-  void RejectMalformed(error_code ec) {
-    const bool connection_ended =
-        ec == http::error::end_of_stream || ec == http::error::partial_message;
-    if (connection_ended ||
-        ec.category() !=
-            http::make_error_code(http::error::bad_method).category()) {
-      Close(ec == beast::error::timeout ? ConnectionEnd::kReadTimeout
-                                        : ConnectionEnd::kDisconnect);
-      return;
+  }
+
+  void ReadInput() {
+    for (int i = 0; i < kMaxReceivesPerTurn; ++i) {
+      error_code ec;
+      reader_.Receive(socket_, ec);
+      if (ec == asio::error::would_block) {
+        WatchInput();
+        return;
+      }
+      if (ec) {
+        OnInputEnded(ec);
+        return;
+      }
+      if (HandleInput()) {
+        return;
+      }
     }
-    uint32_t status = 400;
-    if (ec == http::error::header_limit) {
-      status = 431;
-    } else if (ec == http::error::body_limit) {
-      status = 413;
+    WatchInput();
+  }
+
+  void OnInputEnded(error_code ec) {
+    // A caller that has shut down only its sending side reads the refusal.
+    if (ec == asio::error::eof && reader_.has_input()) {
+      Refuse(400, ConnectionEnd::kDisconnect);
+    } else {
+      Close(ConnectionEnd::kDisconnect);
     }
-    Log(LogLevel::kWarning, "request_malformed", {{"reason", ec.message()}});
-    ReportRefused(ConnectionEnd::kMalformed, status);
+  }
+
+  // Refuses a request that has not been handled.
+  void Refuse(uint32_t status, ConnectionEnd reason) {
+    ReportRefused(reason, status);
     keep_alive_ = false;
     is_refused_ = true;
     StartExchange();
@@ -234,47 +231,50 @@
   }
 
   void OnRequest() {
-    stream_.expires_never();
-    http::request<http::string_body> message = parser_->release();
-    ReceivedRequest request;
-    request.method = std::string(message.method_string());
-    request.path = std::string(message.target());
-    request.host = std::string(message[http::field::host]);
-    for (const auto& it : message) {
-      request.headers.push_back(
-          {std::string(it.name_string()), std::string(it.value())});
-    }
-    request.body =
-        std::make_shared<const std::string>(std::move(message.body()));
+    ReceivedRequest request = reader_.Take();
     is_head_request_ = request.method == "HEAD";
     StartExchange();
-    WatchForDisconnect();
+    // Input of a pipelined request ends the watch, because a disconnect behind
+    // it can be detected only by reading that request.
+    if (reader_.buffered_bytes() == 0) {
+      WatchInput();
+    }
     shared_->handler(shared_from_this(), std::move(request));
   }
 
-  // Input of a pipelined request ends the watch, because a disconnect behind it
-  // can be detected only by reading that request.
-  void WatchForDisconnect() {
-    if (buffer_.size() > 0 || disconnect_watch_pending_) {
+  void WatchInput() {
+    if (input_watch_pending_ || closed_) {
       return;
     }
-    disconnect_watch_pending_ = true;
-    stream_.socket().async_wait(
+    input_watch_pending_ = true;
+    socket_.async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this()](error_code ec) { self->OnReadable(ec); });
   }
 
   void OnReadable(error_code ec) {
-    disconnect_watch_pending_ = false;
-    if (ec || !in_exchange_ || closed_) {
+    input_watch_pending_ = false;
+    if (ec || closed_) {
       return;
     }
+    if (in_exchange_) {
+      if (!is_refused_) {
+        CheckForDisconnect();
+      }
+    } else if (draining_input_) {
+      DrainInput();
+    } else {
+      ReadInput();
+    }
+  }
+
+  void CheckForDisconnect() {
     char byte = 0;
     error_code read_ec;
-    const size_t n = stream_.socket().receive(
-        asio::buffer(&byte, 1), asio::socket_base::message_peek, read_ec);
+    const size_t n = socket_.receive(asio::buffer(&byte, 1),
+                                     asio::socket_base::message_peek, read_ec);
     if (read_ec == asio::error::would_block) {
-      WatchForDisconnect();
+      WatchInput();
       return;
     }
     if (read_ec || n == 0) {
@@ -282,6 +282,95 @@
     }
   }
 
+  // --- Timeouts ---
+
+  // What the connection waits for.
+  enum class Wait : uint8_t { kNone, kRequest, kHeader, kBody, kWrite, kClose };
+
+  Duration TimeAllowed() const {
+    switch (wait_) {
+      case Wait::kRequest:
+        // Callers reuse a connection until the idle timeout. Half of it in
+        // addition prevents closing the connection while a request is in
+        // transit.
+        return wait_limits_.idle_timeout * 3 / 2;
+      case Wait::kHeader:
+        return wait_limits_.header_timeout * 2;
+      case Wait::kBody:
+        return wait_limits_.idle_timeout * 2;
+      case Wait::kWrite:
+        return kWriteTimeout;
+      case Wait::kClose:
+        return kCloseTimeout;
+      case Wait::kNone:
+        break;
+    }
+    return Duration::max();
+  }
+
+  void BeginWait(Wait wait) {
+    wait_ = wait;
+    wait_limits_ = shared_->limits;
+    wait_began_at_ = Clock::now();
+    StartTimer(wait_began_at_ + TimeAllowed());
+  }
+
+  void EndWait() {
+    wait_ = Wait::kNone;
+    timer_.expires_at(Clock::time_point::max());
+  }
+
+  void StartTimer(Clock::time_point at) {
+    timer_.expires_at(at);
+    timer_.async_wait(
+        [self = shared_from_this()](error_code ec) { self->OnTimer(ec); });
+  }
+
+  void OnTimer(error_code ec) {
+    const Clock::time_point now = Clock::now();
+    // The handler of a timer that was set anew may have been queued.
+    if (ec || closed_ || now < timer_.expiry()) {
+      return;
+    }
+    const Clock::duration delay = now - timer_.expiry();
+    switch (wait_) {
+      case Wait::kRequest:
+      case Wait::kHeader:
+      case Wait::kBody:
+        OnReadTimeout(delay);
+        break;
+      case Wait::kWrite:
+        if (delay > kMaxTimerDelay) {
+          StartTimer(now + delay);
+        } else {
+          Close(ConnectionEnd::kWriteTimeout);
+        }
+        break;
+      case Wait::kClose:
+        Close(ConnectionEnd::kConnectionClose);
+        break;
+      case Wait::kNone:
+        break;
+    }
+  }
+
+  void OnReadTimeout(Clock::duration timer_delay) {
+    // Input may have arrived that this turn of the loop has not read yet.
+    const Wait wait = wait_;
+    ReadInput();
+    if (closed_ || wait_ != wait) {
+      return;
+    }
+    if (timer_delay > kMaxTimerDelay) {
+      // Time in which the process did not read is not the caller's.
+      StartTimer(Clock::now() + timer_delay);
+    } else if (wait_ == Wait::kRequest) {
+      Close(ConnectionEnd::kIdleTimeout);
+    } else {
+      Refuse(408, ConnectionEnd::kReadTimeout);
+    }
+  }
+
   // --- Writing ---
 
   std::string ResponseHead(uint32_t status, const HeaderList& headers) {
@@ -324,9 +413,9 @@
   // progress.
   void WriteSome() {
     if (in_exchange_) {
-      stream_.expires_after(kWriteTimeout);
+      BeginWait(Wait::kWrite);
     }
-    stream_.async_write_some(
+    socket_.async_write_some(
         asio::buffer(output_being_written_) + written_bytes_,
         [self = shared_from_this()](error_code ec, size_t n) {
           self->OnWritten(ec, n);
@@ -338,8 +427,7 @@
       return;
     }
     if (ec) {
-      Close(ec == beast::error::timeout ? ConnectionEnd::kWriteTimeout
-                                        : ConnectionEnd::kWriteFailed);
+      Close(ConnectionEnd::kWriteFailed);
       return;
     }
     written_bytes_ += n;
@@ -367,7 +455,7 @@
     if (!in_exchange_) {
       return;
     }
-    stream_.expires_never();
+    EndWait();
     if (!response_ends_) {
       return;
     }
@@ -379,33 +467,32 @@
     // Closing a socket with unread input would reset the connection and lose
     // the response.
     error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream_.expires_after(kCloseTimeout);
-    if (buffer_.size() > 0 && !is_refused_) {
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    BeginWait(Wait::kClose);
+    if (reader_.buffered_bytes() > 0 && !is_refused_) {
       ReportUnanswered(ConnectionEnd::kConnectionClose, RequestProgress::kPart,
-                       buffer_.size());
+                       reader_.buffered_bytes());
     }
     draining_input_ = true;
     DrainInput();
   }
 
   void DrainInput() {
-    buffer_.clear();
-    stream_.async_read_some(buffer_.prepare(kReadBufferBytes),
-                            [self = shared_from_this()](error_code ec, size_t) {
-                              if (ec) {
-                                self->Close(ConnectionEnd::kConnectionClose);
-                              } else {
-                                self->DrainInput();
-                              }
-                            });
+    error_code ec;
+    reader_.DiscardInput();
+    reader_.Receive(socket_, ec);
+    if (ec && ec != asio::error::would_block) {
+      Close(ConnectionEnd::kConnectionClose);
+      return;
+    }
+    WatchInput();
   }
 
   // --- State ---
 
   void StartExchange() {
     in_exchange_ = true;
-    reading_request_ = false;
+    EndWait();
     response_ends_ = false;
     chunked_ = false;
     ++shared_->open_exchanges;
@@ -435,36 +522,39 @@
     }
     const RequestProgress progress = UnansweredProgress();
     if (progress != RequestProgress::kNone) {
-      ReportUnanswered(reason, progress, buffer_.size());
+      ReportUnanswered(reason, progress, reader_.buffered_bytes());
     }
     closed_ = true;
+    EndWait();
     const auto self = shared_from_this();
     const auto disconnect_handler = std::move(disconnect_handler_);
     const auto drained_handler = std::move(drained_handler_);
     EndExchange();
     error_code ignored;
-    stream_.socket().close(ignored);
+    socket_.close(ignored);
     if (disconnect_handler) {
       disconnect_handler();
     }
   }
 
-  beast::tcp_stream stream_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;  // Runs while wait_ is set.
   std::shared_ptr<SharedState> shared_;
-  beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  CallerRequestReader reader_;
+  Wait wait_ = Wait::kNone;
+  CallerLimits wait_limits_;  // In force when the wait began.
+  Clock::time_point wait_began_at_;
   std::function<void()> disconnect_handler_;
   std::function<void()> drained_handler_;
   unsigned http_version_ = 11;
   bool keep_alive_ = false;
   bool is_head_request_ = false;
-  bool reading_request_ = false;  // A request has been received in part.
   bool in_exchange_ = false;
   bool is_refused_ = false;      // The buffer may hold the rest of the request.
   bool draining_input_ = false;  // The last response has been sent.
   bool chunked_ = false;
   bool response_ends_ = false;  // The queued output completes the response.
-  bool disconnect_watch_pending_ = false;
+  bool input_watch_pending_ = false;
   bool write_pending_ = false;
   bool closed_ = false;
   bool congested_ = false;  // See CallerExchange::IsCongested.
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -4,14 +4,18 @@
 
 #include <cerrno>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
@@ -35,11 +39,16 @@
                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     endpoint_ = probe.local_endpoint();
     probe.close();
+    StartServer(CallerLimits());
+  }
+
+  void StartServer(const CallerLimits& limits) {
+    server_.reset();
     server_ = leaf::try_handle_all(
         [&]() -> leaf::result<std::unique_ptr<CallerServer>> {
           return StartCallerServer(
-              io_, "127.0.0.1:" + std::to_string(endpoint_.port()),
-              CallerLimits(), 10,
+              io_, "127.0.0.1:" + std::to_string(endpoint_.port()), limits,
+              kMaxConnections,
               [this](std::shared_ptr<CallerExchange> exchange,
                      const ReceivedRequest&) {
                 exchange_ = std::move(exchange);
@@ -69,6 +78,21 @@
     return text.substr(0, n);
   }
 
+  // Runs `step` in a turn of the loop in which all timers that expire within
+  // `pause` are due, and their handlers have not run.
+  void RunBeforeDueTimers(milliseconds pause,
+                          const std::function<void()>& step) {
+    asio::steady_timer timer(io_, milliseconds(1));
+    timer.async_wait([&](error_code) {
+      step();
+      // Loopback delivers within the call, except on a busy machine.
+      std::this_thread::sleep_for(milliseconds(5));
+    });
+    asio::post(io_, [pause] { std::this_thread::sleep_for(pause); });
+    Run(pause + milliseconds(30));
+  }
+
+  static constexpr uint32_t kMaxConnections = 10;
   asio::io_context io_;
   asio::io_context client_io_;
   tcp::socket client_{client_io_};
@@ -223,5 +247,72 @@
   EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
 }
 
+CallerLimits ShortLimits() {
+  CallerLimits limits;
+  limits.header_timeout = milliseconds(20);
+  limits.idle_timeout = milliseconds(40);
+  return limits;
+}
+
+// Guards against an idle timeout that closes a connection whose request has
+// arrived while the process was busy.
+TEST_F(CallerServerHttpTest, RequestThatArrivesBeforeTheIdleTimerIsAnswered) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Run(milliseconds(5));
+  RunBeforeDueTimers(milliseconds(100), [this] { Send(kRequest); });
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a timeout of a header whose rest has arrived while the process
+// was busy.
+TEST_F(CallerServerHttpTest, HeaderThatIsCompleteBeforeItsTimerIsAnswered) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Send("GET /x HTTP/1.1\r\nHos");
+  Run(milliseconds(5));
+  RunBeforeDueTimers(milliseconds(100), [this] { Send("t: h\r\n\r\n"); });
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a request that ends without a refusal because its caller was
+// too slow.
+TEST_F(CallerServerHttpTest, PartialRequestIsRefusedAfterItsTimeout) {
+  StartServer(ShortLimits());
+  for (const char* part : {"GET /x HTTP/1.1\r\nHos",
+                           "POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nb"}) {
+    client_ = tcp::socket(client_io_);
+    client_.connect(endpoint_);
+    Send(part);
+    Run(milliseconds(150));
+    const std::string text = Receive();
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 408") << part;
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+  }
+}
+
+// Guards against a request that ends without a refusal because its caller sends
+// no more.
+TEST_F(CallerServerHttpTest, RequestThatEndsEarlyIsRefused) {
+  client_.connect(endpoint_);
+  Send("POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nb");
+  client_.shutdown(tcp::socket::shutdown_send);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 12), "HTTP/1.1 400");
+}
+
+// Guards against a caller that is charged for a pause of the process.
+TEST_F(CallerServerHttpTest, PauseOfTheProcessIsNotTheCallersTime) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Send("GET /x HTTP/1.1\r\nHos");
+  Run(milliseconds(5));
+  asio::post(io_, [] { std::this_thread::sleep_for(milliseconds(300)); });
+  Run(milliseconds(320));
+  Send("t: h\r\n\r\n");
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
 }  // namespace
 }  // namespace burdockhatch
