Keep a caller's connection for the longest idle timeout it counts on

Callers reuse a connection until four fifths of the idle timeout in force. Beside a change of the configuration, connections were closed under them: a wait kept the timeout of its beginning, although a newer configuration promised more, and a connection that was used again after a change to a shorter timeout had only that, although its caller had not heard of it.

A newer, longer timeout now extends the waits in progress. A shorter one leaves them, and applies to waits that begin ten seconds after it arrived. The timeout for headers follows the same rule.

--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -22,6 +22,8 @@
  public:
   virtual ~CallerServer() = default;
 
+  // Waits in progress are extended to longer times. Shorter times apply to
+  // waits that begin when callers know of them.
   virtual void SetLimits(const CallerLimits& limits) = 0;
 
   // Makes each further response close its connection ("Connection: close").
--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -45,8 +45,21 @@
 // failed connection stays in the queue, so an immediate retry would spin.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
+// Time in which callers may not know of newer limits.
+constexpr auto kLimitsOverlap = std::chrono::seconds(10);
+
+// Returns `limits` with no shorter times than those of `other`.
+CallerLimits WithLongerTimes(CallerLimits limits, const CallerLimits& other) {
+  limits.header_timeout = std::max(limits.header_timeout, other.header_timeout);
+  limits.idle_timeout = std::max(limits.idle_timeout, other.idle_timeout);
+  return limits;
+}
+
 struct SharedState {
   CallerLimits limits;
+  // The longest times of earlier limits that callers may still count on.
+  CallerLimits earlier_limits;
+  Clock::time_point earlier_limits_until{};
   uint32_t max_connections = 0;
   ExchangeHandler handler;
   bool draining = false;
@@ -93,6 +106,11 @@
     }
   }
 
+  // Callers may count on newer, longer times as well as on the older ones.
+  void ExtendWait(const CallerLimits& newer) {
+    wait_limits_ = WithLongerTimes(wait_limits_, newer);
+  }
+
   void CloseNow() { Close(ConnectionEnd::kStop); }
 
   // --- CallerExchange ---
@@ -310,8 +328,11 @@
 
   void BeginWait(Wait wait) {
     wait_ = wait;
-    wait_limits_ = shared_->limits;
     wait_began_at_ = Clock::now();
+    wait_limits_ =
+        wait_began_at_ < shared_->earlier_limits_until
+            ? WithLongerTimes(shared_->limits, shared_->earlier_limits)
+            : shared_->limits;
     StartTimer(wait_began_at_ + TimeAllowed());
   }
 
@@ -332,6 +353,10 @@
     if (ec || closed_ || now < timer_.expiry()) {
       return;
     }
+    if (now < wait_began_at_ + TimeAllowed()) {
+      StartTimer(wait_began_at_ + TimeAllowed());  // Newer limits are longer.
+      return;
+    }
     const Clock::duration delay = now - timer_.expiry();
     switch (wait_) {
       case Wait::kRequest:
@@ -542,7 +567,7 @@
   std::shared_ptr<SharedState> shared_;
   CallerRequestReader reader_;
   Wait wait_ = Wait::kNone;
-  CallerLimits wait_limits_;  // In force when the wait began.
+  CallerLimits wait_limits_;  // The longest in force since the wait began.
   Clock::time_point wait_began_at_;
   std::function<void()> disconnect_handler_;
   std::function<void()> drained_handler_;
@@ -594,7 +619,16 @@
   }
 
   void SetLimits(const CallerLimits& limits) override {
+    const Clock::time_point now = Clock::now();
+    shared_->earlier_limits =
+        now < shared_->earlier_limits_until
+            ? WithLongerTimes(shared_->limits, shared_->earlier_limits)
+            : shared_->limits;
+    shared_->earlier_limits_until = now + kLimitsOverlap;
     shared_->limits = limits;
+    for (const auto& it : OpenConnections()) {
+      it->ExtendWait(limits);
+    }
   }
 
   void BeginDrain() override { shared_->draining = true; }
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -314,5 +314,36 @@
   EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
 }
 
+// Guards against a connection that is closed although a newer configuration
+// lets callers use it for longer.
+TEST_F(CallerServerHttpTest, LongerIdleTimeoutExtendsTheWait) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Run(milliseconds(5));
+  CallerLimits longer = ShortLimits();
+  longer.idle_timeout = milliseconds(1'000);
+  server_->SetLimits(longer);
+  Run(milliseconds(150));
+  Send(kRequest);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a connection that is closed while its caller has not heard of
+// a shorter timeout.
+TEST_F(CallerServerHttpTest, ShorterIdleTimeoutLeavesTheWait) {
+  CallerLimits longer = ShortLimits();
+  longer.idle_timeout = milliseconds(1'000);
+  StartServer(longer);
+  client_.connect(endpoint_);
+  server_->SetLimits(ShortLimits());
+  for (int i = 0; i < 2; ++i) {
+    Run(milliseconds(120));
+    Send(kRequest);
+    Run();
+    EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK") << i;
+  }
+}
+
 }  // namespace
 }  // namespace burdockhatch
