Answer requests whose connection meets an exception

Callers saw a connection end, or stay silent until their deadline, after an exception in the server: one in the parser, in the constructor of a request or in its handler reached the event loop, which went on without the connection. If the refusal of a failed request could not be sent either, the request stayed open without an answer.

Each step of a connection is now a boundary. A request that has not been handed on gets 503, one whose handler threw 500, as it may have run; a response that has begun is cut off. A request that cannot be constructed gets 503, and one whose refusal fails is aborted. An exception while a connection is accepted does not end the accepting of others.

The tests of forward_request start requests through StartForwardRequest, as the entry does, and the loop of the caller server's tests survives exceptions, as the entry's does; no check has changed.

--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -13,6 +13,7 @@
 #include "src/caller_request_http.h"
 #include "src/caller_server.h"
 #include "src/connection_ends.h"
+#include "src/exception_guard.h"
 #include "src/ip_endpoint.h"
 #include "src/log.h"
 
@@ -45,6 +46,8 @@
 // failed connection stays in the queue, so an immediate retry would spin.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
+// Retry-After, in seconds, of a request that is refused without being handled.
+constexpr std::string_view kRefusalRetryAfter = "0.3";
 // Time in which callers may not know of newer limits.
 constexpr auto kLimitsOverlap = std::chrono::seconds(10);
 
@@ -87,7 +90,7 @@
     socket_.set_option(tcp::no_delay(true), ec);
     socket_.set_option(asio::socket_base::keep_alive(true), ec);
     socket_.non_blocking(true, ec);
-    WaitForRequest();
+    Guard([this] { WaitForRequest(); });
   }
 
   // Returns whether input of a request has arrived that is not answered yet.
@@ -124,8 +127,7 @@
     if (!is_head_request_) {
       text += body;
     }
-    response_ends_ = true;
-    Send(std::move(text));
+    Send(std::move(text), /*ends_response=*/true);
   }
 
   void StartStream(uint32_t status, const HeaderList& headers) override {
@@ -144,17 +146,12 @@
   }
 
   void EndStream() override {
-    response_ends_ = true;
-    Send(chunked_ ? "0\r\n\r\n" : "");
+    Send(chunked_ ? "0\r\n\r\n" : "", /*ends_response=*/true);
   }
 
   void Abort() override {
     disconnect_handler_ = nullptr;
-    // A reset signals the truncation also for a response whose end is marked by
-    // the close of the connection.
-    error_code ec;
-    socket_.set_option(asio::socket_base::linger(true, 0), ec);
-    Close(ConnectionEnd::kAborted);
+    CutOff(ConnectionEnd::kAborted);
   }
 
   bool IsCongested() const override { return congested_; }
@@ -168,6 +165,54 @@
   }
 
  private:
+  // --- Exceptions ---
+
+  // Runs a step of the connection. An exception ends this connection only.
+  template <class Step>
+  void Guard(Step&& step) {
+    if (RunGuarded("caller_connection", std::forward<Step>(step)) || closed_) {
+      return;
+    }
+    if (!RunGuarded("caller_connection", [this] { OnStepFailed(); })) {
+      RunGuarded("caller_connection",
+                 [this] { CutOff(ConnectionEnd::kException); });
+    }
+  }
+
+  void OnStepFailed() {
+    if (in_exchange_) {
+      CutOff(ConnectionEnd::kException);
+    } else if (!draining_input_ && HasPendingInput()) {
+      Refuse(503, ConnectionEnd::kException);
+    } else {
+      Close(ConnectionEnd::kException);
+    }
+  }
+
+  // Ends an exchange whose handler has thrown. What it has done is unknown.
+  void OnHandlerFailed() {
+    if (closed_ || response_ends_) {
+      return;
+    }
+    if (response_begun_) {
+      CutOff(ConnectionEnd::kException);
+      return;
+    }
+    if (const auto handler = std::exchange(disconnect_handler_, nullptr)) {
+      RunGuarded("request_handler", handler);
+    }
+    keep_alive_ = false;
+    SendResponse(500, {}, "");
+  }
+
+  void CutOff(ConnectionEnd reason) {
+    // A reset signals the truncation also for a response whose end is marked by
+    // the close of the connection.
+    error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    Close(reason);
+  }
+
   // --- Reading ---
 
   void WaitForRequest() {
@@ -245,7 +290,11 @@
     keep_alive_ = false;
     is_refused_ = true;
     StartExchange();
-    SendResponse(status, {}, "");
+    HeaderList headers;
+    if (status == 503) {
+      headers.push_back({"Retry-After", std::string(kRefusalRetryAfter)});
+    }
+    SendResponse(status, headers, "");
   }
 
   void OnRequest() {
@@ -257,17 +306,27 @@
     if (reader_.buffered_bytes() == 0) {
       WatchInput();
     }
-    shared_->handler(shared_from_this(), std::move(request));
+    if (!RunGuarded("request_handler", [&] {
+          shared_->handler(shared_from_this(), std::move(request));
+        })) {
+      OnHandlerFailed();
+    }
   }
 
   void WatchInput() {
     if (input_watch_pending_ || closed_) {
       return;
     }
-    input_watch_pending_ = true;
     socket_.async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this()](error_code ec) { self->OnReadable(ec); });
+        tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+          if (self->in_exchange_) {
+            // Without the watch, a disconnect is found by the next write.
+            RunGuarded("caller_connection", [&] { self->OnReadable(ec); });
+          } else {
+            self->Guard([&] { self->OnReadable(ec); });
+          }
+        });
+    input_watch_pending_ = true;
   }
 
   void OnReadable(error_code ec) {
@@ -343,8 +402,9 @@
 
   void StartTimer(Clock::time_point at) {
     timer_.expires_at(at);
-    timer_.async_wait(
-        [self = shared_from_this()](error_code ec) { self->OnTimer(ec); });
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
+      self->Guard([&] { self->OnTimer(ec); });
+    });
   }
 
   void OnTimer(error_code ec) {
@@ -399,6 +459,7 @@
   // --- Writing ---
 
   std::string ResponseHead(uint32_t status, const HeaderList& headers) {
+    response_begun_ = true;
     keep_alive_ = keep_alive_ && !shared_->draining;
     const auto reason = http::obsolete_reason(http::int_to_status(status));
     std::string text =
@@ -411,15 +472,23 @@
     return text;
   }
 
-  void Send(std::string text) {
+  void Send(std::string text, bool ends_response = false) {
     if (closed_) {
       return;
     }
     queued_output_ += text;
     congested_ = congested_ || PendingOutputBytes() > kCongestedOutputBytes;
     if (!write_pending_) {
-      WriteQueuedOutput();
+      try {
+        WriteQueuedOutput();
+      } catch (...) {
+        // Nothing was written, so the handler may send another response.
+        write_pending_ = false;
+        output_being_written_.clear();
+        throw;
+      }
     }
+    response_ends_ = response_ends_ || ends_response;
   }
 
   size_t PendingOutputBytes() const {
@@ -443,7 +512,7 @@
     socket_.async_write_some(
         asio::buffer(output_being_written_) + written_bytes_,
         [self = shared_from_this()](error_code ec, size_t n) {
-          self->OnWritten(ec, n);
+          self->Guard([&] { self->OnWritten(ec, n); });
         });
   }
 
@@ -518,6 +587,7 @@
   void StartExchange() {
     in_exchange_ = true;
     EndWait();
+    response_begun_ = false;
     response_ends_ = false;
     chunked_ = false;
     ++shared_->open_exchanges;
@@ -578,6 +648,7 @@
   bool is_refused_ = false;      // The buffer may hold the rest of the request.
   bool draining_input_ = false;  // The last response has been sent.
   bool chunked_ = false;
+  bool response_begun_ = false;
   bool response_ends_ = false;  // The queued output completes the response.
   bool input_watch_pending_ = false;
   bool write_pending_ = false;
@@ -693,15 +764,25 @@
         AcceptAfterDelay(ec);
         return;
       }
-      Accept();
-      if (shared_->connections.size() < shared_->max_connections) {
-        std::make_shared<Connection>(std::move(socket), shared_)->Start();
-      } else {
-        ReportUnanswered(ConnectionEnd::kTableFull, RequestProgress::kNone, 0);
+      StartConnection(std::move(socket));
+      if (!RunGuarded("accept", [this] { Accept(); })) {
+        AcceptAfterDelay(asio::error::no_memory);
       }
     });
   }
 
+  void StartConnection(tcp::socket socket) {
+    if (shared_->connections.size() >= shared_->max_connections) {
+      ReportUnanswered(ConnectionEnd::kTableFull, RequestProgress::kNone, 0);
+      return;
+    }
+    if (!RunGuarded("caller_connection", [&] {
+          std::make_shared<Connection>(std::move(socket), shared_)->Start();
+        })) {
+      ReportUnanswered(ConnectionEnd::kException, RequestProgress::kNone, 0);
+    }
+  }
+
   void AcceptAfterDelay(error_code accept_ec) {
     Log(LogLevel::kWarning, "accept_failed", {{"reason", accept_ec.message()}});
     accept_retry_.expires_after(kAcceptRetryDelay);
--- a/src/connection_ends.cc
+++ b/src/connection_ends.cc
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include "src/exception_guard.h"
 #include "src/log.h"
 
 namespace burdockhatch {
@@ -116,23 +117,27 @@
   if (HasOtherLine(end, progress)) {
     return;
   }
-  if (const std::optional<uint64_t> omitted = GlobalLineLimit().Take()) {
-    Log(LogLevel::kWarning, "connection_ended_unanswered",
-        {{"reason", std::string(ToString(end))},
-         {"read", std::string(ToString(progress))},
-         {"unhandled_bytes", std::to_string(unhandled_bytes)},
-         {"omitted_lines", std::to_string(*omitted)}});
-  }
+  RunGuarded("connection_report", [&] {
+    if (const std::optional<uint64_t> omitted = GlobalLineLimit().Take()) {
+      Log(LogLevel::kWarning, "connection_ended_unanswered",
+          {{"reason", std::string(ToString(end))},
+           {"read", std::string(ToString(progress))},
+           {"unhandled_bytes", std::to_string(unhandled_bytes)},
+           {"omitted_lines", std::to_string(*omitted)}});
+    }
+  });
 }
 
 void ReportRefused(ConnectionEnd reason, uint32_t status) {
   ++refused[static_cast<size_t>(reason)];
-  if (const std::optional<uint64_t> omitted = GlobalLineLimit().Take()) {
-    Log(LogLevel::kWarning, "request_refused_unhandled",
-        {{"reason", std::string(ToString(reason))},
-         {"status", std::to_string(status)},
-         {"omitted_lines", std::to_string(*omitted)}});
-  }
+  RunGuarded("connection_report", [&] {
+    if (const std::optional<uint64_t> omitted = GlobalLineLimit().Take()) {
+      Log(LogLevel::kWarning, "request_refused_unhandled",
+          {{"reason", std::string(ToString(reason))},
+           {"status", std::to_string(status)},
+           {"omitted_lines", std::to_string(*omitted)}});
+    }
+  });
 }
 
 uint64_t UnansweredCount(ConnectionEnd end, RequestProgress progress) {
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -96,17 +96,16 @@
   std::string OnStart() override {
     std::string error = leaf::try_handle_all(
         [&]() -> leaf::result<std::string> {
-          BOOST_LEAF_AUTO(server,
-                          StartCallerServer(
-                              io_, forwarding_settings_.caller_address,
-                              CallerLimits(), settings_.limits.max_connections,
-                              [this](std::shared_ptr<CallerExchange> exchange,
-                                     ReceivedRequest request) {
-                                std::make_shared<ForwardRequest>(
-                                    &context_, std::move(exchange),
-                                    std::move(request))
-                                    ->Start();
-                              }));
+          BOOST_LEAF_AUTO(
+              server,
+              StartCallerServer(
+                  io_, forwarding_settings_.caller_address, CallerLimits(),
+                  settings_.limits.max_connections,
+                  [this](const std::shared_ptr<CallerExchange>& exchange,
+                         ReceivedRequest request) {
+                    StartForwardRequest(&context_, exchange,
+                                        std::move(request));
+                  }));
           caller_server_ = std::move(server);
           return std::string();
         },
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -60,6 +60,9 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
 constexpr int64_t kRetryAfterSpreadMs = 350;
 
+// Retry-After, in seconds, of a request that is rejected before any target.
+constexpr std::string_view kRejectionRetryAfter = "0.3";
+
 // Parts of a prompt that a log line names.
 constexpr size_t kMaxLoggedParts = 8;
 
@@ -89,11 +92,17 @@
   if (RunGuarded("request", std::forward<Step>(step)) || finished_) {
     return;
   }
-  Log(LogLevel::kError, "request_failed_by_exception",
-      {{"request", caller_fields_.attempt_id}});
   may_have_executed_ = may_have_executed_ || HasCall();
-  EndAllAttempts(CallOutcome::kFailed);
-  FinishWithFailure("internal_error");
+  RunGuarded("request_failure", [this] {
+    Log(LogLevel::kError, "request_failed_by_exception",
+        {{"request", caller_fields_.attempt_id}});
+    EndAllAttempts(CallOutcome::kFailed);
+    FinishWithFailure("internal_error");
+  });
+  if (!finished_) {
+    exchange_->Abort();
+    RunGuarded("request_failure", [this] { Finish(0, "internal_error"); });
+  }
 }
 
 void ForwardRequest::Start() {
@@ -169,7 +178,7 @@
 void ForwardRequest::Reject(uint32_t status, std::string_view reason) {
   HeaderList headers = context_->protocol->EntryResponseHeaders(caller_fields_);
   if (status == 503) {
-    headers.push_back({"Retry-After", "0.3"});
+    headers.push_back({"Retry-After", std::string(kRejectionRetryAfter)});
   }
   exchange_->SendResponse(status, headers, "");
   Finish(status, reason);
@@ -1006,4 +1015,19 @@
   }
 }
 
+void StartForwardRequest(ForwardContext* context,
+                         const std::shared_ptr<CallerExchange>& exchange,
+                         ReceivedRequest request) {
+  std::shared_ptr<ForwardRequest> forwarded;
+  if (RunGuarded("request", [&] {
+        forwarded = std::make_shared<ForwardRequest>(context, exchange,
+                                                     std::move(request));
+      })) {
+    forwarded->Start();
+    return;
+  }
+  exchange->SendResponse(
+      503, {{"Retry-After", std::string(kRejectionRetryAfter)}}, "");
+}
+
 }  // namespace burdockhatch
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -229,6 +229,12 @@
   bool finished_ = false;
 };
 
+// Forwards a request. If it fails before anything is sent on, the caller gets
+// 503.
+void StartForwardRequest(ForwardContext* context,
+                         const std::shared_ptr<CallerExchange>& exchange,
+                         ReceivedRequest request);
+
 }  // namespace burdockhatch
 
 #endif  // SRC_FORWARD_REQUEST_H_
--- a/tests/allocation_counter.cc
+++ b/tests/allocation_counter.cc
@@ -6,9 +6,13 @@
 namespace {
 
 thread_local uint64_t allocations = 0;
+thread_local size_t max_allocation_bytes = SIZE_MAX;
 
 void* Allocate(std::size_t size) {
   ++allocations;
+  if (size > max_allocation_bytes) {
+    throw std::bad_alloc();
+  }
   if (void* memory = std::malloc(size == 0 ? 1 : size)) {
     return memory;
   }
@@ -57,4 +61,12 @@
   return allocations;
 }
 
+ScopedAllocationLimit::ScopedAllocationLimit(size_t max_bytes) {
+  max_allocation_bytes = max_bytes;
+}
+
+ScopedAllocationLimit::~ScopedAllocationLimit() {
+  max_allocation_bytes = SIZE_MAX;
+}
+
 }  // namespace burdockhatch
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <new>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,6 +22,8 @@
 
 #include "src/caller_server.h"
 #include "src/connection_ends.h"
+#include "src/exception_guard.h"
+#include "tests/allocation_counter.h"
 
 namespace burdockhatch {
 namespace {
@@ -52,6 +55,9 @@
               [this](std::shared_ptr<CallerExchange> exchange,
                      const ReceivedRequest&) {
                 exchange_ = std::move(exchange);
+                if (throws_) {
+                  throw std::bad_alloc();
+                }
                 if (answers_) {
                   exchange_->SendResponse(200, {}, "ok");
                 }
@@ -62,7 +68,8 @@
 
   void Run(Duration duration = milliseconds(50)) {
     io_.restart();
-    io_.run_for(duration);
+    while (!RunGuarded("event_loop", [&] { io_.run_for(duration); })) {
+    }
   }
 
   // The client's socket blocks, and is used while the loop does not run.
@@ -100,6 +107,7 @@
   std::unique_ptr<CallerServer> server_;
   std::shared_ptr<CallerExchange> exchange_;
   bool answers_ = true;
+  bool throws_ = false;
 };
 
 constexpr char kRequest[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -345,5 +353,33 @@
   }
 }
 
+// Guards against a handler whose exception leaves its request unanswered. What
+// it has done is unknown, so the answer does not say that it has not run.
+TEST_F(CallerServerHttpTest, ExceptionOfTheHandlerIsAnswered) {
+  throws_ = true;
+  client_.connect(endpoint_);
+  Send(kRequest);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 12), "HTTP/1.1 500");
+  EXPECT_EQ(server_->open_exchanges(), 0u);
+}
+
+// Guards against a request that ends without a refusal because there is no
+// memory for it.
+TEST_F(CallerServerHttpTest, RequestWithoutMemoryIsRefused) {
+  constexpr size_t kBodyBytes = 1024 * 1024;
+  client_.connect(endpoint_);
+  Send("POST /x HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) +
+       "\r\n\r\nb");
+  {
+    const ScopedAllocationLimit limit(kBodyBytes / 2);
+    Run();
+  }
+  const std::string text = Receive();
+  EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_NE(text.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(exchange_, nullptr);
+}
+
 }  // namespace
 }  // namespace burdockhatch
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -20,6 +20,9 @@
 class FakeProtocol : public ForwardProtocol {
  public:
   CallerFields ParseCallerFields(const HeaderList& headers) const override {
+    if (throws) {
+      throw std::bad_alloc();
+    }
     CallerFields fields;
     fields.attempt_id = Text(headers, "attempt");
     fields.key = Text(headers, "key");
@@ -67,6 +70,8 @@
     return {};
   }
 
+  bool throws = false;
+
  private:
   static std::string Text(const HeaderList& headers, std::string_view name) {
     const std::string* text = FindHeader(headers, name);
@@ -112,6 +117,9 @@
   void SendResponse(uint32_t status,
                     const HeaderList& answer_headers,
                     const std::string& body) override {
+    if (throws) {
+      throw std::bad_alloc();
+    }
     ++ends;
     this->status = status;
     headers = answer_headers;
@@ -138,6 +146,7 @@
   uint32_t status = 0;
   HeaderList headers;
   std::string text;
+  bool throws = false;  // For want of memory for a response.
   bool aborted = false;
   bool congested = false;
   std::function<void()> on_drained;
@@ -264,8 +273,8 @@
     request.body = std::make_shared<const std::string>("body");
     exchange_ = std::make_shared<FakeExchange>();
     exchanges_.push_back(exchange_);
-    std::make_shared<ForwardRequest>(&context_, exchange_, std::move(request))
-        ->Start();
+    exchange_->throws = exchange_throws_;
+    StartForwardRequest(&context_, exchange_, std::move(request));
   }
 
   void TakeAllRetries() {
@@ -297,6 +306,7 @@
   PlacementClient placement_{{InstanceId("entry"), Incarnation(1)}, {}, &bus_};
   ForwardContext context_;
   std::shared_ptr<FakeExchange> exchange_;  // Of the latest request.
+  bool exchange_throws_ = false;
   std::vector<std::shared_ptr<FakeExchange>> exchanges_;
 };
 
@@ -879,6 +889,23 @@
   EXPECT_EQ(failing->status, 200u);
 }
 
+// Guards against a request without an answer because it could not be parsed.
+TEST_F(ForwardRequestTest, RequestThatCannotStartIsRefused) {
+  protocol_.throws = true;
+  Send("/once/1");
+  EXPECT_EQ(exchange_->status, 503u);
+  EXPECT_NE(FindHeader(exchange_->headers, "Retry-After"), nullptr);
+  EXPECT_TRUE(connector_.calls.empty());
+}
+
+// Guards against a request that stays open for ever because its refusal could
+// not be sent.
+TEST_F(ForwardRequestTest, RequestWhoseRefusalFailsIsAborted) {
+  exchange_throws_ = true;
+  Send("/unknown/1");
+  EXPECT_TRUE(exchange_->aborted);
+}
+
 // Guards against a request that is sent after its caller's deadline: the
 // process was paused between the placement and the reservations' replies.
 TEST_F(ForwardRequestTest, NothingIsSentAfterThePauseOfTheProcess) {
