Refuse requests when the callers' table of connections is full

Callers above max_connections saw their connection reset after they had sent a request, without a line in the log. Connections that a planned stop accepts were not counted against the limit at all.

Up to twice the limit a connection is now accepted; its request gets 503 with Retry-After and Connection: close once its header has been read, or is served if the table has room again. It must come within two seconds. Connections above twice the limit are closed, counted and logged. The planned stop keeps the same bounds.

--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -43,8 +43,9 @@
   virtual void CloseAll() = 0;
 };
 
-// Listens on `address` ("ip:port"). All handlers run on the one thread that
-// runs `io`. Fails with CallerServerError.
+// Listens on `address` ("ip:port"). Requests on connections above
+// `max_connections` are refused, connections above twice that are closed. All
+// handlers run on the one thread that runs `io`. Fails with CallerServerError.
 boost::leaf::result<std::unique_ptr<CallerServer>> StartCallerServer(
     boost::asio::io_context& io,
     const std::string& address,
--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -48,6 +48,8 @@
 
 // Retry-After, in seconds, of a request that is refused without being handled.
 constexpr std::string_view kRefusalRetryAfter = "0.3";
+// Time for a caller to send a request when the table of connections is full.
+constexpr auto kFullTableReadTimeout = std::chrono::seconds(2);
 // Time in which callers may not know of newer limits.
 constexpr auto kLimitsOverlap = std::chrono::seconds(10);
 
@@ -74,10 +76,13 @@
 class Connection : public CallerExchange,
                    public std::enable_shared_from_this<Connection> {
  public:
-  Connection(tcp::socket socket, std::shared_ptr<SharedState> shared)
+  Connection(tcp::socket socket,
+             std::shared_ptr<SharedState> shared,
+             bool exceeds_limit)
       : socket_(std::move(socket)),
         timer_(socket_.get_executor()),
-        shared_(std::move(shared)) {}
+        shared_(std::move(shared)),
+        exceeds_limit_(exceeds_limit) {}
 
   ~Connection() override {
     EndExchange();
@@ -233,7 +238,9 @@
           }
           return false;
         case CallerRequestReader::State::kHeaderRead:
-          OnHeaderRead();
+          if (!OnHeaderRead()) {
+            return true;
+          }
           break;
         case CallerRequestReader::State::kComplete:
           OnRequest();
@@ -247,13 +254,25 @@
     }
   }
 
-  void OnHeaderRead() {
+  bool ExceedsLimit() {
+    exceeds_limit_ = exceeds_limit_ &&
+                     shared_->connections.size() > shared_->max_connections;
+    return exceeds_limit_;
+  }
+
+  // Returns false if the request is refused.
+  bool OnHeaderRead() {
     http_version_ = reader_.http_version();
     keep_alive_ = reader_.keep_alive();
+    if (ExceedsLimit()) {
+      Refuse(503, ConnectionEnd::kTableFull);
+      return false;
+    }
     BeginWait(Wait::kBody);
     if (reader_.expects_continue()) {
       Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    return true;
   }
 
   void ReadInput() {
@@ -364,7 +383,10 @@
   // What the connection waits for.
   enum class Wait : uint8_t { kNone, kRequest, kHeader, kBody, kWrite, kClose };
 
-  Duration TimeAllowed() const {
+  Duration TimeAllowed() {
+    if ((wait_ == Wait::kRequest || wait_ == Wait::kHeader) && ExceedsLimit()) {
+      return kFullTableReadTimeout;
+    }
     switch (wait_) {
       case Wait::kRequest:
         // Callers reuse a connection until the idle timeout. Half of it in
@@ -645,6 +667,7 @@
   bool keep_alive_ = false;
   bool is_head_request_ = false;
   bool in_exchange_ = false;
+  bool exceeds_limit_;           // The table of connections was full.
   bool is_refused_ = false;      // The buffer may hold the rest of the request.
   bool draining_input_ = false;  // The last response has been sent.
   bool chunked_ = false;
@@ -750,7 +773,7 @@
       tcp::socket socket(io_);
       acceptor_.accept(socket, ec);
       if (!ec) {
-        std::make_shared<Connection>(std::move(socket), shared_)->Start();
+        StartConnection(std::move(socket));
       }
     }
   }
@@ -772,12 +795,18 @@
   }
 
   void StartConnection(tcp::socket socket) {
-    if (shared_->connections.size() >= shared_->max_connections) {
+    const size_t open = shared_->connections.size();
+    const size_t limit = shared_->max_connections;
+    // Requests on connections above the limit are refused; above twice the
+    // limit connections are closed.
+    if (open >= 2 * limit) {
       ReportUnanswered(ConnectionEnd::kTableFull, RequestProgress::kNone, 0);
       return;
     }
     if (!RunGuarded("caller_connection", [&] {
-          std::make_shared<Connection>(std::move(socket), shared_)->Start();
+          std::make_shared<Connection>(std::move(socket), shared_,
+                                       open >= limit)
+              ->Start();
         })) {
       ReportUnanswered(ConnectionEnd::kException, RequestProgress::kNone, 0);
     }
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -99,6 +99,15 @@
     Run(pause + milliseconds(30));
   }
 
+  // Opens connections that send nothing.
+  std::vector<tcp::socket> Connect(uint32_t count) {
+    std::vector<tcp::socket> sockets;
+    for (uint32_t i = 0; i < count; ++i) {
+      sockets.emplace_back(client_io_).connect(endpoint_);
+    }
+    return sockets;
+  }
+
   static constexpr uint32_t kMaxConnections = 10;
   asio::io_context io_;
   asio::io_context client_io_;
@@ -381,5 +390,44 @@
   EXPECT_EQ(exchange_, nullptr);
 }
 
+// Guards against a full table of connections that resets further callers
+// instead of refusing their requests.
+TEST_F(CallerServerHttpTest, FullTableRefusesRequests) {
+  std::vector<tcp::socket> others = Connect(kMaxConnections);
+  Run();
+  client_.connect(endpoint_);
+  Send("POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nbody");
+  Run();
+  const std::string text = Receive();
+  EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_NE(text.find("Retry-After: "), std::string::npos);
+  EXPECT_NE(text.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(exchange_, nullptr);
+}
+
+// Guards against a connection that stays refused after others have ended.
+TEST_F(CallerServerHttpTest, RequestIsServedWhenTheTableHasRoomAgain) {
+  std::vector<tcp::socket> others = Connect(kMaxConnections);
+  Run();
+  client_.connect(endpoint_);
+  Run();
+  others.clear();
+  Run();
+  Send(kRequest);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against connections without a bound, also where a planned stop accepts
+// those that wait.
+TEST_F(CallerServerHttpTest, ConnectionsBeyondTheSecondBoundAreClosed) {
+  const std::vector<tcp::socket> others = Connect(2 * kMaxConnections + 2);
+  Run();
+  EXPECT_EQ(server_->connections(), 2 * kMaxConnections);
+  const std::vector<tcp::socket> queued = Connect(1);
+  server_->Stop();
+  EXPECT_EQ(server_->connections(), 2 * kMaxConnections);
+}
+
 }  // namespace
 }  // namespace burdockhatch
