Check the address that the product's HTTP server listens on

An operator who mistyped the port of http_address got a process that ended with start_failed and no reason, or one that listened elsewhere: 65536 became a port of the system's choice, and 80x became 80. The port was read by std::stoi, which throws, and cast without a check.

The address is now read by ParseIpEndpoint, as those of the other servers are. HttpEntryTest.InvalidAddressIsAnError failed before and passes.

--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -29,6 +29,7 @@
 #include "src/caller_api.h"
 #include "src/connection_ends.h"
 #include "src/exception_guard.h"
+#include "src/ip_endpoint.h"
 #include "src/log.h"
 
 namespace burdockhatch {
@@ -718,16 +719,13 @@
   // Returns an error message, or an empty string on success.
   std::string Start() {
     const std::string& address = shared_->options.address;
-    const size_t colon = address.rfind(':');
-    boost::system::error_code ec;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    if (ec || colon == std::string::npos) {
+    const std::optional<tcp::endpoint> endpoint = ParseIpEndpoint(address);
+    if (!endpoint) {
       return fmt::format("http address '{}' is not <IP address>:<port>",
                          address);
     }
-    const auto port =
-        static_cast<uint16_t>(std::stoi(address.substr(colon + 1)));
-    Listen({ip, port}, ec);
+    boost::system::error_code ec;
+    Listen(*endpoint, ec);
     if (ec) {
       return fmt::format("cannot listen on {}: {}", address, ec.message());
     }
--- /dev/null
+++ b/tests/http_entry_test.cc
@@ -0,0 +1,138 @@
+// The HTTP server of the daemons over loopback, with a daemon that the test
+// plays.
+#include "src/http_entry.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <new>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "src/connection_ends.h"
+
+namespace burdockhatch {
+namespace {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+using asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+struct FakeDelegate : HttpSessionDelegate {
+  void SubmitRequest(RequestSpec spec) override {
+    if (throws) {
+      throw std::bad_alloc();
+    }
+    submit(std::move(spec));
+  }
+  void OnCallerDisconnected(const RequestId&) override { ++disconnected; }
+  void ReportProgress(const AttemptId&, uint32_t) override {}
+  void SendOfferToAgent(const PeerId&, Offer) override {
+    throw std::bad_alloc();
+  }
+  void DumpState(std::function<void(std::string)>) override {}
+  std::string MetricsText() override { throw std::bad_alloc(); }
+
+  std::function<void(RequestSpec)> submit = [](const RequestSpec&) {};
+  std::atomic<bool> throws = false;
+  std::atomic<int> disconnected = 0;
+};
+
+class HttpEntryTest : public testing::Test {
+ protected:
+  HttpEntryTest() {
+    tcp::acceptor probe(client_io_,
+                        tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    endpoint_ = probe.local_endpoint();
+    probe.close();
+  }
+
+  // Returns the error message of the start.
+  std::string Start(HttpEntryOptions options) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+          BOOST_LEAF_AUTO(entry, StartHttpEntry(std::move(options), &delegate_,
+                                                &clock_, &metrics_));
+          entry_ = std::move(entry);
+          auto config = std::make_shared<FleetConfig>();
+          config->models[ModelId("m")].max_output = Tokens(100);
+          config->accounts[ClientAccountId("acme")];
+          entry_->SetConfig(std::move(config));
+          entry_->SetPhase(ServingPhase::kServing);
+          return std::string();
+        },
+        [](const HttpEntryError& error) { return error.message; },
+        [] { return std::string("unknown error"); });
+  }
+
+  HttpEntryOptions Options() const {
+    HttpEntryOptions options;
+    options.address = "127.0.0.1:" + std::to_string(endpoint_.port());
+    options.limits.traffic_threads = 1;
+    return options;
+  }
+
+  void Send(const std::string& text) {
+    if (!client_.is_open()) {
+      client_.connect(endpoint_);
+    }
+    asio::write(client_, asio::buffer(text));
+  }
+
+  // Returns what arrives within a time, or before the connection ends.
+  std::string Receive() {
+    client_.non_blocking(true);
+    std::string text;
+    const auto end = std::chrono::steady_clock::now() + milliseconds(500);
+    while (std::chrono::steady_clock::now() < end) {
+      char buffer[4096];
+      error_code ec;
+      const size_t n = client_.read_some(asio::buffer(buffer), ec);
+      text.append(buffer, n);
+      if ((ec && ec != asio::error::would_block) || n > 0) {
+        break;
+      }
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+    client_.non_blocking(false);
+    return text;
+  }
+
+  FakeDelegate delegate_;
+  SteadyClock clock_;
+  Metrics metrics_;
+  asio::io_context client_io_;
+  tcp::socket client_{client_io_};
+  tcp::endpoint endpoint_;
+  std::unique_ptr<HttpEntry> entry_;
+};
+
+constexpr char kCompletion[] =
+    "POST /v1/completions HTTP/1.1\r\nHost: h\r\nX-Client-Account: acme\r\n"
+    "Content-Length: 26\r\n\r\n{\"model\":\"m\",\"prompt\":\"x\"}";
+
+// Guards against an entry that ends by an exception, or listens on another
+// port, because of its settings.
+TEST_F(HttpEntryTest, InvalidAddressIsAnError) {
+  for (const char* it : {"127.0.0.1", "127.0.0.1:x", "127.0.0.1:99999999999",
+                         "127.0.0.1:65536", "127.0.0.1:80x", "host:80"}) {
+    HttpEntryOptions options = Options();
+    options.address = it;
+    EXPECT_NE(Start(options).find("is not <IP address>:<port>"),
+              std::string::npos)
+        << it;
+  }
+}
+
+}  // namespace
+}  // namespace burdockhatch
