--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -4,18 +4,26 @@
 
 #include <cerrno>
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <new>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/caller_server.h"
+#include "src/connection_ends.h"
+#include "src/exception_guard.h"
+#include "tests/allocation_counter.h"
 
 namespace burdockhatch {
 namespace {
@@ -34,14 +42,22 @@
                         tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     endpoint_ = probe.local_endpoint();
     probe.close();
+    StartServer(CallerLimits());
+  }
+
+  void StartServer(const CallerLimits& limits) {
+    server_.reset();
     server_ = leaf::try_handle_all(
         [&]() -> leaf::result<std::unique_ptr<CallerServer>> {
           return StartCallerServer(
-              io_, "127.0.0.1:" + std::to_string(endpoint_.port()),
-              CallerLimits(), 10,
+              io_, "127.0.0.1:" + std::to_string(endpoint_.port()), limits,
+              kMaxConnections,
               [this](std::shared_ptr<CallerExchange> exchange,
                      const ReceivedRequest&) {
                 exchange_ = std::move(exchange);
+                if (throws_) {
+                  throw std::bad_alloc();
+                }
                 if (answers_) {
                   exchange_->SendResponse(200, {}, "ok");
                 }
@@ -52,7 +68,8 @@
 
   void Run(Duration duration = milliseconds(50)) {
     io_.restart();
-    io_.run_for(duration);
+    while (!RunGuarded("event_loop", [&] { io_.run_for(duration); })) {
+    }
   }
 
   // The client's socket blocks, and is used while the loop does not run.
@@ -68,6 +85,30 @@
     return text.substr(0, n);
   }
 
+  // Runs `step` in a turn of the loop in which all timers that expire within
+  // `pause` are due, and their handlers have not run.
+  void RunBeforeDueTimers(milliseconds pause,
+                          const std::function<void()>& step) {
+    asio::steady_timer timer(io_, milliseconds(1));
+    timer.async_wait([&](error_code) {
+      step();
+      // Loopback delivers within the call, except on a busy machine.
+      std::this_thread::sleep_for(milliseconds(5));
+    });
+    asio::post(io_, [pause] { std::this_thread::sleep_for(pause); });
+    Run(pause + milliseconds(30));
+  }
+
+  // Opens connections that send nothing.
+  std::vector<tcp::socket> Connect(uint32_t count) {
+    std::vector<tcp::socket> sockets;
+    for (uint32_t i = 0; i < count; ++i) {
+      sockets.emplace_back(client_io_).connect(endpoint_);
+    }
+    return sockets;
+  }
+
+  static constexpr uint32_t kMaxConnections = 10;
   asio::io_context io_;
   asio::io_context client_io_;
   tcp::socket client_{client_io_};
@@ -75,10 +116,41 @@
   std::unique_ptr<CallerServer> server_;
   std::shared_ptr<CallerExchange> exchange_;
   bool answers_ = true;
+  bool throws_ = false;
 };
 
 constexpr char kRequest[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
+// Guards against connections that end silently with a request that was read.
+TEST_F(CallerServerHttpTest, UnansweredRequestsAreCounted) {
+  answers_ = false;
+  const uint64_t gone =
+      UnansweredCount(ConnectionEnd::kDisconnect, RequestProgress::kWhole);
+  const uint64_t stopped =
+      UnansweredCount(ConnectionEnd::kStop, RequestProgress::kPart);
+  client_.connect(endpoint_);
+  Send(kRequest);
+  Run();
+  client_.close();
+  Run();
+  client_ = tcp::socket(client_io_);
+  client_.connect(endpoint_);
+  Send("GET /x HTTP/1.1\r\nHos");
+  Run();
+  server_->CloseAll();
+  EXPECT_EQ(
+      UnansweredCount(ConnectionEnd::kDisconnect, RequestProgress::kWhole),
+      gone + 1);
+  EXPECT_EQ(UnansweredCount(ConnectionEnd::kStop, RequestProgress::kPart),
+            stopped + 1);
+  Metrics metrics;
+  ExportConnectionEnds(&metrics);
+  EXPECT_NE(metrics.ExpositionText().find(
+                "burdockhatch_connections_unanswered_total{reason=\"stop\","
+                "read=\"part\"}"),
+            std::string::npos);
+}
+
 // Guards against a planned stop that resets a connection which waits to be
 // accepted: its request has been sent already.
 TEST_F(CallerServerHttpTest, QueuedConnectionIsAnsweredDuringTheStop) {
@@ -192,5 +264,170 @@
   EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
 }
 
+CallerLimits ShortLimits() {
+  CallerLimits limits;
+  limits.header_timeout = milliseconds(20);
+  limits.idle_timeout = milliseconds(40);
+  return limits;
+}
+
+// Guards against an idle timeout that closes a connection whose request has
+// arrived while the process was busy.
+TEST_F(CallerServerHttpTest, RequestThatArrivesBeforeTheIdleTimerIsAnswered) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Run(milliseconds(5));
+  RunBeforeDueTimers(milliseconds(100), [this] { Send(kRequest); });
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a timeout of a header whose rest has arrived while the process
+// was busy.
+TEST_F(CallerServerHttpTest, HeaderThatIsCompleteBeforeItsTimerIsAnswered) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Send("GET /x HTTP/1.1\r\nHos");
+  Run(milliseconds(5));
+  RunBeforeDueTimers(milliseconds(100), [this] { Send("t: h\r\n\r\n"); });
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a request that ends without a refusal because its caller was
+// too slow.
+TEST_F(CallerServerHttpTest, PartialRequestIsRefusedAfterItsTimeout) {
+  StartServer(ShortLimits());
+  for (const char* part : {"GET /x HTTP/1.1\r\nHos",
+                           "POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nb"}) {
+    client_ = tcp::socket(client_io_);
+    client_.connect(endpoint_);
+    Send(part);
+    Run(milliseconds(150));
+    const std::string text = Receive();
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 408") << part;
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+  }
+}
+
+// Guards against a request that ends without a refusal because its caller sends
+// no more.
+TEST_F(CallerServerHttpTest, RequestThatEndsEarlyIsRefused) {
+  client_.connect(endpoint_);
+  Send("POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nb");
+  client_.shutdown(tcp::socket::shutdown_send);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 12), "HTTP/1.1 400");
+}
+
+// Guards against a caller that is charged for a pause of the process.
+TEST_F(CallerServerHttpTest, PauseOfTheProcessIsNotTheCallersTime) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Send("GET /x HTTP/1.1\r\nHos");
+  Run(milliseconds(5));
+  asio::post(io_, [] { std::this_thread::sleep_for(milliseconds(300)); });
+  Run(milliseconds(320));
+  Send("t: h\r\n\r\n");
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a connection that is closed although a newer configuration
+// lets callers use it for longer.
+TEST_F(CallerServerHttpTest, LongerIdleTimeoutExtendsTheWait) {
+  StartServer(ShortLimits());
+  client_.connect(endpoint_);
+  Run(milliseconds(5));
+  CallerLimits longer = ShortLimits();
+  longer.idle_timeout = milliseconds(1'000);
+  server_->SetLimits(longer);
+  Run(milliseconds(150));
+  Send(kRequest);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a connection that is closed while its caller has not heard of
+// a shorter timeout.
+TEST_F(CallerServerHttpTest, ShorterIdleTimeoutLeavesTheWait) {
+  CallerLimits longer = ShortLimits();
+  longer.idle_timeout = milliseconds(1'000);
+  StartServer(longer);
+  client_.connect(endpoint_);
+  server_->SetLimits(ShortLimits());
+  for (int i = 0; i < 2; ++i) {
+    Run(milliseconds(120));
+    Send(kRequest);
+    Run();
+    EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK") << i;
+  }
+}
+
+// Guards against a handler whose exception leaves its request unanswered. What
+// it has done is unknown, so the answer does not say that it has not run.
+TEST_F(CallerServerHttpTest, ExceptionOfTheHandlerIsAnswered) {
+  throws_ = true;
+  client_.connect(endpoint_);
+  Send(kRequest);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 12), "HTTP/1.1 500");
+  EXPECT_EQ(server_->open_exchanges(), 0u);
+}
+
+// Guards against a request that ends without a refusal because there is no
+// memory for it.
+TEST_F(CallerServerHttpTest, RequestWithoutMemoryIsRefused) {
+  constexpr size_t kBodyBytes = 1024 * 1024;
+  client_.connect(endpoint_);
+  Send("POST /x HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) +
+       "\r\n\r\nb");
+  {
+    const ScopedAllocationLimit limit(kBodyBytes / 2);
+    Run();
+  }
+  const std::string text = Receive();
+  EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_NE(text.find("Retry-After: "), std::string::npos);
+  EXPECT_EQ(exchange_, nullptr);
+}
+
+// Guards against a full table of connections that resets further callers
+// instead of refusing their requests.
+TEST_F(CallerServerHttpTest, FullTableRefusesRequests) {
+  std::vector<tcp::socket> others = Connect(kMaxConnections);
+  Run();
+  client_.connect(endpoint_);
+  Send("POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nbody");
+  Run();
+  const std::string text = Receive();
+  EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+  EXPECT_NE(text.find("Retry-After: "), std::string::npos);
+  EXPECT_NE(text.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(exchange_, nullptr);
+}
+
+// Guards against a connection that stays refused after others have ended.
+TEST_F(CallerServerHttpTest, RequestIsServedWhenTheTableHasRoomAgain) {
+  std::vector<tcp::socket> others = Connect(kMaxConnections);
+  Run();
+  client_.connect(endpoint_);
+  Run();
+  others.clear();
+  Run();
+  Send(kRequest);
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against connections without a bound, also where a planned stop accepts
+// those that wait.
+TEST_F(CallerServerHttpTest, ConnectionsBeyondTheSecondBoundAreClosed) {
+  const std::vector<tcp::socket> others = Connect(2 * kMaxConnections + 2);
+  Run();
+  EXPECT_EQ(server_->connections(), 2 * kMaxConnections);
+  const std::vector<tcp::socket> queued = Connect(1);
+  server_->Stop();
+  EXPECT_EQ(server_->connections(), 2 * kMaxConnections);
+}
+
 }  // namespace
 }  // namespace burdockhatch
