--- a/src/placement_client.h
+++ b/src/placement_client.h
@@ -75,7 +75,8 @@
                         Time now);
 
   // Reports an event of a placed or queued request. EndsPlacement() tells
-  // which events end the request. `failed` is the target at fault, empty if there is none.
+  // which events end the request. `failed` is the target at fault, empty if
+  // there is none.
   void ReportEvent(uint64_t number,
                    PlacementEvent event,
                    const TargetId& failed,
