Keep a connection that is accepted as the listener closes

Callers saw: in a planned stop, a connection whose request had been sent was reset without an answer.

Cause: closing the listener lets the handler of an accept that is complete, but queued, drop its connection. asio accepts the second of two waiting connections within the handler of the first, so this needs no more than two connections at a time, for example after a pause of the process.

Change: the handler starts the connection also when the listener has been closed, and it is closed like the others if no request has arrived on it.

Measured: CallerServerHttpTest.AcceptedConnectionIsAnsweredDuringTheStop failed without the change (the connection was dropped), and passes with it.

--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -495,10 +495,8 @@
     error_code ignored;
     acceptor_.close(ignored);
     accept_retry_.cancel();
-    // A read of input that has arrived may be complete, with its handler
-    // queued.
     for (const auto& it : OpenConnections()) {
-      asio::post(io_, [it] { it->CloseIfIdle(); });
+      CloseLaterIfIdle(it);
     }
   }
 
@@ -535,20 +533,35 @@
 
   void Accept() {
     acceptor_.async_accept(io_, [this](error_code ec, tcp::socket socket) {
-      if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
+      if (ec == asio::error::operation_aborted) {
         return;
       }
+      const bool is_open = acceptor_.is_open();
       if (ec) {
-        AcceptAfterDelay(ec);
+        if (is_open) {
+          AcceptAfterDelay(ec);
+        }
         return;
       }
-      Accept();
+      if (is_open) {
+        Accept();
+      }
       if (shared_->connections.size() < shared_->max_connections) {
-        std::make_shared<Connection>(std::move(socket), shared_)->Start();
+        const auto connection =
+            std::make_shared<Connection>(std::move(socket), shared_);
+        connection->Start();
+        if (!is_open) {
+          CloseLaterIfIdle(connection);
+        }
       }
     });
   }
 
+  // A read of input that has arrived may be complete, with its handler queued.
+  void CloseLaterIfIdle(const std::shared_ptr<Connection>& connection) {
+    asio::post(io_, [connection] { connection->CloseIfIdle(); });
+  }
+
   void AcceptAfterDelay(error_code accept_ec) {
     Log(LogLevel::kWarning, "accept_failed", {{"reason", accept_ec.message()}});
     accept_retry_.expires_after(kAcceptRetryDelay);
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -91,6 +91,23 @@
   EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
 }
 
+// Guards against a planned stop that drops a connection which has been accepted
+// and whose handler is queued.
+TEST_F(CallerServerHttpTest, AcceptedConnectionIsAnsweredDuringTheStop) {
+  tcp::socket first(client_io_);
+  first.connect(endpoint_);
+  client_.connect(endpoint_);
+  Send(kRequest);
+  // Handles the first connection, and accepts the second at once.
+  io_.restart();
+  io_.run_one();
+  server_->BeginDrain();
+  server_->Stop();
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+  EXPECT_EQ(server_->connections(), 1u);
+}
+
 // Guards against a planned stop that closes a connection whose request has
 // arrived and has not been read.
 TEST_F(CallerServerHttpTest, ArrivedRequestIsAnsweredDuringTheStop) {
