Close the listener before an idle stopping entry exits

Callers saw: a stopping entry reset connections with whole requests on them when it exited, in calm, 2.7 s after SIGTERM.

Cause: the entry exited in the tick in which it found nothing in progress, with its listener still open. Connections that wait to be accepted, and requests that have been read while their handler is queued, are not visible in that tick.

Change: an idle entry closes its listener and its idle connections, and exits in a later tick in which it is still idle. Closing the listener accepts what waits.

--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -167,16 +167,20 @@
 
   // If all entries of a data centre stop, the load balancer keeps sending to
   // them, so requests that can finish within the grace are still served. The
-  // listener closes only shortly before the end.
+  // listener closes only shortly before the end, or when nothing is left to do.
   bool CanExit(Duration since_stop_requested) override {
+    const bool is_idle = caller_server_->open_exchanges() == 0 &&
+                         !caller_server_->HasPendingInput();
     const Duration end = forwarding_settings_.stop_grace - kStopMargin;
-    if (since_stop_requested >= end - kListenerCloseMargin) {
+    if (since_stop_requested >= end || (is_idle && listener_closed_)) {
+      return true;
+    }
+    if (since_stop_requested >= end - kListenerCloseMargin ||
+        (is_idle && since_stop_requested >= kBalancerLag)) {
       caller_server_->Stop();
+      listener_closed_ = true;
     }
-    return (since_stop_requested >= kBalancerLag &&
-            caller_server_->open_exchanges() == 0 &&
-            !caller_server_->HasPendingInput()) ||
-           since_stop_requested >= end;
+    return false;
   }
 
   // Requests keep themselves alive until they end.
@@ -432,6 +436,7 @@
   std::array<std::unique_ptr<FeedFollower>, kFeedKindCount> followers_;
   std::map<InstanceId, int> connection_users_;
   uint64_t published_generation_ = 0;
+  bool listener_closed_ = false;
   Time next_prune_at_{};
   Time next_counters_at_{};
   Time next_relay_choice_at_{};
