Answer the requests in progress at the end of a planned stop

Callers saw: at the end of the grace of a planned stop, requests that had been taken and passed on were cut without an answer (LOST), among them requests that may not be repeated.

Cause: when the grace was nearly over, CanExit let the process exit whatever was open, and CloseAll closed the connections. Requests in progress heard of it as if their callers had left.

Change: an entry knows its open requests and ends them one second before the end of the grace, 300 ms earlier than it closed them before. One that has not been sent gets 503 and is never sent; one that may have run gets 502 or 504; a stream that has begun is aborted, which the caller detects. The 300 ms are for writing the answers; requests that arrive then are refused. If the process was paused at that time, it exits one tick later than it ends its requests.

ForwardRequestTest.EndOfTheStopAnswersOpenRequests needs the new function, so it has no run without it.

--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -34,10 +34,13 @@
 constexpr Duration kBalancerLag = std::chrono::milliseconds(2'700);
 // The listener closes this long before the process gives up its requests.
 constexpr Duration kListenerCloseMargin = std::chrono::milliseconds(1'000);
-// Time before the end of the stop grace at which requests in progress are
-// aborted: the bus lingers for 300 ms, and the exit takes another 300 ms on a
-// tenth of a core.
+// Time before the end of the stop grace at which the process begins to exit:
+// the bus lingers for 300 ms, and the exit takes another 300 ms on a tenth of a
+// core.
 constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+// Time to write the last responses, and to refuse requests whose last bytes
+// arrive with them, after the requests in progress have been ended.
+constexpr Duration kLastResponsesTime = std::chrono::milliseconds(300);
 
 // Agents of a data centre that may relay; the later ones replace silent ones.
 constexpr size_t kMaxRelays = 4;
@@ -159,9 +162,10 @@
   }
 
   void OnStopRequested() override {
-    context_.stop_deadline =
-        Now() + forwarding_settings_.stop_grace - kStopMargin;
-    context_.accepts_all_until = Now() + kBalancerLag;
+    const Time now = Now();
+    const Time deadline = now + RequestsEndAfterStop();
+    context_.stop_deadline = deadline;
+    context_.accepts_all_until = std::min(now + kBalancerLag, deadline);
     caller_server_->BeginDrain();
   }
 
@@ -171,8 +175,9 @@
   bool CanExit(Duration since_stop_requested) override {
     const bool is_idle = caller_server_->open_exchanges() == 0 &&
                          !caller_server_->HasPendingInput();
-    const Duration end = forwarding_settings_.stop_grace - kStopMargin;
-    if (since_stop_requested >= end || (is_idle && listener_closed_)) {
+    const Duration end = ExitAfterStop();
+    if ((is_idle && listener_closed_) ||
+        (requests_ended_ && since_stop_requested >= end)) {
       return true;
     }
     if (since_stop_requested >= end - kListenerCloseMargin ||
@@ -180,6 +185,9 @@
       caller_server_->Stop();
       listener_closed_ = true;
     }
+    if (since_stop_requested >= RequestsEndAfterStop()) {
+      EndRequests();
+    }
     return false;
   }
 
@@ -230,6 +238,24 @@
   }
 
  private:
+  // --- Planned stop ---
+
+  Duration ExitAfterStop() const {
+    return std::max<Duration>(forwarding_settings_.stop_grace - kStopMargin,
+                              kLastResponsesTime);
+  }
+  Duration RequestsEndAfterStop() const {
+    return ExitAfterStop() - kLastResponsesTime;
+  }
+
+  void EndRequests() {
+    requests_ended_ = true;
+    if (const size_t ended = EndOpenRequests(context_)) {
+      Log(LogLevel::kWarning, "requests_ended_by_stop",
+          {{"count", std::to_string(ended)}});
+    }
+  }
+
   // --- PlacementBus ---
 
   void Send(const InstanceId& to, MessageBody body) override {
@@ -437,6 +463,7 @@
   std::map<InstanceId, int> connection_users_;
   uint64_t published_generation_ = 0;
   bool listener_closed_ = false;
+  bool requests_ended_ = false;
   Time next_prune_at_{};
   Time next_counters_at_{};
   Time next_relay_choice_at_{};
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -104,6 +104,7 @@
   if (!ResolveRoute()) {
     return;
   }
+  context_->open_requests[this] = weak_from_this();
   context_->retry_budget.OnRequest(service_, received_at_);
   last_event_id_ = caller_fields_.last_event_id;
   exchange_->SetDisconnectHandler([self = shared_from_this()] {
@@ -903,6 +904,30 @@
   FinishWithFailure("deadline");
 }
 
+void ForwardRequest::EndAtStop() {
+  Guard([this] {
+    if (finished_) {
+      return;
+    }
+    may_have_executed_ = may_have_executed_ || HasCall();
+    EndAllAttempts(CallOutcome::kCallerGone);
+    FinishWithFailure("stopped");
+  });
+}
+
+size_t EndOpenRequests(ForwardContext& context) {
+  // A request that ends leaves the table.
+  const auto open = context.open_requests;
+  size_t ended = 0;
+  for (const auto& [key, weak] : open) {
+    if (const std::shared_ptr<ForwardRequest> request = weak.lock()) {
+      request->EndAtStop();
+      ++ended;
+    }
+  }
+  return ended;
+}
+
 void ForwardRequest::FinishAsBlocked(Duration blocked_left) {
   retry_after_ = blocked_left;
   const Failure failure{
@@ -970,6 +995,7 @@
     return;
   }
   finished_ = true;
+  context_->open_requests.erase(this);
   SetWaitsForTarget(false);
   error_response_.reset();
   context_->buffered_response_bytes -= std::exchange(buffered_bytes_, 0);
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -35,6 +35,8 @@
   Bytes max_buffered_responses{32 * 1024 * 1024};  // Of all of them.
 };
 
+class ForwardRequest;
+
 // State and services shared by all requests of an entry. Must outlive them.
 struct ForwardContext {
   Timers* timers = nullptr;
@@ -58,6 +60,8 @@
   Random random{0};
   ResponseLimits response_limits;
   size_t buffered_response_bytes = 0;
+  // Requests that were admitted and have not finished.
+  std::map<ForwardRequest*, std::weak_ptr<ForwardRequest>> open_requests;
 };
 
 class ForwardRequest : public std::enable_shared_from_this<ForwardRequest> {
@@ -68,6 +72,10 @@
 
   void Start();
 
+  // Ends the request because the process stops: with 503 if it has not been
+  // sent, else with 502 or 504; a stream that has begun is aborted.
+  void EndAtStop();
+
  private:
   // Runs `step`; an exception ends this request only.
   template <class Step>
@@ -229,6 +237,9 @@
   bool finished_ = false;
 };
 
+// Ends all open requests at the end of a planned stop. Returns their number.
+size_t EndOpenRequests(ForwardContext& context);
+
 }  // namespace burdockhatch
 
 #endif  // SRC_FORWARD_REQUEST_H_
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -700,6 +700,36 @@
   EXPECT_EQ(exchange_->status, 503u);
 }
 
+// Guards against a planned stop that ends requests in progress without an
+// answer. A request that was not sent is refused; one that may have run is not
+// reported as refused.
+TEST_F(ForwardRequestTest, EndOfTheStopAnswersOpenRequests) {
+  Send("/once/");
+  Send("/read/");
+  Send("/stream/");
+  Send("/stream/");
+  Head(3);
+  Body(3, "id: 0\n\n");
+  memory_.defers = true;
+  Send("/stream/", {{"prompt", "1000000"}});
+  ASSERT_EQ(connector_.calls.size(), 4u);
+  EXPECT_EQ(EndOpenRequests(context_), 5u);
+  for (size_t i = 0; i < 3; ++i) {
+    EXPECT_TRUE(call(i).stopped);
+    EXPECT_EQ(exchanges_[i]->status, 502u);
+  }
+  EXPECT_TRUE(exchanges_[3]->aborted);
+  EXPECT_EQ(exchanges_[4]->status, 503u);
+  EXPECT_NE(FindHeader(exchanges_[4]->headers, "Retry-After"), nullptr);
+  for (const auto& it : exchanges_) {
+    EXPECT_EQ(it->ends, 1);
+  }
+  memory_.deferred.front()(true);
+  timers_.Advance(std::chrono::seconds(10));
+  EXPECT_EQ(connector_.calls.size(), 4u);
+  EXPECT_EQ(EndOpenRequests(context_), 0u);
+}
+
 // Guards against a target whose answer has no end: it filled the memory of an
 // entry. The work may have run, so the caller hears neither success nor "not
 // run".
