Refuse requests that cannot surely finish in a planned stop

Callers saw: requests that came late in the grace of a planned stop were taken and passed on, and streams among them were cut at its end, also streams that may not be repeated.

Cause: an entry that stops estimated once, when a request arrived, how long an engine would take, without the engine's queue, a wait for placement or memory, a repeat, or a target that falls silent for a second. A wrong estimate cuts a stream, which has no other end once it has begun.

Change: a stream that may run once is taken only if its own time limit ends before the stop does. Other work on engines still counts by an estimate, now with 1.2 s for silence, and is checked again with the engine's queue before each send. What can no longer finish is refused with 503 if it has not run, gets 502 if it may have, and goes on with a silent target if one is left.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -55,6 +55,8 @@
 constexpr Duration kReservationRetryDelay = std::chrono::milliseconds(100);
 // Duration of an engine pass that also prefills other prompts.
 constexpr Duration kSlowPassDuration = std::chrono::milliseconds(90);
+// How long a sound target may be silent, in addition, while it responds.
+constexpr Duration kSilenceAllowance = std::chrono::milliseconds(1'200);
 // Retry-After of a 503 response: this minimum plus random jitter, so that
 // callers rejected together do not retry together.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
@@ -145,26 +147,39 @@
   const auto pool = config_->services.find(service_);
   pool_ = pool == config_->services.end() ? nullptr : &pool->second;
   if (context_->stop_deadline && received_at_ >= context_->accepts_all_until &&
-      !CanFinishBeforeStop()) {
+      !CanFinishBeforeStop(Duration(0))) {
     Reject(503, "stopping");
     return false;
   }
   return true;
 }
 
-bool ForwardRequest::CanFinishBeforeStop() const {
-  Duration longest = route_->timeout;
-  if (pool_ != nullptr && pool_->engine) {
-    const int64_t passes = caller_fields_.max_output.value() /
-                           std::max<int64_t>(pool_->engine->steps_per_pass, 1);
-    const auto read_ms =
-        static_cast<int64_t>(PrefillMs(*pool_->engine, caller_fields_.prompt));
-    longest =
-        kSlowPassDuration * (passes + 2) + std::chrono::milliseconds(read_ms);
-  }
-  longest = std::min({longest, route_->timeout,
-                      caller_fields_.time_left.value_or(route_->timeout)});
-  return received_at_ + longest < *context_->stop_deadline;
+bool ForwardRequest::CanFinishBeforeStop(Duration expected_first_event) const {
+  const Duration limit = std::min(
+      route_->timeout, caller_fields_.time_left.value_or(route_->timeout));
+  if (received_at_ + limit < *context_->stop_deadline) {
+    return true;
+  }
+  const bool has_estimate = pool_ != nullptr && pool_->engine;
+  const bool may_be_cut = route_->is_streaming && !route_->repeatable;
+  if (!has_estimate || may_be_cut) {
+    return false;
+  }
+  const int64_t passes = caller_fields_.max_output.value() /
+                         std::max<int64_t>(pool_->engine->steps_per_pass, 1);
+  const std::chrono::milliseconds read(
+      static_cast<int64_t>(PrefillMs(*pool_->engine, caller_fields_.prompt)));
+  const Duration estimate = std::max<Duration>(read, expected_first_event) +
+                            kSlowPassDuration * (passes + 2) +
+                            kSilenceAllowance;
+  return context_->timers->Now() + estimate < *context_->stop_deadline;
+}
+
+bool ForwardRequest::IsTooLateToSend() const {
+  const bool has_estimate = pool_ != nullptr && pool_->engine;
+  return has_estimate && !stream_started_ && context_->stop_deadline &&
+         context_->timers->Now() >= context_->accepts_all_until &&
+         !CanFinishBeforeStop(attempt_->expected_first_event);
 }
 
 void ForwardRequest::Reject(uint32_t status, std::string_view reason) {
@@ -405,6 +420,12 @@
     OnDeadline();
     return;
   }
+  if (IsTooLateToSend()) {
+    EndAttempt(attempt, PlacementEvent::kEnded, TargetId(),
+               CallOutcome::kCallerGone);
+    FailUnlessSilentAttemptLeft("stopping", Duration(0));
+    return;
+  }
   attempt.events.set_last_id(last_event_id_);
   target_ = attempt.target;
   helper_count_ = attempt.helpers.size();
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -86,8 +86,13 @@
   // Sets the route, client account and service. On failure rejects the request
   // and returns false.
   bool ResolveRoute();
-  // Whether the response can be complete before the planned stop ends.
-  bool CanFinishBeforeStop() const;
+  // Whether the response can be complete before the planned stop ends. A stream
+  // that may run once can only be cut at that end, so its own time limit counts
+  // instead of an estimate.
+  bool CanFinishBeforeStop(Duration expected_first_event) const;
+  // Whether a placed request has waited so long that its response would not be
+  // complete before the planned stop ends.
+  bool IsTooLateToSend() const;
   void Reject(uint32_t status, std::string_view reason);
 
   // --- Attempts ---
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -189,6 +189,7 @@
     auto config = std::make_shared<RouteConfig>();
     config->version = 1;
     AddRoute(*config, "/stream/", "llm", true, true, 2);
+    AddRoute(*config, "/chat/", "llm", true, false, 1);
     AddRoute(*config, "/once/", "orders", false, false, 1);
     AddRoute(*config, "/read/", "orders", false, true, 2);
     config->services[ServiceId("llm")].engine = EngineCost();
@@ -700,6 +701,70 @@
   EXPECT_EQ(exchange_->status, 503u);
 }
 
+// Guards against a stopping entry that takes a stream which may run once on an
+// estimate: it could only be aborted at the end of the stop.
+TEST_F(ForwardRequestTest, StoppingEntryTakesOnlyStreamsThatEndInTime) {
+  context_.stop_deadline = timers_.Now() + std::chrono::seconds(5);
+  Send("/chat/", {{"output", "10"}, {"time-left", "6000"}});
+  EXPECT_TRUE(connector_.calls.empty());
+  EXPECT_EQ(exchange_->status, 503u);
+  EXPECT_NE(FindHeader(exchange_->headers, "Retry-After"), nullptr);
+  Send("/chat/", {{"output", "10"}, {"time-left", "4900"}});
+  EXPECT_EQ(connector_.calls.size(), 1u);
+  // Ten passes and two more take less than 1.1 s.
+  Send("/stream/", {{"output", "10"}, {"time-left", "6000"}});
+  EXPECT_EQ(connector_.calls.size(), 2u);
+}
+
+// Guards against a stopping entry whose estimate has no room for a sound target
+// that falls silent for a second.
+TEST_F(ForwardRequestTest, StoppingEntryExpectsSilence) {
+  context_.stop_deadline = timers_.Now() + std::chrono::seconds(2);
+  Send("/stream/", {{"output", "10"}});
+  EXPECT_TRUE(connector_.calls.empty());
+  EXPECT_EQ(exchange_->status, 503u);
+}
+
+// Guards against a stopping entry that sends a request which has waited until
+// it can no longer finish.
+TEST_F(ForwardRequestTest, RequestThatWaitedTooLongInTheStopIsNotSent) {
+  context_.stop_deadline = timers_.Now() + std::chrono::seconds(4);
+  context_.accepts_all_until = timers_.Now() + std::chrono::seconds(1);
+  memory_.defers = true;
+  Send("/stream/", {{"prompt", "1000000"}, {"output", "10"}});
+  const size_t count = memory_.reserved.size();
+  ASSERT_GT(count, 0u);
+  timers_.Advance(std::chrono::seconds(2));
+  const auto deferred = std::exchange(memory_.deferred, {});
+  for (const auto& it : deferred) {
+    it(true);
+  }
+  EXPECT_TRUE(connector_.calls.empty());
+  EXPECT_EQ(exchange_->status, 503u);
+  EXPECT_EQ(memory_.released.size(), count);
+}
+
+// Guards against a stopping entry that repeats a stream which can no longer
+// finish. Its caller hears "not run" only if a target has said so.
+TEST_F(ForwardRequestTest, StreamIsNotRepeatedTooLateInTheStop) {
+  context_.stop_deadline = timers_.Now() + milliseconds(2'500);
+  context_.accepts_all_until = timers_.Now() + milliseconds(100);
+  for (int i = 0; i < 3; ++i) {
+    Send("/stream/", {{"output", "10"}});
+  }
+  timers_.Advance(milliseconds(150));
+  End(0, ForwardCallResult::kBroken);
+  ASSERT_EQ(connector_.calls.size(), 4u);
+  timers_.Advance(milliseconds(250));
+  Head(1, 503, {{"not-run", "1"}});
+  End(1);
+  End(2, ForwardCallResult::kBroken);
+  EXPECT_EQ(connector_.calls.size(), 4u);
+  EXPECT_EQ(exchanges_[0]->ends, 0);
+  EXPECT_EQ(exchanges_[1]->status, 503u);
+  EXPECT_EQ(exchanges_[2]->status, 502u);
+}
+
 // Guards against a planned stop that ends requests in progress without an
 // answer. A request that was not sent is refused; one that may have run is not
 // reported as refused.
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -15,6 +15,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/read.hpp>
@@ -198,27 +199,44 @@
 
 // --- HTTP -------------------------------------------------------------------
 
-HttpResult CallHttp(const std::string& address,
-                    const std::string& method,
-                    const std::string& target,
-                    const std::string& body,
-                    const Headers& headers,
-                    milliseconds timeout) {
-  HttpResult result;
+namespace {
+
+tcp::endpoint ParseEndpoint(const std::string& address) {
   const size_t colon = address.rfind(':');
-  const tcp::endpoint endpoint(
-      asio::ip::make_address(address.substr(0, colon)),
-      static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
+  return {asio::ip::make_address(address.substr(0, colon)),
+          static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+http::request<http::string_body> MakeRequest(const std::string& address,
+                                             const std::string& method,
+                                             const std::string& target,
+                                             const std::string& body,
+                                             const Headers& headers) {
   http::request<http::string_body> request;
   request.method_string(method);
   request.target(target);
   request.set(http::field::host, address);
-  request.set(http::field::connection, "close");
   for (const auto& [name, value] : headers) {
     request.set(name, value);
   }
   request.body() = body;
   request.prepare_payload();
+  return request;
+}
+
+}  // namespace
+
+HttpResult CallHttp(const std::string& address,
+                    const std::string& method,
+                    const std::string& target,
+                    const std::string& body,
+                    const Headers& headers,
+                    milliseconds timeout) {
+  HttpResult result;
+  const tcp::endpoint endpoint = ParseEndpoint(address);
+  http::request<http::string_body> request =
+      MakeRequest(address, method, target, body, headers);
+  request.set(http::field::connection, "close");
 
   asio::io_context io;
   beast::tcp_stream stream(io);
@@ -247,6 +265,52 @@
   return result;
 }
 
+struct KeptConnection::Internals {
+  std::string address;
+  asio::io_context io;
+  beast::tcp_stream stream{io};
+  beast::flat_buffer buffer;
+};
+
+KeptConnection::KeptConnection(const std::string& address)
+    : internals_(std::make_unique<Internals>()) {
+  internals_->address = address;
+  boost::system::error_code ec;
+  internals_->stream.socket().connect(ParseEndpoint(address), ec);
+}
+
+KeptConnection::~KeptConnection() = default;
+
+void KeptConnection::Send(const std::string& text) {
+  boost::system::error_code ec;
+  asio::write(internals_->stream.socket(), asio::buffer(text), ec);
+}
+
+HttpResult KeptConnection::Call(const std::string& method,
+                                const std::string& target,
+                                const std::string& body,
+                                const Headers& headers,
+                                milliseconds timeout) {
+  Internals& i = *internals_;
+  HttpResult result;
+  const http::request<http::string_body> request =
+      MakeRequest(i.address, method, target, body, headers);
+  http::response_parser<http::string_body> parser;
+  i.stream.expires_after(timeout);
+  http::async_write(i.stream, request, [&](boost::system::error_code, size_t) {
+    http::async_read(
+        i.stream, i.buffer, parser, [&](boost::system::error_code ec, size_t) {
+          result.body = parser.get().body();
+          if (!ec) {
+            result.status = static_cast<int>(parser.get().result_int());
+          }
+        });
+  });
+  i.io.restart();
+  i.io.run();
+  return result;
+}
+
 bool WaitUntil(const std::function<bool()>& condition, milliseconds bound) {
   const auto end = std::chrono::steady_clock::now() + bound;
   while (!condition()) {
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -65,6 +65,26 @@
     const Headers& headers = {},
     std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
+// One connection for several requests, one after the other.
+class KeptConnection {
+ public:
+  explicit KeptConnection(const std::string& address);
+  ~KeptConnection();
+
+  // Sends raw text.
+  void Send(const std::string& text);
+  HttpResult Call(const std::string& method,
+                  const std::string& target,
+                  const std::string& body = "",
+                  const Headers& headers = {},
+                  std::chrono::milliseconds timeout = std::chrono::seconds(30));
+
+ private:
+  struct Internals;
+
+  std::unique_ptr<Internals> internals_;
+};
+
 // Polls until `condition` holds. Returns false after `bound`, which only a
 // failing test reaches.
 bool WaitUntil(const std::function<bool()>& condition,
