Keep serving on SIGHUP in the product's own path

Callers saw: SIGHUP to an entry or an agent of the product's own path ended all its requests at once.

Cause: DaemonLoop handled SIGTERM and SIGINT only, so SIGHUP had its default action, the end of the process.

Change: SIGHUP logs reload_requested and changes nothing. Signals are awaited again after each one; a second SIGTERM does not begin a second stop.

Measured: ProcessOperationTest.ReloadSignalInterruptsNothing failed without the change (all three processes ended) and passes with it.

--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -71,7 +71,7 @@
       : config_spread(std::move(options), now),
         tick_timer(control),
         instance_timer(control),
-        signals(control, SIGTERM, SIGINT) {}
+        signals(control, SIGTERM, SIGINT, SIGHUP) {}
 
   ConfigDistributor config_spread;
   Time next_config_spread_tick{};
@@ -121,12 +121,7 @@
   OnStart();
   PollInstances();
   StartTick();
-  internals_->signals.async_wait(
-      [this](boost::system::error_code ec, int number) {
-        if (!ec) {
-          BeginStop(number);
-        }
-      });
+  WaitForSignal();
   RunLoopGuarded(control_io_);
 
   http_server_->Stop();
@@ -251,6 +246,26 @@
   http_server_->SetPhase(internals.phase);
 }
 
+void DaemonLoop::WaitForSignal() {
+  internals_->signals.async_wait(
+      [this](boost::system::error_code ec, int signal_number) {
+        if (!ec) {
+          WaitForSignal();
+          OnSignal(signal_number);
+        }
+      });
+}
+
+void DaemonLoop::OnSignal(int signal_number) {
+  if (signal_number == SIGHUP) {
+    // Settings are read only at startup.
+    Log(LogLevel::kInfo, "reload_requested");
+  } else if (internals_->phase == ServingPhase::kStarting ||
+             internals_->phase == ServingPhase::kServing) {
+    BeginStop(signal_number);
+  }
+}
+
 void DaemonLoop::BeginStop(int signal_number) {
   Log(LogLevel::kInfo, "planned_stop",
       {{"signal", std::to_string(signal_number)}});
--- a/src/daemon_loop.h
+++ b/src/daemon_loop.h
@@ -109,6 +109,8 @@
   void StartTick();
   void Tick();
   void UpdateServingPhase(Time now);
+  void WaitForSignal();
+  void OnSignal(int signal_number);
   void BeginStop(int signal_number);
   void FinishStop();
   void ExecuteConfigActions();
--- a/tests/process_operation_test.cc
+++ b/tests/process_operation_test.cc
@@ -87,6 +87,29 @@
   EXPECT_TRUE(fleet_.WaitForMemoryReleased());
 }
 
+// Guards against SIGHUP, whose default action ends a process with all its
+// requests, and against signals that disturb a stop.
+TEST_F(ProcessOperationTest, ReloadSignalInterruptsNothing) {
+  LoadGenerator load({fleet_.entry_address(0), fleet_.entry_address(1)}, 4,
+                     kOutput);
+  ASSERT_TRUE(load.WaitForRequests(4));
+  ChildProcess* const processes[] = {&fleet_.entry(0), &fleet_.engine_agent(0),
+                                     &fleet_.service_agent(0)};
+  for (ChildProcess* it : processes) {
+    it->Signal(SIGHUP);
+  }
+  EXPECT_TRUE(load.WaitForRequests(10));
+  const LoadResults counts = load.Stop();
+  EXPECT_EQ(counts.answered, counts.total()) << DescribeResults(counts);
+  for (ChildProcess* it : processes) {
+    EXPECT_TRUE(it->IsRunning());
+    it->Signal(SIGTERM);
+    it->Signal(SIGHUP);
+    it->Signal(SIGTERM);
+    EXPECT_EQ(it->WaitForExit(), 0);
+  }
+}
+
 // Guards against a stop that truncates a long answer.
 TEST_F(ProcessOperationTest, RequestInProgressCompletesWhenEntryAndAgentsStop) {
   CallResult result;
