--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -740,10 +740,8 @@
     error_code ignored;
     acceptor_.close(ignored);
     accept_retry_.cancel();
-    // A read of input that has arrived may be complete, with its handler
-    // queued.
     for (const auto& it : OpenConnections()) {
-      asio::post(io_, [it] { it->CloseIfIdle(); });
+      CloseLaterIfIdle(it);
     }
   }
 
@@ -780,36 +778,55 @@
 
   void Accept() {
     acceptor_.async_accept(io_, [this](error_code ec, tcp::socket socket) {
-      if (ec == asio::error::operation_aborted || !acceptor_.is_open()) {
+      if (ec == asio::error::operation_aborted) {
         return;
       }
+      const bool is_open = acceptor_.is_open();
       if (ec) {
-        AcceptAfterDelay(ec);
+        if (is_open) {
+          AcceptAfterDelay(ec);
+        }
+        return;
+      }
+      const std::shared_ptr<Connection> connection =
+          StartConnection(std::move(socket));
+      if (!is_open) {
+        if (connection) {
+          CloseLaterIfIdle(connection);
+        }
         return;
       }
-      StartConnection(std::move(socket));
       if (!RunGuarded("accept", [this] { Accept(); })) {
         AcceptAfterDelay(asio::error::no_memory);
       }
     });
   }
 
-  void StartConnection(tcp::socket socket) {
+  // Returns null if the connection was closed at once.
+  std::shared_ptr<Connection> StartConnection(tcp::socket socket) {
     const size_t open = shared_->connections.size();
     const size_t limit = shared_->max_connections;
     // Requests on connections above the limit are refused; above twice the
     // limit connections are closed.
     if (open >= 2 * limit) {
       ReportUnanswered(ConnectionEnd::kTableFull, RequestProgress::kNone, 0);
-      return;
+      return nullptr;
     }
+    std::shared_ptr<Connection> connection;
     if (!RunGuarded("caller_connection", [&] {
-          std::make_shared<Connection>(std::move(socket), shared_,
-                                       open >= limit)
-              ->Start();
+          connection = std::make_shared<Connection>(std::move(socket), shared_,
+                                                    open >= limit);
+          connection->Start();
         })) {
       ReportUnanswered(ConnectionEnd::kException, RequestProgress::kNone, 0);
+      return nullptr;
     }
+    return connection;
+  }
+
+  // A read of input that has arrived may be complete, with its handler queued.
+  void CloseLaterIfIdle(const std::shared_ptr<Connection>& connection) {
+    asio::post(io_, [connection] { connection->CloseIfIdle(); });
   }
 
   void AcceptAfterDelay(error_code accept_ec) {
