Test that a silent second of an agent or engine runs nothing twice

A process test of the own path pauses an agent and an engine for 1.2 s, also beside a configuration change and a planned stop of another agent, and compares the streams that engines start with the requests.

--- a/tests/process_fault_test.cc
+++ b/tests/process_fault_test.cc
@@ -47,6 +47,16 @@
     }
   }
 
+  int64_t CountStartedStreams() const {
+    int64_t started = 0;
+    for (size_t i = 0; i < 3; ++i) {
+      const std::string stats =
+          CallHttp(fleet_.engine_address(i), "GET", "/stats").body;
+      started += boost::json::parse(stats).at("started").to_number<int64_t>();
+    }
+    return started;
+  }
+
   Fleet fleet_{FleetOfThreeDataCentres()};
 };
 
@@ -126,6 +136,36 @@
   ExpectAllTargetsUsable();
 }
 
+// Guards against work that is given up, or that runs a second time, because its
+// agent or its engine is silent for about a second, also while the
+// configuration changes and another agent is stopped.
+TEST_F(ProcessFaultTest, SilenceOfASecondRunsNothingTwice) {
+  const int64_t started_before = CountStartedStreams();
+  LoadGenerator load(EntryAddresses(), 6, kOutput);
+  ASSERT_TRUE(load.WaitForRequests(10));
+  for (int round = 0; round < 2; ++round) {
+    for (ChildProcess* silent : {&fleet_.engine_agent(0), &fleet_.engine(0)}) {
+      silent->Signal(SIGSTOP);
+      if (round == 1) {
+        EXPECT_TRUE(fleet_.PutConfig());
+        fleet_.engine_agent(1).Signal(SIGTERM);
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+      silent->Signal(SIGCONT);
+      EXPECT_TRUE(load.WaitForRequests(20));
+      if (round == 1) {
+        EXPECT_EQ(fleet_.engine_agent(1).WaitForExit(), 0);
+        fleet_.StartEngineAgent(1);
+        EXPECT_TRUE(fleet_.WaitForUsableTargets(0, 5));
+      }
+    }
+  }
+  const LoadResults counts = load.Stop();
+  ExpectNoUnexplainedFailures(counts);
+  EXPECT_EQ(counts.answered, counts.total()) << DescribeResults(counts);
+  EXPECT_EQ(CountStartedStreams() - started_before, counts.total());
+}
+
 TEST_F(ProcessFaultTest, EntryIsPaused) {
   LoadGenerator load(EntryAddresses(), 6, kOutput);
   ASSERT_TRUE(load.WaitForRequests(10));
