Keep a silent attempt while no other target can take its request

Callers of repeatable requests saw a failure after some seconds, although the agent that had the request was sound and came back.

Cause: an entry cancels an attempt whose agent has been silent for 3.5 s (offer unanswered) or 6 s (running) before it knows whether another target can take the request. If none could, or the client account had no retry left, the request failed, at once or after 5 s without a target.

Now the attempt is kept, and the entry looks for another target every 500 ms, unless the connection to the agent has failed. With another target the attempt is still cancelled when that one gets its offer, not when it makes progress.

SilentAttemptIsKeptWhileNoOtherTargetTakesIt and SilentAttemptIsKeptWithoutRetryCredit fail with the check disabled, as before.

--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -218,6 +218,8 @@
   // Start of the time without progress: when resuming started or, in kFinished,
   // when Finish or the last new chunk arrived.
   Time no_progress_since;
+  // When a silent attempt is next checked for a retry elsewhere.
+  Time next_retry_check;
   Time next_resume;
   Duration resume_interval{0};
   std::optional<Finish> finish;
--- a/src/request_placing.cc
+++ b/src/request_placing.cc
@@ -27,6 +27,10 @@
 constexpr Duration kMinCapacityBackoff = std::chrono::milliseconds(50);
 constexpr Duration kMaxCapacityBackoff = std::chrono::seconds(2);
 constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
+// Interval at which another target is looked for while a silent one has the
+// only attempt.
+constexpr Duration kSilentAttemptRecheckInterval =
+    std::chrono::milliseconds(500);
 // Minimum interval between calls of FollowOutsideSubset.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(200);
 
@@ -311,6 +315,21 @@
   EndAttempt(tables, row);
 }
 
+// Whether another target than that of the current attempt can take the request.
+bool CanRetryElsewhere(EntryTables& tables, RequestRow& row, Time now) {
+  if (!HasRetryCredit(tables.retries, row.spec.account)) {
+    return false;
+  }
+  if (row.gang || NeedsGang(tables.fleet, row.spec)) {
+    return true;
+  }
+  const TargetRow& target = tables.fleet.rows[row.attempt->slot];
+  row.refused_by.push_back(target.info.instance);
+  const bool found = ChooseSlot(tables, row, now).has_value();
+  row.refused_by.pop_back();
+  return found;
+}
+
 }  // namespace
 
 void TryPlaceRequest(EntryTables& tables, RequestRow& row, Time now) {
@@ -425,4 +444,15 @@
   RetryRequest(tables, row, true, now);
 }
 
+void RetryInsteadOfSilentAttempt(EntryTables& tables,
+                                 RequestRow& row,
+                                 Time now) {
+  const bool may_be_sound = !tables.fleet.rows[row.attempt->slot].unreachable;
+  if (may_be_sound && !CanRetryElsewhere(tables, row, now)) {
+    row.attempt->next_retry_check = now + kSilentAttemptRecheckInterval;
+    return;
+  }
+  AbandonAndRetry(tables, row, now);
+}
+
 }  // namespace burdockhatch
--- a/src/request_placing.h
+++ b/src/request_placing.h
@@ -48,6 +48,13 @@
 // for repeatable requests.
 void AbandonAndRetry(EntryTables& tables, RequestRow& row, Time now);
 
+// Same for an attempt whose agent is silent. The agent may be sound: unless its
+// connection has failed, the attempt is kept while no other target can take the
+// request.
+void RetryInsteadOfSilentAttempt(EntryTables& tables,
+                                 RequestRow& row,
+                                 Time now);
+
 }  // namespace burdockhatch
 
 #endif  // SRC_REQUEST_PLACING_H_
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -122,7 +122,7 @@
 }
 
 bool ResumeTimedOut(const RequestRow& row, Time now) {
-  return row.spec.repeatable &&
+  return row.spec.repeatable && now >= row.attempt->next_retry_check &&
          now - row.attempt->no_progress_since >= kResumeReplyTimeout;
 }
 
@@ -164,7 +164,7 @@
     return;
   }
   if (ResumeTimedOut(row, now)) {
-    AbandonAndRetry(tables, row, now);
+    RetryInsteadOfSilentAttempt(tables, row, now);
     return;
   }
   ResumeIfDue(tables, row, kResumeInterval, now);
@@ -172,7 +172,7 @@
 
 void UpdateFinishedAttempt(EntryTables& tables, RequestRow& row, Time now) {
   if (ResumeTimedOut(row, now)) {
-    AbandonAndRetry(tables, row, now);
+    RetryInsteadOfSilentAttempt(tables, row, now);
     return;
   }
   ResumeIfDue(tables, row, kMissingChunkInterval, now);
--- a/src/retry_budget.cc
+++ b/src/retry_budget.cc
@@ -17,12 +17,15 @@
   credit = std::min(credit + 1, kMaxRetryCredit);
 }
 
+bool HasRetryCredit(RetryBudgets& budgets, const ClientAccountId& account) {
+  return AccountCredit(budgets, account) >= kCreditPerRetry;
+}
+
 bool TryTakeRetry(RetryBudgets& budgets, const ClientAccountId& account) {
-  int64_t& credit = AccountCredit(budgets, account);
-  if (credit < kCreditPerRetry) {
+  if (!HasRetryCredit(budgets, account)) {
     return false;
   }
-  credit -= kCreditPerRetry;
+  AccountCredit(budgets, account) -= kCreditPerRetry;
   return true;
 }
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -18,6 +18,9 @@
 
 void AddRetryCredit(RetryBudgets& budgets, const ClientAccountId& account);
 
+// Whether TryTakeRetry would return true.
+bool HasRetryCredit(RetryBudgets& budgets, const ClientAccountId& account);
+
 // Spends the credit of one retry. Returns false if there is too little left.
 bool TryTakeRetry(RetryBudgets& budgets, const ClientAccountId& account);
 
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -222,6 +222,52 @@
   CheckEntryInvariants(driver_);
 }
 
+// Guards against work that is given up, and then fails or runs again, because
+// its agent is silent for some seconds while no other target accepts the
+// request.
+TEST_F(EntryRequestsTest, SilentAttemptIsKeptWhileNoOtherTargetTakesIt) {
+  driver_.agent("engine-1").chunk_interval = milliseconds(500);
+  driver_.agent("engine-2").chunk_interval = milliseconds(500);
+  const RequestId request =
+      driver_.Submit(driver_.Completion(1000, seconds(30)));
+  driver_.Run(milliseconds(1'300));
+  FakeAgent& agent = AgentOf(request);
+  OtherAgent(agent).ready = false;
+  agent.paused_until = driver_.Now() + seconds(12);
+  driver_.Run(seconds(20));
+  EXPECT_EQ(driver_.record(request).offers.size(), 1u);
+  ASSERT_NE(driver_.FirstEnd(request), nullptr);
+  EXPECT_TRUE(driver_.FirstEnd(request)->completed);
+  CheckEntryInvariants(driver_);
+}
+
+// Guards against a request that fails because its agent is silent and its
+// client account has no retry left.
+TEST_F(EntryRequestsTest, SilentAttemptIsKeptWithoutRetryCredit) {
+  const RequestSpec spec = driver_.Completion(1000, seconds(30));
+  const auto credit = [&] {
+    return driver_.core().tables().retries.credit.at(spec.account);
+  };
+  driver_.faults().failed_streams = 1;
+  do {
+    driver_.Submit(driver_.Completion());
+    driver_.Run(milliseconds(200));
+  } while (credit() >= kCreditPerRetry - 1);
+  driver_.faults().failed_streams = 0;
+  driver_.agent("engine-1").chunk_interval = milliseconds(500);
+  driver_.agent("engine-2").chunk_interval = milliseconds(500);
+  const RequestId request = driver_.Submit(spec);
+  driver_.Run(milliseconds(1'300));
+  ASSERT_LT(credit(), kCreditPerRetry);
+  FakeAgent& agent = AgentOf(request);
+  agent.paused_until = driver_.Now() + seconds(8);
+  driver_.Run(seconds(15));
+  EXPECT_EQ(driver_.record(request).offers.size(), 1u);
+  ASSERT_NE(driver_.FirstEnd(request), nullptr);
+  EXPECT_TRUE(driver_.FirstEnd(request)->completed);
+  CheckEntryInvariants(driver_);
+}
+
 // Guards against an agent that keeps running an abandoned attempt because the
 // only Cancel was lost.
 TEST_F(EntryRequestsTest, CancelIsRepeatedUntilTheDeadline) {
