Answer requests whose session meets an exception

Callers of the product's own interface waited until they gave up after an exception in a session: it reached the traffic thread's loop, which went on, and nothing wrote the answer or ended the request. A request that had not been passed on, a state dump and a page of metrics ended alike.

Each step of a session is now a boundary. A request that was passed on gets 500 with the outcome unknown and is ended at the core, as after a disconnect. One that was not passed on gets 503 with the outcome not_run. A response that has begun is cut off. An exception with one connection that is accepted does not end the accepting of others.

--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -129,10 +129,22 @@
   void Post(Step step) {
     asio::post(stream_.get_executor(),
                [self = shared_from_this(), step = std::move(step)]() mutable {
-                 step();
+                 self->Guard(step);
                });
   }
 
+  // Runs a step of the session. An exception ends this session only.
+  template <class Step>
+  void Guard(Step&& step) {
+    if (RunGuarded("caller_session", std::forward<Step>(step)) || closed_) {
+      return;
+    }
+    if (!RunGuarded("caller_session", [this] { OnStepFailed(); })) {
+      RunGuarded("caller_session",
+                 [this] { Close(ConnectionEnd::kException); });
+    }
+  }
+
   void FillAndSendOffer(const PeerId& to, Offer offer) {
     if (!IsActive(offer.attempt.request)) {
       return;
@@ -223,6 +235,41 @@
     return request_active_ && head_.request == request;
   }
 
+  void OnStepFailed() {
+    {
+      const std::lock_guard lock(shared_->mutex);
+      shared_->state_dump_waiters.erase(this);
+    }
+    const bool has_input = (parser_ && parser_->got_some()) ||
+                           buffer_.size() > 0 || awaits_response_;
+    if (request_active_) {
+      CountOutcome(ErrorCode::kInternal);
+      shared_->delegate->OnCallerDisconnected(head_.request);
+      EndRequest();
+      RespondAfterException({ErrorCode::kInternal, Outcome::kUnknown, {}});
+    } else if (has_input) {
+      RespondAfterException(
+          {ErrorCode::kOverloaded, Outcome::kNotRun, std::chrono::seconds(1)});
+    } else {
+      Close(ConnectionEnd::kException);
+    }
+  }
+
+  void RespondAfterException(const Failure& failure) {
+    if (header_written_ || write_pending_ || response_ends_) {
+      Close(ConnectionEnd::kException);
+      return;
+    }
+    keep_alive_ = false;
+    must_drain_input_ = true;
+    parser_.reset();
+    if (failure.outcome == Outcome::kNotRun) {
+      ReportRefused(ConnectionEnd::kException,
+                    static_cast<uint32_t>(HttpStatusOf(failure.code)));
+    }
+    WriteError(failure, "the request met an internal error");
+  }
+
   // --- Reading ---
 
   void ReadRequest() {
@@ -234,9 +281,11 @@
     parser_->body_limit(
         static_cast<uint64_t>(shared_->options.limits.max_body.value()));
     stream_.expires_after(kReadTimeout);
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](boost::system::error_code ec,
-                                                 size_t) { self->OnRead(ec); });
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](boost::system::error_code ec, size_t) {
+          self->Guard([&] { self->OnRead(ec); });
+        });
   }
 
   void OnRead(boost::system::error_code ec) {
@@ -298,6 +347,7 @@
     keep_alive_ = request.keep_alive() && phase != ServingPhase::kTerminating &&
                   phase != ServingPhase::kDraining;
     header_written_ = false;
+    awaits_response_ = true;
     CallerHttpRequest input;
     input.method.assign(request.method_string().data(),
                         request.method_string().size());
@@ -445,13 +495,14 @@
     if (disconnect_watch_pending_) {
       return;
     }
-    disconnect_watch_pending_ = true;
     stream_.socket().async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this()](boost::system::error_code ec) {
           self->disconnect_watch_pending_ = false;
-          self->OnReadable(ec);
+          // Without the watch, a disconnect is found by the next write.
+          RunGuarded("caller_session", [&] { self->OnReadable(ec); });
         });
+    disconnect_watch_pending_ = true;
   }
 
   void OnReadable(boost::system::error_code ec) {
@@ -489,7 +540,7 @@
   }
 
   void ReportIfUnanswered(ConnectionEnd reason) {
-    const bool is_whole = request_active_ || counted_in_progress_;
+    const bool is_whole = request_active_ || awaits_response_;
     const bool is_part = (parser_ && parser_->got_some()) || buffer_.size() > 0;
     if (is_whole || is_part) {
       ReportUnanswered(
@@ -571,14 +622,14 @@
       queued_output_ += text;
       return;
     }
-    write_pending_ = true;
     output_being_written_ = std::move(text);
     stream_.expires_after(kWriteTimeout);
     asio::async_write(
         stream_, asio::buffer(output_being_written_),
         [self = shared_from_this()](boost::system::error_code ec, size_t) {
-          self->OnWritten(ec);
+          self->Guard([&] { self->OnWritten(ec); });
         });
+    write_pending_ = true;
   }
 
   void OnWritten(boost::system::error_code ec) {
@@ -599,6 +650,7 @@
     }
     response_ends_ = false;
     header_written_ = false;
+    awaits_response_ = false;
     EndProgress();
     if (keep_alive_) {
       ReadRequest();
@@ -623,11 +675,13 @@
     stream_.async_read_some(
         buffer_.prepare(kReadBufferBytes),
         [self = shared_from_this()](boost::system::error_code ec, size_t) {
-          if (ec) {
-            self->Close(ConnectionEnd::kConnectionClose);
-          } else {
-            self->DrainNextInput();
-          }
+          self->Guard([&] {
+            if (ec) {
+              self->Close(ConnectionEnd::kConnectionClose);
+            } else {
+              self->DrainNextInput();
+            }
+          });
         });
   }
 
@@ -682,6 +736,7 @@
 
   // State of the current request.
   bool request_active_ = false;
+  bool awaits_response_ = false;      // Read, and its response not written.
   bool counted_in_progress_ = false;  // Until the response is written.
   CallerRequest request_;
   ResponseMetadata head_;
@@ -815,7 +870,7 @@
             return;
           }
           if (!ec) {
-            OnAccepted(std::move(socket));
+            RunGuarded("accept", [&] { OnAccepted(std::move(socket)); });
           }
           Accept();
         });
--- a/tests/http_entry_test.cc
+++ b/tests/http_entry_test.cc
@@ -134,5 +134,41 @@
   }
 }
 
+// Guards against a caller that waits for ever because its request could not be
+// passed on. What has happened to it is unknown.
+TEST_F(HttpEntryTest, RequestThatCannotBeSubmittedIsAnswered) {
+  ASSERT_EQ(Start(Options()), "");
+  delegate_.throws = true;
+  Send(kCompletion);
+  const std::string text = Receive();
+  EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 500") << text;
+  EXPECT_NE(text.find("\"outcome\":\"unknown\""), std::string::npos);
+  EXPECT_NE(text.find("Connection: close"), std::string::npos);
+}
+
+// Guards against an exception in a step of a submitted request that leaves its
+// caller without an answer, and the request open.
+TEST_F(HttpEntryTest, RequestWhoseOfferCannotBeSentIsAnswered) {
+  ASSERT_EQ(Start(Options()), "");
+  delegate_.submit = [this](const RequestSpec& spec) {
+    Offer offer;
+    offer.attempt.request = spec.request;
+    entry_->FillAndSendOffer(PeerId(), std::move(offer));
+  };
+  Send(kCompletion);
+  EXPECT_EQ(Receive().substr(0, 12), "HTTP/1.1 500");
+  EXPECT_EQ(delegate_.disconnected, 1);
+}
+
+// Guards against a request that ends without a refusal because of an exception
+// before it was passed on.
+TEST_F(HttpEntryTest, RequestThatCannotBeHandledIsRefused) {
+  ASSERT_EQ(Start(Options()), "");
+  Send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string text = Receive();
+  EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503") << text;
+  EXPECT_NE(text.find("\"outcome\":\"not_run\""), std::string::npos);
+}
+
 }  // namespace
 }  // namespace burdockhatch
