Read the list of instances past an odd entry

An entry of the list of instances that is nested too deeply, has a number too large or bytes that cannot be read hid all instances: the list counted as unanswered, and processes worked with the list before or, after a start, with none. An entry whose address has no valid port was connected to.

Cause: as for the store's lists, the list was parsed at once, and the address was read as any text.

ParseInstanceList() uses ParseLenientJson() and skips entries with an unreadable part or an invalid address, which the daemon logs as instances_skipped once for each version of the list.

OddInstanceCostsOnlyItself failed with the former src/object_api_http.cc.

--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -336,6 +336,11 @@
   if (reply.status == ObjectStatus::kOk) {
     internals.instance_version = reply.version;
     internals.instances_known = true;
+    if (reply.skipped > 0) {
+      Log(LogLevel::kWarning, "instances_skipped",
+          {{"count", std::to_string(reply.skipped)},
+           {"first", reply.first_skipped}});
+    }
     internals.config_spread.OnInstances(reply.instances, Now());
     OnInstances(reply.instances, Now());
     ExecutePendingActions();
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -60,6 +60,10 @@
   ObjectStatus status = ObjectStatus::kUnknown;
   ObjectVersion version;
   std::vector<InstanceInfo> instances;
+  // Entries that are malformed or describe other software, and the id, or else
+  // the position, of the first of them.
+  uint32_t skipped = 0;
+  std::string first_skipped;
 };
 
 // All methods return without blocking. Each callback runs once, on the control
--- a/src/object_api_http.cc
+++ b/src/object_api_http.cc
@@ -14,7 +14,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "src/ip_endpoint.h"
 #include "src/json_reader.h"
+#include "src/lenient_json.h"
 
 namespace burdockhatch {
 
@@ -153,12 +155,21 @@
   optional_id("target", &info.target);
   optional_id("model", &info.model);
   optional_id("service", &info.service);
-  if (!findings.empty()) {
+  if (!findings.empty() || !ParseIpEndpoint(info.address)) {
     return std::nullopt;
   }
   return info;
 }
 
+// Returns the id of an entry of the list, or its position if it has none.
+std::string DescribeEntry(const boost::json::value& entry, size_t position) {
+  Findings ignored;
+  ObjectReader reader(entry, "", &ignored);
+  std::string id;
+  reader.ReadString("instance", kMaxIdLength, &id);
+  return id.empty() ? fmt::format("#{}", position) : id;
+}
+
 struct Connection {
   explicit Connection(const Strand& strand) : socket(strand) {}
 
@@ -590,12 +601,12 @@
 }
 
 std::optional<InstanceListReply> ParseInstanceList(std::string_view body) {
-  Findings findings;
-  const std::optional<boost::json::value> document = ParseJson(body, &findings);
+  const std::optional<LenientJson> document = ParseLenientJson(body);
   if (!document) {
     return std::nullopt;
   }
-  ObjectReader reader(*document, "", &findings);
+  Findings findings;
+  ObjectReader reader(document->value, "", &findings);
   reader.Require({"version", "instances"});
   int64_t version = 0;
   reader.ReadInteger("version", {0, INT64_MAX}, &version);
@@ -606,9 +617,15 @@
   InstanceListReply reply;
   reply.status = ObjectStatus::kOk;
   reply.version = ObjectVersion(static_cast<uint64_t>(version));
-  for (const boost::json::value& it : list->get_array()) {
-    if (std::optional<InstanceInfo> info = ParseInstance(it)) {
+  const boost::json::array& instances = list->get_array();
+  for (size_t i = 0; i < instances.size(); ++i) {
+    const bool is_odd =
+        document->unreadable_parts > 0 && HasUnreadablePart(instances[i]);
+    auto info = is_odd ? std::nullopt : ParseInstance(instances[i]);
+    if (info) {
       reply.instances.push_back(std::move(*info));
+    } else if (reply.skipped++ == 0) {
+      reply.first_skipped = DescribeEntry(instances[i], i);
     }
   }
   return reply;
--- a/tests/config_object_api_http_test.cc
+++ b/tests/config_object_api_http_test.cc
@@ -407,6 +407,38 @@
   EXPECT_EQ(client.List(ObjectVersion(12)).status, ObjectStatus::kNotModified);
 }
 
+// Guards against one entry that another writer left, and that hides all
+// instances or has an address that nothing can connect to.
+TEST(ObjectApiHttpTest, OddInstanceCostsOnlyItself) {
+  const auto instance = [](const std::string& id, const std::string& port,
+                           const std::string& more = "") {
+    return fmt::format(
+        R"({{"instance":"{}","role":"entry","state":"live","data_centre":"d",
+             "address":"10.0.0.1:{}"{}}})",
+        id, port, more);
+  };
+  const std::string deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& odd :
+       {deep, instance("odd", "1", ",\"more\":" + deep),
+        instance("odd", "1", R"(,"more":1e99999999999)"),
+        instance("odd", "1", ",\"region\":\"\xe2\x82\""),
+        instance("odd", "1", R"(,"region":1e400)"), instance("odd", "0"),
+        instance("odd", "65536"), instance("odd", "99999999999"),
+        instance("odd", "")}) {
+    const auto list = ParseInstanceList(
+        fmt::format(R"({{"instances":[{},{},{}],"version":3}})",
+                    instance("a", "1"), odd, instance("b", "65535")));
+    SCOPED_TRACE(odd.substr(0, 200));
+    ASSERT_TRUE(list);
+    EXPECT_EQ(list->version, ObjectVersion(3));
+    ASSERT_EQ(list->instances.size(), 2u);
+    EXPECT_EQ(list->instances[1].instance.value(), "b");
+    EXPECT_EQ(list->skipped, 1u);
+    EXPECT_EQ(list->first_skipped, odd == deep ? "#1" : "odd");
+  }
+}
+
 TEST(ObjectApiHttpTest, MalformedInstanceListIsRejected) {
   for (const std::string_view body :
        {"", "[]", "{}", R"({"version":-1,"instances":[]})",
