Check the addresses of the settings with ParseIpEndpoint

settings.cc had its own check of "ip:port" with std::stoi. It could not throw, as it allowed five digits at most, so no caller saw a fault; it is a second definition of an address, and its finding did not name the range of ports.

--- a/src/settings.cc
+++ b/src/settings.cc
@@ -6,10 +6,10 @@
 #include <sstream>
 #include <utility>
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/json/value.hpp>
 #include <boost/leaf/error.hpp>
 
+#include "src/ip_endpoint.h"
 #include "src/json_reader.h"
 
 namespace burdockhatch {
@@ -42,33 +42,17 @@
 constexpr Bounds kSuspectCountBounds{1, static_cast<int64_t>(kMaxBlameRecords)};
 constexpr Bounds kAnsweredPartsBounds{1, 1'000'000};
 
-// Returns whether `text` is "<IP address>:<port>". Host names are rejected,
-// because the platform gives IP addresses and resolving a name could block.
-bool IsIpEndpoint(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  // make_address() stops at the first null byte and ignores the rest.
-  if (text.find('\0') != std::string::npos) {
-    return false;
-  }
-  boost::system::error_code ec;
-  boost::asio::ip::make_address(text.substr(0, colon), ec);
-  const std::string port = text.substr(colon + 1);
-  const bool digits = !port.empty() && port.size() <= 5 &&
-                      port.find_first_not_of("0123456789") == std::string::npos;
-  return !ec && digits && std::stoi(port) > 0 && std::stoi(port) <= 65'535;
-}
-
+// Reads "<IP number>:<port>". Host names are rejected, because the platform
+// gives IP numbers and resolving a name could block.
 void ReadAddress(std::string_view key,
                  ObjectReader* reader,
                  std::string* field,
                  Findings* findings) {
   const bool present = reader->Find(key) != nullptr;
   reader->ReadString(key, kMaxAddressLength, field);
-  if (present && !IsIpEndpoint(*field)) {
-    findings->Add(reader->PathOf(key), "expected \"<IP number>:<port>\"");
+  if (present && !ParseIpEndpoint(*field)) {
+    findings->Add(reader->PathOf(key),
+                  "expected \"<IP number>:<port>\", port 1 to 65535");
   }
 }
 
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -88,6 +88,17 @@
   }
 }
 
+// Guards against a port that ends the process or is taken for another one.
+TEST(SettingsTest, RejectsPortOutOfRange) {
+  for (const char* port : {"0", "65536", "99999999999", "-1", "05001x", "",
+                           "000005001", "18446744073709556617"}) {
+    const std::string text = Replace(kAgentSettings, "127.0.0.1:5001",
+                                     "127.0.0.1:" + std::string(port));
+    EXPECT_EQ(ListPaths(text), std::vector<std::string>{"/bus_address"})
+        << port;
+  }
+}
+
 TEST(SettingsTest, RejectsTargetOfAnEntry) {
   const std::string text = Replace(kAgentSettings, "\"agent\"", "\"entry\"");
   EXPECT_EQ(ListPaths(text), std::vector<std::string>{"/target"});
