Log addresses that cannot be connected to

An invalid address that reached the bus, an HTTP client or the connector to targets left no line: the bus ignored it, and calls ended as not sent. A connect that ZeroMQ refused was ignored as well, and an address with a null byte passed the check of the bus.

Each now writes one line and goes on as before. Nothing threw or ended here before.

InvalidAddressesAffectNoOtherPeer (no log line) and AcceptsOnlyIpAddressesWithPort (null byte) failed with the former src/bus.cc. The lines of the HTTP client and the connector have no test.

--- a/src/bus.cc
+++ b/src/bus.cc
@@ -23,6 +23,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "src/exception_guard.h"
+#include "src/log.h"
 #include "src/wire.h"
 
 namespace burdockhatch {
@@ -311,13 +312,24 @@
       CloseConnection(command.peer);
     }
     if (!IsIpv4AddressWithPort(command.address)) {
+      LogNotConnected(command, "address");
       return;
     }
     const std::string endpoint = "tcp://" + command.address;
-    if (zmq_connect(connecting_socket_, endpoint.c_str()) == 0) {
-      connected_addresses_[command.peer] = command.address;
-      connections_ = connected_addresses_.size();
+    if (zmq_connect(connecting_socket_, endpoint.c_str()) != 0) {
+      LogNotConnected(command, zmq_strerror(zmq_errno()));
+      return;
     }
+    connected_addresses_[command.peer] = command.address;
+    connections_ = connected_addresses_.size();
+  }
+
+  static void LogNotConnected(const ConnectCommand& command,
+                              const char* reason) {
+    Log(LogLevel::kWarning, "bus_not_connected",
+        {{"peer", command.peer.value()},
+         {"address", command.address},
+         {"reason", reason}});
   }
 
   void Execute(const DisconnectCommand& command) {
@@ -459,7 +471,9 @@
 
 bool IsIpv4AddressWithPort(std::string_view address) {
   const size_t colon = address.rfind(':');
-  if (colon == std::string_view::npos) {
+  // make_address_v4() ignores what follows a null byte.
+  if (colon == std::string_view::npos ||
+      address.find('\0') != std::string_view::npos) {
     return false;
   }
   boost::system::error_code ec;
--- a/src/forward_call_http.cc
+++ b/src/forward_call_http.cc
@@ -14,6 +14,7 @@
 
 #include "src/forward_call.h"
 #include "src/ip_endpoint.h"
+#include "src/log.h"
 
 namespace burdockhatch {
 
@@ -62,6 +63,8 @@
     const std::optional<tcp::endpoint> endpoint =
         ParseIpEndpoint(spec_.address);
     if (!endpoint) {
+      Log(LogLevel::kWarning, "target_address_invalid",
+          {{"address", spec_.address}});
       asio::post(stream_.get_executor(), [self = shared_from_this()] {
         self->Finish(ForwardCallResult::kNotSent);
       });
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -23,6 +23,7 @@
 
 #include "src/http_headers.h"
 #include "src/ip_endpoint.h"
+#include "src/log.h"
 #include "src/server_sent_events.h"
 
 namespace burdockhatch {
@@ -140,7 +141,11 @@
   Server(asio::io_context& context, std::string text)
       : io(context),
         address(std::move(text)),
-        endpoint(ParseIpEndpoint(address)) {}
+        endpoint(ParseIpEndpoint(address)) {
+    if (!endpoint) {
+      Log(LogLevel::kWarning, "http_address_invalid", {{"address", address}});
+    }
+  }
 
   asio::io_context& io;
   std::string address;
--- a/tests/bus_test.cc
+++ b/tests/bus_test.cc
@@ -107,6 +107,27 @@
   EXPECT_EQ(at_entry[0].sender, agent.self());
 }
 
+// Guards against a bus that ends, or serves no other peer, after it was given
+// an address that is none.
+TEST(BusTest, InvalidAddressesAffectNoOtherPeer) {
+  BusPeer entry("entry", 10, UnusedAddress());
+  BusPeer agent("agent", 20, UnusedAddress());
+  ASSERT_TRUE(entry.started() && agent.started());
+  testing::internal::CaptureStdout();
+  for (const std::string& address :
+       {std::string("10.0.0.1:0"), std::string("10.0.0.1:65536"),
+        std::string("10.0.0.1:99999999999"), std::string("host:1"),
+        std::string("10.0.0.1\0x:1", 12), std::string(), std::string("::1:80"),
+        std::string(100'000, '9')}) {
+    entry.bus().Connect(InstanceId("odd"), address);
+  }
+  entry.bus().Connect(agent.self().instance, agent.address());
+  EXPECT_GE(SendUntilWritten(entry, agent.self(), Subscribe{Duration(5)}), 0);
+  EXPECT_EQ(agent.WaitFor(1).size(), 1u);
+  EXPECT_NE(testing::internal::GetCapturedStdout().find("bus_not_connected"),
+            std::string::npos);
+}
+
 // Guards against a wrong outcome "not run": a message reported as not sent must
 // never arrive, not even after the peer has started.
 TEST(BusTest, MessageReportedAsNotSentNeverArrives) {
@@ -236,6 +257,7 @@
                          "127.0.0.1:70000", ":1", "127.0.0.1:1x", ""}) {
     EXPECT_FALSE(IsIpv4AddressWithPort(it)) << it;
   }
+  EXPECT_FALSE(IsIpv4AddressWithPort(std::string("127.0.0.1\0x:1", 13)));
 }
 
 TEST(BusTest, FailsToStartOnAnAddressInUse) {
