Keep an unreadable member odd when its key occurs again

An entry with an unreadable member passed for sound if a later member had the same key, because the later one replaced the placeholder.

The object keeps a mark then. RepeatedKeyHidesNoUnreadableMember failed with the former src/lenient_json.cc.

--- a/src/lenient_json.cc
+++ b/src/lenient_json.cc
@@ -153,6 +153,10 @@
       object->insert_or_assign(kUnreadableKey, nullptr);
       return;
     }
+    const json::value* former = object->if_contains(key->get_string());
+    if (former != nullptr && HasUnreadablePart(*former)) {
+      object->insert_or_assign(kUnreadableKey, nullptr);
+    }
     object->insert_or_assign(key->get_string(),
                              Parse(Trim(rest.substr(1)), depth + 1));
   }
--- a/tests/lenient_json_test.cc
+++ b/tests/lenient_json_test.cc
@@ -45,6 +45,12 @@
   EXPECT_TRUE(HasUnreadablePart(json->value.at("e")));
 }
 
+// Guards against an unreadable member that a later one with its key hides.
+TEST(LenientJsonTest, RepeatedKeyHidesNoUnreadableMember) {
+  EXPECT_TRUE(HasUnreadablePart(ParseLenientJson(R"({"a":NaN,"a":1})")->value));
+  EXPECT_TRUE(HasUnreadablePart(ParseLenientJson(R"({"a":1,"a":NaN})")->value));
+}
+
 TEST(LenientJsonTest, TextWithoutMatchingBracketsIsRejected) {
   for (const char* text :
        {"", "{", "[[]", "[]]", "[] []", "[\"]", "[\"\\", "NaN", "{]"}) {
