Fuzz the lists and changes of the store, with odd elements

platform_decode_fuzz reads its input as a list and as changes of each feed, and compares the lenient parser with the strict one where that succeeds. Accepted targets and instances must have an address with a valid port.

--- a/fuzz/instance_list_fuzz.cc
+++ b/fuzz/instance_list_fuzz.cc
@@ -11,6 +11,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "src/ip_endpoint.h"
 #include "src/json_reader.h"
 #include "src/object_api_http.h"
 
@@ -37,6 +38,7 @@
   Require(valid_or_empty(info.region) && valid_or_empty(info.target));
   Require(valid_or_empty(info.model) && valid_or_empty(info.service));
   Require(info.address.size() <= burdockhatch::kMaxIdLength);
+  Require(burdockhatch::ParseIpEndpoint(info.address).has_value());
 }
 
 json::object ToJson(const InstanceInfo& info) {
--- a/fuzz/platform_decode_fuzz.cc
+++ b/fuzz/platform_decode_fuzz.cc
@@ -1,26 +1,70 @@
-// Fuzzes what the platform and its callers send: configurations, target records
-// and headers.
+// Fuzzes what the platform and its callers send: lists, changes,
+// configurations, target records and headers.
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <variant>
 
+#include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
 
 #include "platform/decode.h"
+#include "platform/fleet_feed.h"
 #include "platform/forward_headers.h"
+#include "src/ip_endpoint.h"
+#include "src/lenient_json.h"
 
-extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace burdockhatch;
-  const std::string_view text(reinterpret_cast<const char*>(data), size);
+namespace {
+
+using namespace burdockhatch;
+
+void Require(bool holds) {
+  if (!holds) {
+    abort();
+  }
+}
+
+// Text that is valid JSON must be read as by the strict parser.
+void CheckLenientParser(std::string_view text) {
   boost::system::error_code ec;
-  const boost::json::value value = boost::json::parse(
+  const boost::json::value strict = boost::json::parse(
       boost::json::string_view(text.data(), text.size()), ec);
-  if (!ec) {
-    platform::DecodeRouteConfig(value);
-    platform::DecodeTarget("name", value);
+  const auto lenient = ParseLenientJson(text);
+  Require(ec || (lenient && lenient->unreadable_parts == 0 &&
+                 lenient->value == strict));
+  if (lenient) {
+    Require(HasUnreadablePart(lenient->value) ||
+            lenient->unreadable_parts == 0);
+    platform::DecodeRouteConfig(lenient->value);
+    platform::DecodeTarget("name", lenient->value);
   }
+}
+
+// Targets that are accepted must have an address that can be connected to.
+void CheckFeed(const std::string& body) {
+  static boost::asio::io_context io;
+  static const std::unique_ptr<FleetFeed> feed =
+      platform::MakeFleetFeed(io, "127.0.0.1:1");
+  for (int i = 0; i < kFeedKindCount; ++i) {
+    const FeedReply reply = feed->Decode(static_cast<FeedKind>(i), body);
+    Require(reply.status != FeedStatus::kHistoryExpired);
+    for (const FeedItem& it : reply.items) {
+      const auto* record = std::get_if<TargetRecord>(&it);
+      Require(record == nullptr || ParseIpEndpoint(record->address));
+    }
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  CheckLenientParser(text);
+  CheckFeed(std::string(text));
   HeaderList headers;
   size_t begin = 0;
   while (begin < text.size()) {
