Bound the planned stop of an entry in the product's own path

Callers saw: connections that ended without an answer when the platform killed an entry whose planned stop outlasted its grace.

Cause: a draining entry waited without a bound for its requests, up to the longest deadline of an hour, and knew nothing of the time that the platform allows.

Change: the setting limits.stop_grace_ms (default 75,000, up to 600,000, at least 2,000 above balancer_lag_ms). 1.3 s before its end, an entry ends what is open: not_ready (503, not run) for a request that was never offered, outcome_unknown (502) for one that may have run, an error event in a stream. The process exits 700 ms before the end at the latest. Agents are as before: one that is killed counts as crashed.

--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -42,6 +42,11 @@
 // Time between the end of all work and the end of the process, in which peers
 // may still request a lost chunk.
 constexpr Duration kStopLinger = std::chrono::milliseconds(300);
+// Time before the end of the stop grace at which the process begins to exit.
+constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+// Time to write the last responses and to linger, after the requests in
+// progress have been ended.
+constexpr Duration kLastResponsesTime = std::chrono::milliseconds(600);
 
 ConfigDistributorOptions ConfigSpreadOptionsFor(const Settings& settings,
                                                 const PeerId& self) {
@@ -86,9 +91,11 @@
   // Whether the bus and the HTTP server are running.
   std::atomic<bool> started = false;
   ServingPhase phase = ServingPhase::kStarting;
-  Time accept_until{};   // End of the phase kTerminating.
-  Time drained_at{};     // Time at which all work was found complete.
-  bool drained = false;  // Whether all work was complete at the last tick.
+  Time stop_requested_at{};
+  Time accept_until{};      // End of the phase kTerminating.
+  bool work_ended = false;  // By the end of the stop grace.
+  Time drained_at{};        // Time at which all work was found complete.
+  bool drained = false;     // Whether all work was complete at the last tick.
 };
 
 DaemonLoop::DaemonLoop(Settings settings)
@@ -241,6 +248,8 @@
     internals.drained = drained;
     if (drained && now >= internals.drained_at + kStopLinger) {
       FinishStop();
+    } else {
+      KeepStopGrace(now);
     }
   }
   http_server_->SetPhase(internals.phase);
@@ -271,10 +280,32 @@
       {{"signal", std::to_string(signal_number)}});
   internals_->config_spread.BeginDrain();
   internals_->phase = ServingPhase::kTerminating;
+  internals_->stop_requested_at = Now();
   internals_->accept_until = Now() + AcceptPeriodAfterStop();
   UpdateServingPhase(Now());
 }
 
+void DaemonLoop::KeepStopGrace(Time now) {
+  const std::optional<Duration> grace = StopGrace();
+  if (!grace) {
+    return;
+  }
+  Internals& internals = *internals_;
+  const Time exit_at = internals.stop_requested_at + *grace - kStopMargin;
+  if (internals.work_ended && now >= exit_at) {
+    Log(LogLevel::kWarning, "stop_grace_over",
+        {{"responses", std::to_string(http_server_->Stats().requests)}});
+    FinishStop();
+  } else if (!internals.work_ended && now >= exit_at - kLastResponsesTime) {
+    internals.work_ended = true;
+    if (const size_t ended = EndOpenWork(now)) {
+      Log(LogLevel::kWarning, "requests_ended_by_stop",
+          {{"count", std::to_string(ended)}});
+    }
+    ExecutePendingActions();
+  }
+}
+
 void DaemonLoop::FinishStop() {
   ExecutePendingActions();
   SendGoodbye();
--- a/src/daemon_loop.h
+++ b/src/daemon_loop.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,12 @@
   // Starts to refuse new work because of a planned stop.
   virtual void BeginDrain(Time now) = 0;
   virtual bool IsDrained() const = 0;
+  // Time after SIGTERM by which the process must have exited, if it bounds its
+  // planned stop.
+  virtual std::optional<Duration> StopGrace() const { return std::nullopt; }
+  // Ends all open work shortly before the end of the stop grace. Returns how
+  // much there was.
+  virtual size_t EndOpenWork(Time now) { return 0; }
   // Sends the last messages before the bus stops.
   virtual void SendGoodbye() = 0;
   // Returns the state of the core as JSON text.
@@ -112,6 +119,8 @@
   void WaitForSignal();
   void OnSignal(int signal_number);
   void BeginStop(int signal_number);
+  // Ends open work, and the process, when the stop grace is nearly over.
+  void KeepStopGrace(Time now);
   void FinishStop();
   void ExecuteConfigActions();
   void Execute(SendConfigMessage& action);
--- a/src/entry_core.cc
+++ b/src/entry_core.cc
@@ -8,6 +8,7 @@
 #include "src/entry_tables.h"
 #include "src/fleet_table.h"
 #include "src/membership.h"
+#include "src/request_admission.h"
 #include "src/request_end.h"
 #include "src/requests.h"
 #include "src/retry_budget.h"
@@ -196,6 +197,19 @@
   return tables_->draining && tables_->requests.empty();
 }
 
+size_t EntryCore::EndOpenRequests(Time now) {
+  size_t ended = 0;
+  while (!tables_->requests.empty()) {
+    RequestRow& row = tables_->requests.begin()->second;
+    const bool not_run = KnownOutcome(row) == Outcome::kNotRun;
+    FailRow(*tables_, row,
+            not_run ? ErrorCode::kNotReady : ErrorCode::kOutcomeUnknown,
+            not_run ? kNotReadyRetryAfter : Duration(0), now);
+    ++ended;
+  }
+  return ended;
+}
+
 std::vector<EntryAction> EntryCore::TakeActions() {
   return std::exchange(tables_->actions, {});
 }
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -136,6 +136,9 @@
 
   void BeginDrain(Time now);
   bool IsDrained() const;
+  // Fails the requests in progress because the process ends. Returns their
+  // number.
+  size_t EndOpenRequests(Time now);
 
   std::vector<EntryAction> TakeActions();
 
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -119,6 +120,12 @@
 
   bool IsDrained() const override { return core_.IsDrained(); }
 
+  std::optional<Duration> StopGrace() const override {
+    return settings_.limits.stop_grace;
+  }
+
+  size_t EndOpenWork(Time now) override { return core_.EndOpenRequests(now); }
+
   void SendGoodbye() override {
     for (const auto& [peer, users] : connection_users_) {
       bus_->Send({peer, Incarnation()}, Goodbye{});
--- a/src/request_admission.cc
+++ b/src/request_admission.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr Duration kNotReadyRetryAfter = std::chrono::seconds(1);
-
 Failure Refusal(ErrorCode code, Duration retry_after = Duration(0)) {
   return {code, Outcome::kNotRun, retry_after};
 }
--- a/src/request_admission.h
+++ b/src/request_admission.h
@@ -2,12 +2,16 @@
 #ifndef SRC_REQUEST_ADMISSION_H_
 #define SRC_REQUEST_ADMISSION_H_
 
+#include <chrono>
 #include <optional>
 
 #include "src/entry_tables.h"
 
 namespace burdockhatch {
 
+// Told to callers that an entry refuses because it starts or stops.
+inline constexpr Duration kNotReadyRetryAfter = std::chrono::seconds(1);
+
 // Prompt and output tokens of the request, at least 1. Charged to the limit of
 // its account.
 Tokens TotalTokensOf(const RequestSpec& spec);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -29,6 +29,9 @@
 constexpr Bounds kResponseBytesBounds{1'024, 1024 * 1024 * 1024};
 constexpr Bounds kDeadlineMsBounds{1, kDayMs};
 constexpr Bounds kShutdownMsBounds{0, 600'000};
+// A planned stop must leave this time after the load balancer's lag, to end the
+// requests and the process.
+constexpr std::chrono::milliseconds kMinDrainTime{2'000};
 constexpr Bounds kThreadCountBounds{1, 64};
 constexpr Bounds kConnectionCountBounds{1, 100'000};
 constexpr Bounds kSubsetSizeBounds{1, 10'000};
@@ -85,6 +88,12 @@
                                     &limits->max_deadline);
   reader.ReadDuration<milliseconds>("balancer_lag_ms", kShutdownMsBounds,
                                     &limits->balancer_lag);
+  reader.ReadDuration<milliseconds>("stop_grace_ms", kShutdownMsBounds,
+                                    &limits->stop_grace);
+  if (limits->stop_grace < limits->balancer_lag + kMinDrainTime) {
+    findings->Add(reader.PathOf("stop_grace_ms"),
+                  "is not 2000 above balancer_lag_ms");
+  }
   reader.ReadCount("traffic_threads", kThreadCountBounds,
                    &limits->traffic_threads);
   reader.ReadCount("max_connections", kConnectionCountBounds,
--- a/src/settings.h
+++ b/src/settings.h
@@ -51,6 +51,9 @@
   // Longest time for which the platform's load balancer still sends requests
   // after the health endpoint has answered 503.
   std::chrono::milliseconds balancer_lag{5'000};
+  // Time that the platform allows between SIGTERM and SIGKILL. Entries of the
+  // product's own path; forwarding entries have theirs.
+  std::chrono::milliseconds stop_grace{75'000};
   uint32_t traffic_threads = 2;
   uint32_t max_connections = 4'096;  // Open connections from callers.
   // Forwarding entries only: the body of one response that is not streamed, and
--- a/tests/entry_driver.cc
+++ b/tests/entry_driver.cc
@@ -162,6 +162,12 @@
   }
 }
 
+size_t EntryDriver::EndOpenRequests() {
+  const size_t ended = core_.EndOpenRequests(Now());
+  TakeActions();
+  return ended;
+}
+
 void EntryDriver::Drain() {
   core_.BeginDrain(Now());
   TakeActions();
--- a/tests/entry_driver.h
+++ b/tests/entry_driver.h
@@ -166,6 +166,7 @@
   // Returns the agent's state with the next sequence number.
   AgentState NextStateOf(FakeAgent& agent);
   void Drain();
+  size_t EndOpenRequests();
   EntryFaultPlan& faults() { return faults_; }
   bool list_is_stale = false;  // PushInstances is not called on deaths.
 
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -353,6 +353,25 @@
   CheckEntryInvariants(driver_);
 }
 
+// Guards against a planned stop that ends with open requests: each is answered,
+// and only one that was never offered is reported as not run.
+TEST_F(EntryRequestsTest, EndOfTheStopFailsOpenRequests) {
+  const RequestId offered = driver_.Submit(driver_.Completion());
+  driver_.config().withdrawn_data_centres = {DataCentreId("dc-a"),
+                                             DataCentreId("dc-b")};
+  driver_.PushConfig();
+  const RequestId waiting = driver_.Submit(driver_.Completion());
+  ASSERT_TRUE(driver_.record(waiting).offers.empty());
+  driver_.Drain();
+  EXPECT_EQ(driver_.EndOpenRequests(), 2u);
+  ExpectFailure(offered, ErrorCode::kOutcomeUnknown, Outcome::kUnknown);
+  ExpectFailure(waiting, ErrorCode::kNotReady, Outcome::kNotRun);
+  EXPECT_TRUE(driver_.core().IsDrained());
+  driver_.Run(seconds(1));
+  EXPECT_TRUE(driver_.record(waiting).offers.empty());
+  CheckEntryInvariants(driver_);
+}
+
 // Guards against offers to targets and data centres that operators have
 // withdrawn, even before the agents know of it.
 TEST_F(EntryRequestsTest, WithdrawnTargetsGetNoNewWork) {
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -506,6 +506,7 @@
 void Fleet::StartEntry(size_t i) {
   const std::string name = fmt::format("entry-{}", i);
   json::object limits{{"balancer_lag_ms", spec_.balancer_lag_ms},
+                      {"stop_grace_ms", spec_.stop_grace_ms},
                       {"max_body_bytes", 8 * 1024 * 1024}};
   json::object settings{
       {"role", "entry"},
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -136,6 +136,7 @@
   std::vector<EngineSpec> engines;
   std::vector<ServiceSpec> services;
   int balancer_lag_ms = 300;
+  int stop_grace_ms = 75'000;
 };
 
 // Runs an object API, entries, and agents with their targets. The model is "m"
--- a/tests/process_operation_test.cc
+++ b/tests/process_operation_test.cc
@@ -87,6 +87,43 @@
   EXPECT_TRUE(fleet_.WaitForMemoryReleased());
 }
 
+// Guards against an entry that the platform kills with its requests, because it
+// waits for them beyond the stop grace.
+TEST(ProcessStopTest, EntryAnswersLongRequestsWithinTheStopGrace) {
+  FleetSpec spec;
+  spec.engines = {{"dc-a"}};
+  spec.engines[0].time_scale = 1;
+  spec.stop_grace_ms = 3'000;
+  Fleet fleet(spec);
+  ASSERT_TRUE(fleet.Start());
+  // About 15 s of work each.
+  std::vector<CallResult> results(2);
+  std::vector<std::thread> callers;
+  for (size_t i = 0; i < results.size(); ++i) {
+    callers.emplace_back([&, i] {
+      results[i] = RequestCompletion(fleet.entry_address(0),
+                                     fmt::format("long {}", i), 600, i == 0);
+    });
+  }
+  EXPECT_TRUE(WaitUntil([&] {
+    const HttpResult state =
+        CallHttp(fleet.entry_address(0), "GET", "/debug/state");
+    return state.body.find("\"requests\":2") != std::string::npos;
+  }));
+  const auto stopped_at = std::chrono::steady_clock::now();
+  fleet.entry(0).Signal(SIGTERM);
+  EXPECT_EQ(fleet.entry(0).WaitForExit(), 0);
+  EXPECT_LT(std::chrono::steady_clock::now() - stopped_at,
+            std::chrono::milliseconds(spec.stop_grace_ms));
+  for (std::thread& it : callers) {
+    it.join();
+  }
+  for (const CallResult& it : results) {
+    EXPECT_EQ(it.verdict, CallVerdict::kErrorAnswer) << it.text;
+    EXPECT_EQ(it.code, "outcome_unknown");
+  }
+}
+
 // Guards against SIGHUP, whose default action ends a process with all its
 // requests, and against signals that disturb a stop.
 TEST_F(ProcessOperationTest, ReloadSignalInterruptsNothing) {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -79,6 +79,24 @@
   EXPECT_FALSE(ListPaths("").empty());
 }
 
+// Guards against a stop grace that ends before the load balancer has turned
+// away, or leaves no time to end the requests.
+TEST(SettingsTest, StopGraceExceedsTheBalancerLag) {
+  const std::string text =
+      Replace(kAgentSettings, "\"balancer_lag_ms\": 50",
+              "\"balancer_lag_ms\": 3000, \"stop_grace_ms\": 5000");
+  Findings findings;
+  const std::optional<Settings> settings = ParseSettings(text, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  EXPECT_EQ(settings->limits.stop_grace, std::chrono::seconds(5));
+  for (const char* value : {"4999", "0", "-1", "600001", "\"5 s\""}) {
+    EXPECT_EQ(
+        ListPaths(Replace(text, "ms\": 5000", std::string("ms\": ") + value)),
+        std::vector<std::string>{"/limits/stop_grace_ms"})
+        << value;
+  }
+}
+
 // Guards against an address check that stops at a null byte.
 TEST(SettingsTest, RejectsAddressWithNullByte) {
   for (const char* address :
