--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -149,8 +149,8 @@
 };
 
 // Sets TCP keep-alive so that the connection fails about five seconds after its
-// peer stops acknowledging probes. A sound machine may be silent for a second or
-// two.
+// peer stops acknowledging probes. A sound machine may be silent for a second
+// or two.
 void SetKeepAlive(tcp::socket& socket) {
   using IdleSeconds =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
