Refuse partial requests of the product's interface after their timeout

Callers of the product's own interface saw a connection close without an answer when their request was not complete after 75 s, counted from the end of the request before it, when they sent no more, and when the process was paused beyond that time although the rest of the request had arrived meanwhile. The timer of beast::tcp_stream closed the socket, and an early end of the input closed it too.

A session now reads as the callers' server does, with caller_request_http and a timer of its own: input that has arrived is read before a timeout counts, and the delay of a late timer is not charged to the caller. A partial request gets 408 with the code request_timeout and the outcome not_run, and 400 if its input has ended. The time for a request begins with its first byte. The reader limits unparsed input, as the session's buffer did; the header of a chunk was without a limit on the forwarding path.

HttpEntryTest.PartialRequestIsRefused and PauseOfTheProcessIsNotTheCallersTime failed with the session before this commit (given the option read_timeout) and pass.

--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -490,6 +490,8 @@
     case ErrorCode::kPartBlocked:
       return "a part of the prompt has crashed several targets, so the request "
              "is not sent to another one for now";
+    case ErrorCode::kRequestTimeout:
+      return "the request was not complete in time";
   }
   return "internal error";
 }
--- a/src/caller_request_http.cc
+++ b/src/caller_request_http.cc
@@ -25,6 +25,8 @@
   parser_->header_limit(static_cast<uint32_t>(limits.max_header.value()) +
                         kMaxRequestLineBytes);
   parser_->body_limit(static_cast<uint64_t>(limits.max_body.value()));
+  max_unparsed_bytes_ = static_cast<size_t>(limits.max_header.value()) +
+                        kMaxRequestLineBytes + kReadBufferBytes;
   is_header_reported_ = false;
 }
 
@@ -47,7 +49,11 @@
     const size_t n = parser_->put(buffer_.data(), ec);
     buffer_.consume(n);
     if (ec == http::error::need_more) {
-      return State::kNeedsInput;
+      // The parser does not limit the header of a chunk.
+      if (buffer_.size() < max_unparsed_bytes_) {
+        return State::kNeedsInput;
+      }
+      ec = http::error::header_limit;
     }
     if (ec) {
       error_ = ec;
--- a/src/caller_request_http.h
+++ b/src/caller_request_http.h
@@ -59,6 +59,7 @@
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
+  size_t max_unparsed_bytes_ = 0;
   bool is_header_reported_ = false;
   boost::system::error_code error_;
 };
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -36,6 +36,7 @@
     {ErrorCode::kNotFound, "not_found", 404},
     {ErrorCode::kInternal, "internal", 500},
     {ErrorCode::kPartBlocked, "part_blocked", 503},
+    {ErrorCode::kRequestTimeout, "request_timeout", 408},
 }};
 
 // The table is indexed by code. A misplaced row would report the wrong error to
--- a/src/errors.h
+++ b/src/errors.h
@@ -41,11 +41,12 @@
   kNotReady,
   kNotFound,
   kInternal,
-  kPartBlocked,  // A part of the prompt has crashed several engines.
+  kPartBlocked,     // A part of the prompt has crashed several engines.
+  kRequestTimeout,  // The request was not complete in time.
 };
 
 inline constexpr int kErrorCodeCount =
-    static_cast<int>(ErrorCode::kPartBlocked) + 1;
+    static_cast<int>(ErrorCode::kRequestTimeout) + 1;
 
 // Returns the stable name of `code` used in the JSON error body, e.g.
 // "rate_limited".
--- a/src/http_entry.cc
+++ b/src/http_entry.cc
@@ -16,19 +16,19 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/status.hpp>
 #include <boost/leaf/error.hpp>
 
 #include "src/answer_assembler.h"
 #include "src/caller_api.h"
+#include "src/caller_request_http.h"
 #include "src/connection_ends.h"
 #include "src/exception_guard.h"
+#include "src/http_headers.h"
 #include "src/ip_endpoint.h"
 #include "src/log.h"
 
@@ -41,15 +41,18 @@
 namespace http = boost::beast::http;
 namespace leaf = boost::leaf;
 using asio::ip::tcp;
+using SteadyTime = asio::steady_timer::time_point;
 
-// Time to receive a complete request, including the idle time before it; the
-// connection is closed when it expires.
-constexpr auto kReadTimeout = std::chrono::seconds(75);
 // A caller that does not read pending output within this time is treated as
 // disconnected.
 constexpr auto kWriteTimeout = std::chrono::seconds(60);
 constexpr uint32_t kMaxHeaderBytes = 16 * 1024;
-constexpr size_t kReadBufferBytes = 64 * 1024;
+// Time for a caller to read its refusal and close the connection.
+constexpr auto kDrainTimeout = std::chrono::seconds(2);
+// Bounds the time that one session takes from the others.
+constexpr int kMaxReceivesPerTurn = 16;
+// A timer that runs later than this shows that the process was held up.
+constexpr auto kMaxTimerDelay = std::chrono::milliseconds(100);
 
 RequestId GenerateRequestId() {
   // Seeded by the system, unlike the deterministic decision logic, because ids
@@ -99,7 +102,7 @@
           bool exceeds_connection_limit)
       : stream_(std::move(socket)),
         shared_(std::move(shared)),
-        buffer_(kReadBufferBytes + kMaxHeaderBytes),
+        read_timer_(stream_.get_executor()),
         exceeds_connection_limit_(exceeds_connection_limit) {
     ++shared_->connections;
   }
@@ -225,6 +228,7 @@
     }
     boost::system::error_code ec;
     closed_ = true;
+    EndReading();
     EndProgress();
     stream_.socket().shutdown(tcp::socket::shutdown_both, ec);
     stream_.close();
@@ -240,8 +244,8 @@
       const std::lock_guard lock(shared_->mutex);
       shared_->state_dump_waiters.erase(this);
     }
-    const bool has_input = (parser_ && parser_->got_some()) ||
-                           buffer_.size() > 0 || awaits_response_;
+    const bool has_input = reader_.has_input() || awaits_response_;
+    EndReading();
     if (request_active_) {
       CountOutcome(ErrorCode::kInternal);
       shared_->delegate->OnCallerDisconnected(head_.request);
@@ -262,7 +266,6 @@
     }
     keep_alive_ = false;
     must_drain_input_ = true;
-    parser_.reset();
     if (failure.outcome == Outcome::kNotRun) {
       ReportRefused(ConnectionEnd::kException,
                     static_cast<uint32_t>(HttpStatusOf(failure.code)));
@@ -276,82 +279,152 @@
     if (closed_) {
       return;
     }
-    parser_.emplace();
-    parser_->header_limit(kMaxHeaderBytes);
-    parser_->body_limit(
-        static_cast<uint64_t>(shared_->options.limits.max_body.value()));
-    stream_.expires_after(kReadTimeout);
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](boost::system::error_code ec, size_t) {
-          self->Guard([&] { self->OnRead(ec); });
-        });
+    CallerLimits limits;
+    limits.max_header = Bytes(kMaxHeaderBytes);
+    limits.max_body = shared_->options.limits.max_body;
+    reader_.Begin(limits);
+    reading_ = true;
+    request_begun_ = false;
+    StartReadTimer(shared_->options.read_timeout);
+    if (!HandleInput()) {
+      WatchInput();
+    }
   }
 
-  void OnRead(boost::system::error_code ec) {
-    stream_.expires_never();
-    if (ec == http::error::body_limit) {
+  void EndReading() {
+    reading_ = false;
+    read_timer_.expires_at(SteadyTime::max());
+  }
+
+  // Handles what has been read. Returns false if more input is needed.
+  bool HandleInput() {
+    while (true) {
+      switch (reader_.Parse()) {
+        case CallerRequestReader::State::kNeedsInput:
+          if (!request_begun_ && reader_.has_input()) {
+            request_begun_ = true;
+            StartReadTimer(shared_->options.read_timeout);
+          }
+          return false;
+        case CallerRequestReader::State::kHeaderRead:
+          break;
+        case CallerRequestReader::State::kComplete: {
+          EndReading();
+          const bool keep_alive = reader_.keep_alive();
+          Handle(reader_.Take(), keep_alive);
+          return true;
+        }
+        case CallerRequestReader::State::kMalformed:
+          RejectMalformed();
+          return true;
+      }
+    }
+  }
+
+  void RejectMalformed() {
+    if (reader_.error_status() == 413) {
       RejectAndClose({ErrorCode::kBodyTooLarge, Outcome::kNotRun, {}},
-                     ErrorMessageFor(ErrorCode::kBodyTooLarge));
+                     ErrorMessageFor(ErrorCode::kBodyTooLarge),
+                     ConnectionEnd::kMalformed);
+    } else {
+      RejectAndClose({ErrorCode::kInvalidRequest, Outcome::kNotRun, {}},
+                     "the request is not valid HTTP",
+                     ConnectionEnd::kMalformed);
+    }
+  }
+
+  void ReadInput() {
+    for (int i = 0; i < kMaxReceivesPerTurn; ++i) {
+      boost::system::error_code ec;
+      reader_.Receive(stream_.socket(), ec);
+      if (ec == asio::error::would_block) {
+        break;
+      }
+      if (ec) {
+        OnInputEnded(ec);
+        return;
+      }
+      if (HandleInput()) {
+        return;
+      }
+    }
+    WatchInput();
+  }
+
+  void OnInputEnded(boost::system::error_code ec) {
+    // A caller that has shut down only its sending side reads the refusal.
+    if (ec == asio::error::eof && reader_.has_input()) {
+      RejectAndClose({ErrorCode::kInvalidRequest, Outcome::kNotRun, {}},
+                     "the request is not complete", ConnectionEnd::kDisconnect);
+    } else {
+      Close(ConnectionEnd::kDisconnect);
+    }
+  }
+
+  void StartReadTimer(Duration timeout) {
+    read_timer_.expires_after(timeout);
+    read_timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec) {
+          self->Guard([&] { self->OnReadTimer(ec); });
+        });
+  }
+
+  void OnReadTimer(boost::system::error_code ec) {
+    const SteadyTime now = SteadyTime::clock::now();
+    // The handler of a timer that was set anew may have been queued.
+    if (ec || closed_ || now < read_timer_.expiry()) {
       return;
     }
-    // Errors of any other category, and an early end of the stream, come from
-    // the connection.
-    const bool parse_error =
-        ec.category() ==
-            http::make_error_code(http::error::bad_method).category() &&
-        ec != http::error::end_of_stream && ec != http::error::partial_message;
-    if (ec && !parse_error) {
-      Close(ec == beast::error::timeout ? ConnectionEnd::kReadTimeout
-                                        : ConnectionEnd::kDisconnect);
+    if (draining_input_) {
+      Close(ConnectionEnd::kConnectionClose);
       return;
     }
-    if (ec) {
-      RejectAndClose({ErrorCode::kInvalidRequest, Outcome::kNotRun, {}},
-                     "the request is not valid HTTP");
+    const auto delay = now - read_timer_.expiry();
+    // Input may have arrived that this turn of the loop has not read yet.
+    ReadInput();
+    if (closed_ || !reading_ || read_timer_.expiry() > now) {
       return;
     }
-    http::request<http::string_body> request = parser_->release();
-    parser_.reset();
-    Handle(std::move(request));
+    if (delay > kMaxTimerDelay) {
+      // Time in which the process did not read is not the caller's.
+      StartReadTimer(std::chrono::ceil<Duration>(delay));
+    } else if (request_begun_) {
+      RejectAndClose({ErrorCode::kRequestTimeout, Outcome::kNotRun, {}},
+                     ErrorMessageFor(ErrorCode::kRequestTimeout),
+                     ConnectionEnd::kReadTimeout);
+    } else {
+      Close(ConnectionEnd::kIdleTimeout);
+    }
   }
 
   // Sends an error response and closes the connection, whose remaining input
   // may be the unread rest of the request.
-  void RejectAndClose(const Failure& failure, std::string_view message) {
+  void RejectAndClose(const Failure& failure,
+                      std::string_view message,
+                      ConnectionEnd reason) {
+    EndReading();
     keep_alive_ = false;
     must_drain_input_ = true;
-    parser_.reset();
-    ReportRefused(RefusalReason(failure.code),
-                  static_cast<uint32_t>(HttpStatusOf(failure.code)));
+    ReportRefused(reason, static_cast<uint32_t>(HttpStatusOf(failure.code)));
     CountOutcome(failure.code);
     WriteError(failure, message);
   }
 
-  static ConnectionEnd RefusalReason(ErrorCode code) {
-    return code == ErrorCode::kOverloaded ? ConnectionEnd::kTableFull
-                                          : ConnectionEnd::kMalformed;
-  }
-
-  static std::string HeaderValue(
-      const http::request<http::string_body>& request,
-      std::string_view name) {
-    const auto it = request.find(beast::string_view(name.data(), name.size()));
-    return it == request.end()
-               ? std::string()
-               : std::string(it->value().data(), it->value().size());
+  static std::string HeaderValue(const ReceivedRequest& request,
+                                 std::string_view name) {
+    const std::string* value = FindHeader(request.headers, name);
+    return value == nullptr ? std::string() : *value;
   }
 
-  void Handle(http::request<http::string_body> request) {
+  void Handle(const ReceivedRequest& request, bool keep_alive) {
     const ServingPhase phase = shared_->phase;
-    keep_alive_ = request.keep_alive() && phase != ServingPhase::kTerminating &&
+    keep_alive_ = keep_alive && phase != ServingPhase::kTerminating &&
                   phase != ServingPhase::kDraining;
     header_written_ = false;
     awaits_response_ = true;
     CallerHttpRequest input;
-    input.method.assign(request.method_string().data(),
-                        request.method_string().size());
-    input.target.assign(request.target().data(), request.target().size());
+    input.method = request.method;
+    input.target = request.path;
     if (HandleOperatorRequest(input.method,
                               input.target.substr(0, input.target.find('?')))) {
       return;
@@ -364,7 +437,7 @@
     if (exceeds_connection_limit_) {
       RejectAndClose(
           {ErrorCode::kOverloaded, Outcome::kNotRun, std::chrono::seconds(1)},
-          "this entry has too many connections");
+          "this entry has too many connections", ConnectionEnd::kTableFull);
       return;
     }
     if (phase == ServingPhase::kStarting || phase == ServingPhase::kDraining) {
@@ -377,10 +450,10 @@
     input.client_account = HeaderValue(request, "X-Client-Account");
     input.authorization = HeaderValue(request, "Authorization");
     input.deadline_ms = HeaderValue(request, "X-Deadline-Ms");
-    if (request.count("Idempotency-Key") != 0) {
+    if (FindHeader(request.headers, "Idempotency-Key") != nullptr) {
       input.idempotency_key = HeaderValue(request, "Idempotency-Key");
     }
-    input.body = std::move(request.body());
+    input.body = *request.body;
     StartRequest(std::move(input));
   }
 
@@ -472,7 +545,7 @@
       const std::lock_guard lock(shared_->mutex);
       shared_->requests[head_.request] = shared_from_this();
     }
-    WatchForDisconnect();
+    WatchInput();
     shared_->delegate->SubmitRequest(request_.spec);
   }
 
@@ -489,33 +562,47 @@
     shared_->requests.erase(head_.request);
   }
 
-  // Nothing is read while a request is in progress, so a disconnect is detected
-  // by waiting for the socket to become readable and peeking at the input.
-  void WatchForDisconnect() {
-    if (disconnect_watch_pending_) {
+  void WatchInput() {
+    if (input_watch_pending_ || closed_) {
       return;
     }
     stream_.socket().async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this()](boost::system::error_code ec) {
-          self->disconnect_watch_pending_ = false;
-          // Without the watch, a disconnect is found by the next write.
-          RunGuarded("caller_session", [&] { self->OnReadable(ec); });
+          self->input_watch_pending_ = false;
+          if (self->reading_ || self->draining_input_) {
+            self->Guard([&] { self->OnReadable(ec); });
+          } else {
+            // Without the watch, a disconnect is found by the next write.
+            RunGuarded("caller_session", [&] { self->OnReadable(ec); });
+          }
         });
-    disconnect_watch_pending_ = true;
+    input_watch_pending_ = true;
   }
 
   void OnReadable(boost::system::error_code ec) {
-    if (!request_active_ || closed_) {
+    if (closed_) {
       return;
     }
+    if (draining_input_) {
+      DrainInput();
+    } else if (reading_) {
+      ReadInput();
+    } else if (request_active_) {
+      CheckForDisconnect(ec);
+    }
+  }
+
+  // Nothing is read while a request is in progress, so a disconnect is detected
+  // by peeking at the input.
+  void CheckForDisconnect(boost::system::error_code ec) {
     char byte = 0;
     if (!ec) {
       stream_.socket().receive(asio::buffer(&byte, 1),
                                tcp::socket::message_peek, ec);
     }
     if (ec == asio::error::would_block) {
-      WatchForDisconnect();
+      WatchInput();
       return;
     }
     // Readable input without an error is a pipelined request, which is read
@@ -541,11 +628,11 @@
 
   void ReportIfUnanswered(ConnectionEnd reason) {
     const bool is_whole = request_active_ || awaits_response_;
-    const bool is_part = (parser_ && parser_->got_some()) || buffer_.size() > 0;
+    const bool is_part = !draining_input_ && reader_.has_input();
     if (is_whole || is_part) {
       ReportUnanswered(
           reason, is_whole ? RequestProgress::kWhole : RequestProgress::kPart,
-          buffer_.size());
+          reader_.buffered_bytes());
     }
   }
 
@@ -655,7 +742,7 @@
     if (keep_alive_) {
       ReadRequest();
     } else if (must_drain_input_) {
-      DrainInput();
+      BeginDrain();
     } else {
       Close(ConnectionEnd::kConnectionClose);
     }
@@ -663,26 +750,23 @@
 
   // Closing the socket while the caller is still sending a rejected body would
   // reset the connection and lose the error response.
-  void DrainInput() {
+  void BeginDrain() {
     boost::system::error_code ec;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
-    buffer_.clear();
-    stream_.expires_after(std::chrono::seconds(2));
-    DrainNextInput();
+    draining_input_ = true;
+    StartReadTimer(kDrainTimeout);
+    DrainInput();
   }
 
-  void DrainNextInput() {
-    stream_.async_read_some(
-        buffer_.prepare(kReadBufferBytes),
-        [self = shared_from_this()](boost::system::error_code ec, size_t) {
-          self->Guard([&] {
-            if (ec) {
-              self->Close(ConnectionEnd::kConnectionClose);
-            } else {
-              self->DrainNextInput();
-            }
-          });
-        });
+  void DrainInput() {
+    boost::system::error_code ec;
+    reader_.DiscardInput();
+    reader_.Receive(stream_.socket(), ec);
+    if (ec && ec != asio::error::would_block) {
+      Close(ConnectionEnd::kConnectionClose);
+      return;
+    }
+    WatchInput();
   }
 
   // --- Metrics ---
@@ -730,8 +814,8 @@
 
   beast::tcp_stream stream_;
   std::shared_ptr<SharedState> shared_;
-  beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  CallerRequestReader reader_;
+  asio::steady_timer read_timer_;  // Runs while reading_ or draining_input_.
   const bool exceeds_connection_limit_;
 
   // State of the current request.
@@ -748,7 +832,10 @@
   bool header_written_ = false;
   bool response_ends_ = false;  // The queued output completes the response.
   bool must_drain_input_ = false;
-  bool disconnect_watch_pending_ = false;
+  bool reading_ = false;         // A request is awaited or being read.
+  bool request_begun_ = false;   // Input of that request has been read.
+  bool draining_input_ = false;  // The last response has been sent.
+  bool input_watch_pending_ = false;
   bool write_pending_ = false;
   bool closed_ = false;
   std::string output_being_written_;
--- a/src/http_entry.h
+++ b/src/http_entry.h
@@ -5,6 +5,7 @@
 #ifndef SRC_HTTP_ENTRY_H_
 #define SRC_HTTP_ENTRY_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -56,6 +57,9 @@
 struct HttpEntryOptions {
   std::string address;  // "ip:port".
   LimitSettings limits;
+  // Time for an idle connection to begin a request, and for the request to
+  // arrive whole.
+  Duration read_timeout = std::chrono::seconds(75);
   bool caller_api_enabled = true;  // False: only health, metrics and state.
 };
 
--- a/src/request_placing.cc
+++ b/src/request_placing.cc
@@ -69,6 +69,7 @@
     {ErrorCode::kNotFound, RetryRule::kCharged},
     {ErrorCode::kInternal, RetryRule::kCharged},
     {ErrorCode::kPartBlocked, RetryRule::kNoRetry},
+    {ErrorCode::kRequestTimeout, RetryRule::kNoRetry},
 }};
 
 constexpr bool RetryRulesMatchErrorCodes() {
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -443,7 +443,7 @@
 
   Failure ReadFailure(const wire::Failure& from) {
     Failure to;
-    to.code = ReadEnum(from.code(), ErrorCode::kPartBlocked);
+    to.code = ReadEnum(from.code(), ErrorCode::kRequestTimeout);
     to.outcome = ReadEnum(from.outcome(), Outcome::kUnknown);
     to.retry_after = ReadDuration(from.retry_after_us());
     return to;
--- a/tests/http_entry_test.cc
+++ b/tests/http_entry_test.cc
@@ -170,5 +170,46 @@
   EXPECT_NE(text.find("\"outcome\":\"not_run\""), std::string::npos);
 }
 
+// Guards against a request that ends without a refusal because its caller was
+// too slow, or sends no more.
+TEST_F(HttpEntryTest, PartialRequestIsRefused) {
+  HttpEntryOptions options = Options();
+  options.read_timeout = milliseconds(50);
+  ASSERT_EQ(Start(options), "");
+  const std::string request = kCompletion;
+  for (const size_t sent : {size_t{20}, request.size() - 1}) {
+    client_ = tcp::socket(client_io_);
+    Send(request.substr(0, sent));
+    const std::string text = Receive();
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 408") << sent;
+    EXPECT_NE(text.find("\"outcome\":\"not_run\""), std::string::npos);
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+  }
+  client_ = tcp::socket(client_io_);
+  Send(request.substr(0, 20));
+  client_.shutdown(tcp::socket::shutdown_send);
+  EXPECT_EQ(Receive().substr(0, 12), "HTTP/1.1 400");
+}
+
+// Guards against a caller that is charged for a pause of the process.
+TEST_F(HttpEntryTest, PauseOfTheProcessIsNotTheCallersTime) {
+  HttpEntryOptions options = Options();
+  options.read_timeout = milliseconds(100);
+  ASSERT_EQ(Start(options), "");
+  delegate_.submit = [](const RequestSpec&) {
+    std::this_thread::sleep_for(milliseconds(300));
+  };
+  const std::string request = kCompletion;
+  Send(request.substr(0, 20));
+  std::this_thread::sleep_for(milliseconds(10));
+  tcp::socket other(client_io_);
+  other.connect(endpoint_);
+  asio::write(other, asio::buffer(request));
+  std::this_thread::sleep_for(milliseconds(330));
+  Send("\r\nnot a header\r\n\r\n");
+  const std::string text = Receive();
+  EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 400") << text;
+}
+
 }  // namespace
 }  // namespace burdockhatch
