--- a/src/caller_api.cc
+++ b/src/caller_api.cc
@@ -251,6 +251,7 @@
   request.spec.kind = WorkKind::kCompletion;
   request.spec.prompt_tokens = EstimateTokens(request.payload.size());
   request.spec.prefix_hashes = PrefixHashes(request.payload);
+  request.spec.prompt_hash = StableHash(request.payload);
   return request;
 }
 
--- a/src/crash_blame.cc
+++ b/src/crash_blame.cc
@@ -15,17 +15,11 @@
 
 namespace {
 
-constexpr uint32_t kFullWeight = static_cast<uint32_t>(CrashEvidence::kAtStart);
-// Reports of one target within this time are about the same crash. The time of
-// a crash shifts by the delay of each message that tells of it.
-constexpr Duration kSameCrashWindow = std::chrono::seconds(2);
-// A trial whose end was not reported is given up after this time.
-constexpr Duration kTrialTimeout = std::chrono::seconds(5);
 // Many processes may pass on the same wrong block at once.
 constexpr Duration kCorrectionInterval = std::chrono::seconds(1);
+// Distinguishes the mark of a request from the key of a part with the same id.
+constexpr uint64_t kOwnMarkSalt = 0x6f776e;
 constexpr Duration kPruneInterval = std::chrono::seconds(1);
-constexpr size_t kMaxSightings = kMaxBlameSightings;
-
 bool Contains(const PartKeys& parts, PartKey part) {
   return std::find(parts.begin(), parts.end(), part) != parts.end();
 }
@@ -49,18 +43,6 @@
   return parts;
 }
 
-std::string FormatKeys(const PartKeys& parts) {
-  std::string text;
-  for (const PartKey it : parts) {
-    text += fmt::format("{}{:016x}", text.empty() ? "" : ",", it.value());
-  }
-  return text;
-}
-
-std::string FormatSeconds(Duration duration) {
-  return fmt::format("{:.1f}", ToMs(duration) / 1e3);
-}
-
 }  // namespace
 
 PartKey MakePartKey(std::string_view model, std::string_view part) {
@@ -71,16 +53,13 @@
   return PartKey(MixHash(StableHash(model), prefix_hash));
 }
 
-// --- Requests ---------------------------------------------------------------
-
-uint32_t CrashBlame::WeightOf(const Suspect& suspect) {
-  uint32_t weight = 0;
-  for (const Sighting& it : suspect.sightings) {
-    weight += it.weight;
-  }
-  return weight;
+PartKey MakeOwnMark(std::string_view model, uint64_t prompt_hash) {
+  return PartKey(
+      MixHash(kOwnMarkSalt, MakePartKey(model, prompt_hash).value()));
 }
 
+// --- Requests ---------------------------------------------------------------
+
 // A part that requests were answered with gets its first trial one crash later,
 // as many requests may share it and most crashes have another cause.
 bool CrashBlame::NeedsTrial(const Suspect& suspect, Time now) const {
@@ -88,7 +67,7 @@
     return !suspect.IsBlocked(now);
   }
   const uint32_t crashes = suspect.was_answered ? 2 : 1;
-  return WeightOf(suspect) >= crashes * kFullWeight;
+  return WeightByRequests(suspect.sightings) >= crashes * kFullCrashWeight;
 }
 
 bool CrashBlame::IsShared(const Suspect& suspect, Time now) const {
@@ -97,8 +76,9 @@
 
 CrashBlame::Decision CrashBlame::Check(const PartKeys& parts,
                                        uint64_t trial,
-                                       Time now) const {
-  Decision decision;
+                                       Time now,
+                                       PartKey own_mark) const {
+  Decision decision = requests_.Check(own_mark, trial, now);
   if (parts.empty()) {
     return decision;
   }
@@ -146,7 +126,11 @@
          });
 }
 
-void CrashBlame::OnSent(const PartKeys& parts, uint64_t trial, Time now) {
+void CrashBlame::OnSent(const PartKeys& parts,
+                        uint64_t trial,
+                        Time now,
+                        PartKey own_mark) {
+  requests_.OnSent(own_mark, trial, now);
   RemoveUnansweredAttempt(trial);
   UnansweredAttempt attempt{{}, now};
   for (const PartKey it : Sorted(parts)) {
@@ -181,6 +165,7 @@
 }
 
 void CrashBlame::EndTrial(uint64_t trial) {
+  requests_.EndTrial(trial);
   RemoveUnansweredAttempt(trial);
   for (Suspect& it : suspects_) {
     if (it.trial == trial) {
@@ -232,7 +217,7 @@
     Log(LogLevel::kInfo, "part_cleared",
         {{"part", FormatKeys({part})},
          {"left", FormatKeys(it.parts)},
-         {"crash_weight", std::to_string(WeightOf(it))},
+         {"crash_weight", std::to_string(WeightByRequests(it.sightings))},
          {"was_blocked", it.IsBlocked(now) ? "true" : "false"}});
   }
   std::erase_if(suspects_, [](const Suspect& it) { return it.parts.empty(); });
@@ -240,10 +225,11 @@
   return was_shared;
 }
 
-void CrashBlame::OnAnswer(const PartKeys& parts, Time now) {
+void CrashBlame::OnAnswer(const PartKeys& parts, Time now, PartKey own_mark) {
   if (!limits_.enabled) {
     return;
   }
+  requests_.Clear(own_mark, now, now);
   for (const PartKey it : parts) {
     RememberAnswer(it, now, now);
     if (!suspects_.empty() && ClearPart(it, now, now)) {
@@ -253,6 +239,10 @@
 }
 
 bool CrashBlame::Lift(PartKey part, Time now) {
+  if (requests_.Clear(part, now, now)) {
+    changed_answers_.emplace_back(part, now);
+    return true;
+  }
   const bool was_suspect =
       std::any_of(suspects_.begin(), suspects_.end(),
                   [&](const Suspect& it) { return Contains(it.parts, part); });
@@ -296,12 +286,12 @@
 size_t CrashBlame::AddSuspect(PartKeys parts, bool was_answered) {
   if (suspects_.size() >= std::max(limits_.max_suspects, 1U)) {
     // Drops the suspect with the least evidence.
-    const auto least =
-        std::min_element(suspects_.begin(), suspects_.end(),
-                         [](const Suspect& a, const Suspect& b) {
-                           return std::pair(a.blocks, WeightOf(a)) <
-                                  std::pair(b.blocks, WeightOf(b));
-                         });
+    const auto least = std::min_element(
+        suspects_.begin(), suspects_.end(),
+        [](const Suspect& a, const Suspect& b) {
+          return std::pair(a.blocks, WeightByRequests(a.sightings)) <
+                 std::pair(b.blocks, WeightByRequests(b.sightings));
+        });
     Log(LogLevel::kWarning, "suspect_part_dropped",
         {{"parts", FormatKeys(least->parts)},
          {"blocks", std::to_string(least->blocks)}});
@@ -313,33 +303,6 @@
   return suspects_.size() - 1;
 }
 
-bool CrashBlame::AddSighting(Suspect& suspect, const Sighting& sighting) {
-  const auto coincides = [&](const Sighting& it) {
-    const Duration apart =
-        it.at > sighting.at ? it.at - sighting.at : sighting.at - it.at;
-    return (sighting.sent_at < it.at && it.sent_at < sighting.at) ||
-           (sighting.target == it.target && apart < kSameCrashWindow);
-  };
-  const bool has_as_heavy =
-      std::any_of(suspect.sightings.begin(), suspect.sightings.end(),
-                  [&](const Sighting& it) {
-                    return coincides(it) && it.weight >= sighting.weight;
-                  });
-  if (has_as_heavy) {
-    return false;
-  }
-  std::erase_if(suspect.sightings, coincides);
-  if (suspect.sightings.size() >= kMaxSightings) {
-    suspect.sightings.erase(suspect.sightings.begin());
-  }
-  const auto later = std::upper_bound(
-      suspect.sightings.begin(), suspect.sightings.end(), sighting.at,
-      [](Time at, const Sighting& it) { return at < it.at; });
-  suspect.sightings.insert(later, sighting);
-  suspect.changed = true;
-  return true;
-}
-
 bool CrashBlame::IsBlockDue(const Suspect& suspect, Time now) const {
   if (suspect.IsBlocked(now) || !is_judging_) {
     return false;
@@ -350,39 +313,19 @@
   }
   const uint32_t crashes =
       suspect.was_answered ? limits_.answered_crashes : limits_.crashes;
-  return WeightOf(suspect) >= crashes * kFullWeight;
-}
-
-Duration CrashBlame::BlockLength(uint32_t blocks) const {
-  Duration length = limits_.block;
-  for (uint32_t i = 1; i < blocks && length < limits_.max_block; ++i) {
-    length *= CrashBlameLimits::kBlockGrowth;
-  }
-  return std::min(length, limits_.max_block);
-}
-
-// The next block of the same parts is longer only while they are remembered, so
-// they are kept for as long again as they were blocked.
-Time CrashBlame::ExpiryOf(const Suspect& suspect) const {
-  const Time last_crash =
-      suspect.sightings.empty() ? Time() : suspect.sightings.back().at;
-  const Time forgotten_at = last_crash + limits_.memory;
-  return suspect.blocks == 0
-             ? forgotten_at
-             : std::max(forgotten_at,
-                        suspect.blocked_until + BlockLength(suspect.blocks));
+  return WeightByRequests(suspect.sightings) >= crashes * kFullCrashWeight;
 }
 
 void CrashBlame::Block(Suspect& suspect, Time now) {
   ++suspect.blocks;
-  const Duration length = BlockLength(suspect.blocks);
+  const Duration length = BlockLength(limits_, suspect.blocks);
   suspect.blocked_until = now + length;
   suspect.changed = true;
   ++counters_.blocks;
   Log(LogLevel::kWarning, "part_blocked",
       {{"parts", FormatKeys(suspect.parts)},
        {"crashes", std::to_string(suspect.sightings.size())},
-       {"crash_weight", std::to_string(WeightOf(suspect))},
+       {"crash_weight", std::to_string(WeightByRequests(suspect.sightings))},
        {"first_crash_s_ago", FormatSeconds(now - suspect.sightings.front().at)},
        {"blocks", std::to_string(suspect.blocks)},
        {"block_s", FormatSeconds(length)}});
@@ -409,8 +352,16 @@
                          std::string_view target,
                          Time sent_at,
                          CrashEvidence evidence,
-                         Time now) {
-  if (!limits_.enabled || parts.empty()) {
+                         Time now,
+                         PartKey own_mark) {
+  if (!limits_.enabled) {
+    return;
+  }
+  const CrashSighting sighting{StableHash(target),
+                               static_cast<uint32_t>(evidence), own_mark,
+                               sent_at, now};
+  requests_.OnCrash(sighting, now);
+  if (parts.empty()) {
     return;
   }
   const PartKeys candidates = Candidates(parts, now);
@@ -427,25 +378,24 @@
   const bool explained = std::any_of(found.begin(), found.end(), [&](size_t i) {
     const Suspect& it = suspects_[i];
     return it.parts == candidates || it.blocks > 0 ||
-           WeightOf(it) >= kFullWeight;
+           WeightByRequests(it.sightings) >= kFullCrashWeight;
   });
   if (!explained) {
     AddSuspect(candidates, was_answered);
     found = FindSuspectsIn(parts);
   }
-  const Sighting sighting{StableHash(target), static_cast<uint32_t>(evidence),
-                          sent_at, now};
   for (const size_t i : found) {
     Suspect& suspect = suspects_[i];
-    if (suspect.IsBlocked(now) || !AddSighting(suspect, sighting)) {
+    if (suspect.IsBlocked(now) || !AddSighting(sighting, &suspect.sightings)) {
       continue;
     }
+    suspect.changed = true;
     ++counters_.crashes;
     Log(LogLevel::kWarning, "part_suspected",
         {{"parts", FormatKeys(suspect.parts)},
          {"target", std::string(target)},
          {"evidence", is_full ? "at_start" : "unanswered"},
-         {"crash_weight", std::to_string(WeightOf(suspect))},
+         {"crash_weight", std::to_string(WeightByRequests(suspect.sightings))},
          {"answered_before", suspect.was_answered ? "true" : "false"}});
   }
   BlockLargestDue(found, now);
@@ -460,8 +410,8 @@
       if (kept.parts != other.parts) {
         continue;
       }
-      for (const Sighting& it : other.sightings) {
-        AddSighting(kept, it);
+      for (const CrashSighting& it : other.sightings) {
+        AddSighting(it, &kept.sightings);
       }
       if (other.blocks > kept.blocks) {
         kept.blocks = other.blocks;
@@ -479,20 +429,22 @@
     return;
   }
   next_prune_ = now + kPruneInterval;
+  requests_.Prune(now);
   for (Suspect& it : suspects_) {
     if (it.blocks == 0) {
-      std::erase_if(it.sightings, [&](const Sighting& sighting) {
+      std::erase_if(it.sightings, [&](const CrashSighting& sighting) {
         return now - sighting.at > limits_.memory;
       });
     }
   }
   std::erase_if(suspects_, [&](const Suspect& it) {
-    if (now < ExpiryOf(it)) {
+    if (now <
+        SuspectExpiry(limits_, it.sightings, it.blocks, it.blocked_until)) {
       return false;
     }
     Log(LogLevel::kInfo, "suspect_part_expired",
         {{"parts", FormatKeys(it.parts)},
-         {"crash_weight", std::to_string(WeightOf(it))},
+         {"crash_weight", std::to_string(WeightByRequests(it.sightings))},
          {"blocks", std::to_string(it.blocks)}});
     return true;
   });
@@ -519,10 +471,7 @@
   BlameRecord record;
   record.parts = suspect.parts;
   record.was_answered = suspect.was_answered;
-  for (const Sighting& it : suspect.sightings) {
-    record.sightings.push_back({it.target, it.weight, it.at - it.sent_at,
-                                std::max(now - it.at, Duration(0))});
-  }
+  record.sightings = ToRecord(suspect.sightings, now);
   record.blocks = suspect.blocks;
   record.blocked_left = std::max(suspect.blocked_until - now, Duration(0));
   return record;
@@ -535,6 +484,7 @@
       report.records.push_back(MakeRecord(it, now));
     }
   }
+  requests_.Export(now, &report);
   std::vector<std::pair<Time, PartKey>> recent;
   for (const auto& [part, at] : answered_) {
     recent.emplace_back(at, part);
@@ -557,6 +507,7 @@
       report.records.push_back(MakeRecord(it, now));
     }
   }
+  requests_.ExportShared(now, &report);
   return report;
 }
 
@@ -569,6 +520,7 @@
       report.records.push_back(MakeRecord(it, now));
     }
   }
+  requests_.TakeChanges(now, &report);
   for (const auto& [part, at] : std::exchange(changed_answers_, {})) {
     if (report.answered.size() < kMaxAnsweredInReport) {
       report.answered.push_back({part, std::max(now - at, Duration(0))});
@@ -577,11 +529,20 @@
   return report;
 }
 
+BlameReport CrashBlame::TakeBlockedRequests(Time now) {
+  BlameReport report;
+  requests_.TakeBlocked(now, &report);
+  return report;
+}
+
 void CrashBlame::Merge(const BlameReport& report, Time now) {
   if (!limits_.enabled) {
     return;
   }
   for (const BlameReport::Answered& it : report.answered) {
+    if (requests_.Clear(it.part, now - it.age, now)) {
+      continue;
+    }
     RememberAnswer(it.part, now - it.age, now);
     if (ClearPart(it.part, now - it.age, now)) {
       changed_answers_.emplace_back(it.part, now - it.age);
@@ -589,7 +550,11 @@
     ApplyEarlierAnswer(it.part, now);
   }
   for (const BlameRecord& it : report.records) {
-    MergeRecord(it, now);
+    if (it.is_own_mark) {
+      requests_.Merge(it, now);
+    } else {
+      MergeRecord(it, now);
+    }
   }
 }
 
@@ -609,18 +574,18 @@
     }
     it.changed = it.changed || !it.was_answered;
     it.was_answered = true;
-    std::erase_if(it.sightings, [&](const Sighting& sighting) {
+    std::erase_if(it.sightings, [&](const CrashSighting& sighting) {
       return sighting.at <= answered_at;
     });
-    if (it.blocks == 1 &&
-        WeightOf(it) < limits_.answered_crashes * kFullWeight) {
+    if (it.blocks == 1 && WeightByRequests(it.sightings) <
+                              limits_.answered_crashes * kFullCrashWeight) {
       it.blocks = 0;
       it.blocked_until = Time();
       it.changed = true;
       changed_answers_.emplace_back(part, answered_at);
       Log(LogLevel::kWarning, "part_unblocked",
           {{"part", FormatKeys({part})},
-           {"crash_weight", std::to_string(WeightOf(it))}});
+           {"crash_weight", std::to_string(WeightByRequests(it.sightings))}});
     }
   }
   std::erase_if(suspects_, [](const Suspect& it) {
@@ -652,10 +617,9 @@
   }
 }
 
-std::vector<CrashBlame::Sighting> CrashBlame::UnrefutedSightings(
-    const BlameRecord& record,
-    const PartKeys& parts,
-    Time now) const {
+CrashSightings CrashBlame::UnrefutedSightings(const BlameRecord& record,
+                                              const PartKeys& parts,
+                                              Time now) const {
   Time answered_at{};
   for (const PartKey it : parts) {
     const auto answer = answered_.find(it);
@@ -663,29 +627,24 @@
       answered_at = std::max(answered_at, answer->second);
     }
   }
-  std::vector<Sighting> sightings;
+  CrashSightings sightings;
   for (const BlameRecord::Sighting& it : record.sightings) {
-    const Time at = now - it.age;
     const bool is_remembered = record.blocks > 0 || it.age <= limits_.memory;
-    if (at > answered_at && is_remembered) {
-      sightings.push_back({it.target, std::min(it.weight, kFullWeight),
-                           at - it.request_age, at});
+    if (now - it.age > answered_at && is_remembered) {
+      sightings.push_back(FromRecord(it, now));
     }
   }
   return sightings;
 }
 
 bool CrashBlame::IsRefutedBlock(const BlameRecord& record,
-                                const std::vector<Sighting>& sightings,
+                                const CrashSightings& sightings,
                                 const PartKeys& parts,
                                 Time now) {
-  uint32_t weight = 0;
-  for (const Sighting& it : sightings) {
-    weight += it.weight;
-  }
+  const uint32_t weight = WeightByRequests(sightings);
   const bool is_refuted = record.was_answered && record.blocks == 1 &&
                           sightings.size() < record.sightings.size() &&
-                          weight < limits_.answered_crashes * kFullWeight;
+                          weight < limits_.answered_crashes * kFullCrashWeight;
   if (is_refuted) {
     for (const PartKey it : parts) {
       CorrectOthers(it, now);
@@ -698,10 +657,7 @@
   if (record.sightings.empty()) {
     return;
   }
-  Duration last_age = record.sightings.front().age;
-  for (const BlameRecord::Sighting& it : record.sightings) {
-    last_age = std::min(last_age, it.age);
-  }
+  const Duration last_age = LastCrashAge(record);
   // A part that was answered after the last of these crashes is not to blame.
   PartKeys parts = Sorted(record.parts);
   std::erase_if(parts, [&](PartKey part) {
@@ -714,8 +670,7 @@
   if (parts.empty()) {
     return;
   }
-  const std::vector<Sighting> sightings =
-      UnrefutedSightings(record, parts, now);
+  const CrashSightings sightings = UnrefutedSightings(record, parts, now);
   const bool is_block =
       record.blocks > 0 && !IsRefutedBlock(record, sightings, parts, now);
   if (sightings.empty() && !is_block) {
@@ -728,18 +683,16 @@
                            ? static_cast<size_t>(known - suspects_.begin())
                            : AddSuspect(parts, record.was_answered);
   Suspect& suspect = suspects_[index];
-  for (const Sighting& it : sightings) {
-    AddSighting(suspect, it);
+  for (const CrashSighting& it : sightings) {
+    if (AddSighting(it, &suspect.sightings)) {
+      suspect.changed = true;
+    }
   }
   if (is_block && record.blocks > suspect.blocks) {
     suspect.blocks = record.blocks;
-    // The end of a past block follows from its last crash. Counted from now, it
-    // would move on with each report, and the suspect would never expire.
-    suspect.blocked_until =
-        record.blocked_left > Duration(0)
-            ? now + std::min(record.blocked_left, limits_.max_block)
-            : std::min(now, now - last_age + BlockLength(record.blocks));
-    if (now >= ExpiryOf(suspect)) {
+    suspect.blocked_until = LearnedBlockEnd(limits_, record, now);
+    if (now >= SuspectExpiry(limits_, suspect.sightings, suspect.blocks,
+                             suspect.blocked_until)) {
       suspects_.erase(suspects_.begin() + static_cast<std::ptrdiff_t>(index));
       return;
     }
@@ -755,38 +708,36 @@
 // --- Diagnosis --------------------------------------------------------------
 
 uint32_t CrashBlame::CountBlocked(Time now) const {
-  return static_cast<uint32_t>(
-      std::count_if(suspects_.begin(), suspects_.end(),
-                    [&](const Suspect& it) { return it.IsBlocked(now); }));
+  return requests_.CountBlocked(now) +
+         static_cast<uint32_t>(std::count_if(
+             suspects_.begin(), suspects_.end(),
+             [&](const Suspect& it) { return it.IsBlocked(now); }));
+}
+
+CrashBlame::Counters CrashBlame::counters() const {
+  Counters sum = counters_;
+  sum.crashes += requests_.counters().crashes;
+  sum.blocks += requests_.counters().blocks;
+  sum.cleared += requests_.counters().cleared;
+  return sum;
 }
 
 std::string CrashBlame::Dump(Time now) const {
+  const Counters sum = counters();
   std::string suspects;
   for (const Suspect& it : suspects_) {
     const std::string_view state = it.IsBlocked(now)     ? "blocked"
                                    : NeedsTrial(it, now) ? "trial"
                                                          : "suspect";
-    std::string parts;
-    for (const PartKey part : it.parts) {
-      parts +=
-          fmt::format("{}\"{:016x}\"", parts.empty() ? "" : ",", part.value());
-    }
-    const Duration since =
-        it.sightings.empty() ? Duration(0) : now - it.sightings.back().at;
-    suspects += fmt::format(
-        "{}{{\"parts\":[{}],\"state\":\"{}\",\"crashes\":{},"
-        "\"crash_weight\":{},\"last_crash_s_ago\":{},\"blocks\":{},"
-        "\"blocked_left_s\":{},\"answered_before\":{}}}",
-        suspects.empty() ? "" : ",", parts, state, it.sightings.size(),
-        WeightOf(it), FormatSeconds(since), it.blocks,
-        FormatSeconds(std::max(it.blocked_until - now, Duration(0))),
-        it.was_answered);
+    suspects += suspects.empty() ? "" : ",";
+    suspects += DumpSuspect(MakeRecord(it, now), state);
   }
+  requests_.Dump(now, &suspects);
   return fmt::format(
       "{{\"enabled\":{},\"crashes\":{},\"blocks\":{},\"cleared\":{},"
       "\"refused\":{},\"waits\":{},\"answered_parts\":{},\"suspects\":[{}]}}",
-      limits_.enabled, counters_.crashes, counters_.blocks, counters_.cleared,
-      counters_.refused, counters_.waits, answered_.size(), suspects);
+      limits_.enabled, sum.crashes, sum.blocks, sum.cleared, sum.refused,
+      sum.waits, answered_.size(), suspects);
 }
 
 }  // namespace burdockhatch
--- a/src/crash_blame.h
+++ b/src/crash_blame.h
@@ -8,6 +8,9 @@
 // contain all of it are tried one at a time, and after enough crashes they are
 // blocked for a limited time. The module knows no clock, network or store: its
 // state can be exported, merged and rebuilt.
+//
+// A request that crashes engines by itself is found by its own mark, see
+// request_blame.h. Its crashes count once against the parts that it shares.
 #ifndef SRC_CRASH_BLAME_H_
 #define SRC_CRASH_BLAME_H_
 
@@ -20,7 +23,9 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "src/clock.h"
+#include "src/crash_evidence.h"
 #include "src/messages.h"
+#include "src/request_blame.h"
 #include "src/units.h"
 
 namespace burdockhatch {
@@ -29,52 +34,14 @@
 // of one model may be harmless for another.
 PartKey MakePartKey(std::string_view model, std::string_view part);
 PartKey MakePartKey(std::string_view model, uint64_t prefix_hash);
-
-struct CrashBlameLimits {
-  bool enabled = true;
-  // Crashes, one after the other and without an answer between them, after
-  // which requests with the suspect parts are blocked.
-  uint32_t crashes = 2;
-  // The same for parts that requests were answered with within `memory`.
-  uint32_t answered_crashes = 4;
-  // Time for which a crash or an answer counts.
-  Duration memory = std::chrono::seconds(60);
-  // Duration of the first block. Each further block of the same parts is
-  // kBlockGrowth times as long, up to `max_block`.
-  Duration block = std::chrono::minutes(2);
-  Duration max_block = std::chrono::hours(24);
-  // Requests in progress, without an event so far, that share a part which no
-  // request was answered with within `memory`. The first crash of such a part
-  // can take down that many targets.
-  uint32_t max_unanswered = 3;
-  // Sets of suspect parts that are remembered.
-  uint32_t max_suspects = 256;
-  // Parts that requests were answered with that are remembered.
-  uint32_t max_answered_parts = 4096;
-
-  static constexpr int kBlockGrowth = 4;
-};
-
-// How much the end of an attempt says about the request's parts. The values are
-// weights: a crash that counts in full has the weight kAtStart.
-enum class CrashEvidence : uint8_t {
-  kUnanswered = 1,  // The engine broke off without a response head.
-  kAtStart = 2,     // It broke off between the head and the first event.
-};
+// Returns the mark of the request with the prompt `prompt_hash`, which no part
+// has as its key.
+PartKey MakeOwnMark(std::string_view model, uint64_t prompt_hash);
 
 class CrashBlame {
  public:
-  enum class Verdict : uint8_t {
-    kSend,
-    kWait,  // Another request with suspect parts is being tried.
-    kBlocked,
-  };
-  struct Decision {
-    Verdict verdict = Verdict::kSend;
-    // With kSend: the request has suspect parts, so its engine may crash.
-    bool is_trial = false;
-    Duration blocked_left{0};  // With kBlocked.
-  };
+  using Verdict = BlameVerdict;
+  using Decision = BlameDecision;
   struct Counters {
     uint64_t crashes = 0;  // Crashes that count against a part.
     uint64_t blocks = 0;
@@ -83,29 +50,37 @@
     uint64_t waits = 0;    // Requests that waited for a trial.
   };
 
-  explicit CrashBlame(CrashBlameLimits limits = {}) : limits_(limits) {}
+  explicit CrashBlame(CrashBlameLimits limits = {})
+      : limits_(limits), requests_(limits) {}
 
   // Returns whether a request with these parts may be sent now. `trial` is
-  // unique to the attempt.
-  Decision Check(const PartKeys& parts, uint64_t trial, Time now) const;
+  // unique to the attempt. `own_mark` is PartKey() if the request has none.
+  Decision Check(const PartKeys& parts,
+                 uint64_t trial,
+                 Time now,
+                 PartKey own_mark = PartKey()) const;
   // Whether as many requests are in progress as may share one of these parts
   // that no request was answered with.
   bool IsCrowded(const PartKeys& parts, Time now) const;
   // Records that the attempt is sent. If a part is suspect, other requests with
   // the same suspect parts wait until EndTrial().
-  void OnSent(const PartKeys& parts, uint64_t trial, Time now);
+  void OnSent(const PartKeys& parts,
+              uint64_t trial,
+              Time now,
+              PartKey own_mark = PartKey());
   // The attempt has ended or has delivered its first event.
   void EndTrial(uint64_t trial);
 
   // Records that an attempt with these parts has delivered its first event.
-  void OnAnswer(const PartKeys& parts, Time now);
+  void OnAnswer(const PartKeys& parts, Time now, PartKey own_mark = PartKey());
   // Records that `target` broke off an attempt, sent at `sent_at`, before its
   // first event.
   void OnCrash(const PartKeys& parts,
                std::string_view target,
                Time sent_at,
                CrashEvidence evidence,
-               Time now);
+               Time now,
+               PartKey own_mark = PartKey());
   // Ends the suspicion and the block of a part, as an operator may. Returns
   // whether the part was suspect.
   bool Lift(PartKey part, Time now);
@@ -121,41 +96,47 @@
   // process.
   BlameReport TakeChanges(Time now);
 
+  // Returns the requests that have been blocked by themselves since the last
+  // call.
+  BlameReport TakeBlockedRequests(Time now);
+
   // Returns all suspects that TakeChanges() would tell of, changed or not.
   BlameReport ExportShared(Time now) const;
 
   // Whether this process blocks parts by its own judgement. One that knows only
   // few of the requests collects evidence and blocks what others have blocked.
   // True until it is set.
-  void SetJudging(bool judging) { is_judging_ = judging; }
+  void SetJudging(bool judging) {
+    is_judging_ = judging;
+    requests_.SetJudging(judging);
+  }
+  // The same for requests by themselves, which need no knowledge of answers to
+  // others.
+  void SetJudgingRequests(bool judging) { requests_.SetJudging(judging); }
+  // Whether TakeChanges() tells of requests that are suspect by themselves.
+  // True until it is set.
+  void SetTellsRequests(bool tells) { requests_.SetTellsSuspects(tells); }
 
   // Forgets what has expired, at most once a second.
   void Prune(Time now);
 
   void CountRefusal() { ++counters_.refused; }
   void CountWait() { ++counters_.waits; }
-  const Counters& counters() const { return counters_; }
-  size_t suspect_count() const { return suspects_.size(); }
+  Counters counters() const;
+  size_t suspect_count() const {
+    return suspects_.size() + requests_.suspect_count();
+  }
   uint32_t CountBlocked(Time now) const;
 
   // Returns the limits, counters and suspects as JSON.
   std::string Dump(Time now) const;
 
  private:
-  // A crash under a request with the suspect parts.
-  struct Sighting {
-    uint64_t target = 0;  // Hash of the target's id.
-    uint32_t weight = 0;
-    Time sent_at{};  // Of the request.
-    Time at{};       // Of the crash.
-  };
   struct Suspect {
     PartKeys parts;  // Sorted.
     // Requests with these parts were answered before the crashes.
     bool was_answered = false;
-    // By time. No request was sent before the crash that precedes its own, so
-    // that a loss of many targets at one moment counts as one crash.
-    std::vector<Sighting> sightings;
+    CrashSightings sightings;
     uint32_t blocks = 0;  // Times blocked.
     Time blocked_until{};
     std::optional<uint64_t> trial;  // The attempt that is being tried.
@@ -170,7 +151,6 @@
   // Whether another attempt with all of these parts is in progress, whose
   // outcome will tell whether they crash targets.
   bool IsBeingTried(const Suspect& suspect, uint64_t trial, Time now) const;
-  static uint32_t WeightOf(const Suspect& suspect);
   bool NeedsTrial(const Suspect& suspect, Time now) const;
   // Whether the suspect is told to other processes.
   bool IsShared(const Suspect& suspect, Time now) const;
@@ -182,13 +162,7 @@
   void ReduceSuspects(const PartKeys& parts, const PartKeys& candidates);
   std::vector<size_t> FindSuspectsIn(const PartKeys& parts) const;
   size_t AddSuspect(PartKeys parts, bool was_answered);
-  // Returns false if the crash is known or coincides with one that is.
-  static bool AddSighting(Suspect& suspect, const Sighting& sighting);
   bool IsBlockDue(const Suspect& suspect, Time now) const;
-  // Returns the duration of the `blocks`th block in a row.
-  Duration BlockLength(uint32_t blocks) const;
-  // Returns the time at which the suspect is forgotten.
-  Time ExpiryOf(const Suspect& suspect) const;
   void Block(Suspect& suspect, Time now);
   // Blocks those of `matching` that are due and not contained in another one
   // that is due: the larger set explains the same crash and blocks fewer
@@ -205,13 +179,13 @@
   // kCorrectionInterval.
   void CorrectOthers(PartKey part, Time now);
   // Returns the crashes of a record that no answer known here has followed.
-  std::vector<Sighting> UnrefutedSightings(const BlameRecord& record,
-                                           const PartKeys& parts,
-                                           Time now) const;
+  CrashSightings UnrefutedSightings(const BlameRecord& record,
+                                    const PartKeys& parts,
+                                    Time now) const;
   // Whether a block rests on crashes that answers known here have followed.
   // Tells others if so.
   bool IsRefutedBlock(const BlameRecord& record,
-                      const std::vector<Sighting>& sightings,
+                      const CrashSightings& sightings,
                       const PartKeys& parts,
                       Time now);
   // Reconsiders suspects in the light of an answer that others have told of.
@@ -223,6 +197,7 @@
   BlameRecord MakeRecord(const Suspect& suspect, Time now) const;
 
   CrashBlameLimits limits_;
+  RequestBlame requests_;
   std::vector<Suspect> suspects_;
   absl::flat_hash_map<PartKey, Time> answered_;  // Time of the last answer.
   // Attempts in progress with parts that no request was answered with when they
--- a/src/ctl_parts.cc
+++ b/src/ctl_parts.cc
@@ -35,6 +35,8 @@
     const json::object* object = &it;
     ReportedSuspect suspect;
     suspect.address = address;
+    suspect.kind =
+        TextOf(*object, "is_own_mark") == "true" ? "request" : "parts";
     if (const json::value* parts = object->if_contains("parts");
         parts != nullptr && parts->is_array()) {
       for (const json::value& part : parts->get_array()) {
@@ -59,6 +61,7 @@
     json::array out;
     for (const ReportedSuspect& it : suspects) {
       out.push_back({{"address", it.address},
+                     {"kind", it.kind},
                      {"parts", it.parts},
                      {"state", it.state},
                      {"crashes", it.crashes},
@@ -69,12 +72,12 @@
     return json::serialize(out) + "\n";
   }
   std::vector<std::vector<std::string>> rows = {
-      {"asked", "parts", "state", "crashes", "blocks", "last crash (s ago)",
-       "blocked for (s)"}};
+      {"asked", "kind", "parts", "state", "crashes", "blocks",
+       "last crash (s ago)", "blocked for (s)"}};
   for (const ReportedSuspect& it : suspects) {
-    rows.push_back({it.address, it.parts, it.state, std::to_string(it.crashes),
-                    std::to_string(it.blocks), it.last_crash_s_ago,
-                    it.blocked_left_s});
+    rows.push_back({it.address, it.kind, it.parts, it.state,
+                    std::to_string(it.crashes), std::to_string(it.blocks),
+                    it.last_crash_s_ago, it.blocked_left_s});
   }
   return FormatTable(rows);
 }
--- a/src/ctl_parts.h
+++ b/src/ctl_parts.h
@@ -10,9 +10,11 @@
 
 namespace burdockhatch {
 
-// Suspect parts as one process reports them, see CrashBlame::Dump().
+// Suspect parts or requests as one process reports them, see
+// CrashBlame::Dump().
 struct ReportedSuspect {
   std::string address;  // Of the process, "ip:port".
+  std::string kind;     // "parts", or "request": the mark of one request.
   std::string parts;    // Keys, separated by commas.
   std::string state;    // "suspect", "trial" or "blocked".
   int64_t crashes = 0;
--- a/src/entry_blame.cc
+++ b/src/entry_blame.cc
@@ -41,9 +41,14 @@
   return parts;
 }
 
+PartKey OwnMarkOf(const RequestSpec& spec) {
+  return spec.prompt_hash ? MakeOwnMark(spec.model.value(), *spec.prompt_hash)
+                          : PartKey();
+}
+
 bool CheckPartsBeforeOffer(EntryTables& tables, RequestRow& row, Time now) {
   const CrashBlame::Decision decision =
-      tables.blame.Check(row.parts, TrialOf(row), now);
+      tables.blame.Check(row.parts, TrialOf(row), now, row.own_mark);
   switch (decision.verdict) {
     case CrashBlame::Verdict::kSend:
       return true;
@@ -63,7 +68,7 @@
 }
 
 void RecordOfferForBlame(EntryTables& tables, const RequestRow& row, Time now) {
-  tables.blame.OnSent(row.parts, TrialOf(row), now);
+  tables.blame.OnSent(row.parts, TrialOf(row), now, row.own_mark);
 }
 
 void EndTrialOf(EntryTables& tables, const RequestRow& row) {
@@ -74,7 +79,7 @@
   EntryAttempt& attempt = *row.attempt;
   if (!attempt.has_output && row.next_chunk > attempt.first_chunk) {
     attempt.has_output = true;
-    tables.blame.OnAnswer(row.parts, now);
+    tables.blame.OnAnswer(row.parts, now, row.own_mark);
     EndTrialOf(tables, row);
   }
 }
@@ -90,7 +95,7 @@
   }
   const InstanceId& agent = tables.fleet.rows[attempt.slot].info.instance;
   tables.blame.OnCrash(row.parts, agent.value(), attempt.offered_at, evidence,
-                       now);
+                       now, row.own_mark);
 }
 
 void SpreadBlame(EntryTables& tables, Time now) {
--- a/src/entry_blame.h
+++ b/src/entry_blame.h
@@ -11,6 +11,9 @@
 // the template and the prefixes of full blocks. The last block is left out, as
 // it belongs to the request itself.
 PartKeys SharedPartsOf(const RequestSpec& spec);
+// Returns the mark by which the request is known when its caller sends it
+// again, or PartKey() if it has no prompt.
+PartKey OwnMarkOf(const RequestSpec& spec);
 
 // Returns whether the request may be offered now. If not, it waits for the
 // trial of another request, or fails because its parts are blocked; the row is
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -46,6 +46,8 @@
   std::vector<uint64_t> prefix_hashes;
   // Of the text that the client account's template puts before the prompt.
   std::optional<uint64_t> template_prefix_hash;
+  // Of the whole prompt, which is the same when the caller sends it again.
+  std::optional<uint64_t> prompt_hash;
   Time deadline;
   bool repeatable = true;
   std::optional<IdempotencyKey> key;
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -244,7 +244,8 @@
 
 struct RequestRow {
   RequestSpec spec;
-  PartKeys parts;  // See SharedPartsOf().
+  PartKeys parts;    // See SharedPartsOf().
+  PartKey own_mark;  // See OwnMarkOf().
   RequestPhase phase = RequestPhase::kWaiting;
   AttemptNumber last_attempt_number;
   std::optional<EntryAttempt> attempt;
--- a/src/forward_protocol.h
+++ b/src/forward_protocol.h
@@ -25,9 +25,11 @@
   std::optional<Tokens> expected_output;  // As estimated by the caller.
   std::optional<uint64_t> last_event_id;  // Set when a stream resumes.
   std::string model;                      // Empty if the caller names none.
-  // Ids of the prompt's parts that other prompts may share, in order. The last
-  // part of a prompt belongs to the request itself and is left out.
+  // Ids of the prompt's parts that other prompts may share, in order.
   std::vector<std::string> shared_parts;
+  // Of the ids of all parts, in order. The same when the caller sends the
+  // request again, and for no other request.
+  std::optional<uint64_t> prompt_hash;
 };
 // Further parts of a prompt are ignored.
 inline constexpr size_t kMaxSharedParts = 32;
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -68,6 +68,10 @@
   return fmt::format("{}", fmt::join(parts.begin(), parts.begin() + n, ","));
 }
 
+std::string FormatMark(PartKey mark) {
+  return mark == PartKey() ? "" : FormatKeys({mark});
+}
+
 std::string FormatMs(Duration duration) {
   return fmt::format("{:.1f}", static_cast<double>(duration.count()) / 1e3);
 }
@@ -205,6 +209,7 @@
   ask.time_left = std::max(deadline_ - now, Duration(0));
   ask.excluded = excluded_targets_;
   ask.parts = MakePartKeys();
+  ask.own_mark = MakeOwnMark();
   ask.number = context_->placement->NextNumber();
   attempt_->placement_number = ask.number;
   context_->placement->RequestPlacement(
@@ -752,7 +757,8 @@
         last_event_id_ ? std::to_string(*last_event_id_) : "none"},
        {"progress", std::string(ProgressOf(*attempt))},
        {"was_silent", is_silent ? "true" : "false"},
-       {"parts", FormatParts(caller_fields_.shared_parts)}});
+       {"parts", FormatParts(caller_fields_.shared_parts)},
+       {"own_mark", FormatMark(MakeOwnMark())}});
   context_->metrics->IncrementCounter(
       "burdockhatch_attempt_failures_total",
       fmt::format("why=\"{}\",progress=\"{}\"", ToString(failure),
@@ -826,6 +832,13 @@
   return keys;
 }
 
+PartKey ForwardRequest::MakeOwnMark() const {
+  return caller_fields_.prompt_hash
+             ? burdockhatch::MakeOwnMark(caller_fields_.model,
+                                         *caller_fields_.prompt_hash)
+             : PartKey();
+}
+
 uint32_t ForwardRequest::RejectedSends() const {
   return send_count_ - failed_connection_count_ - attempt_count_;
 }
@@ -987,6 +1000,7 @@
        {"target", target_.value()},
        {"prompt", std::to_string(caller_fields_.prompt.value())},
        {"parts", FormatParts(caller_fields_.shared_parts)},
+       {"own_mark", FormatMark(MakeOwnMark())},
        {"sends", std::to_string(send_count_)},
        {"helpers", std::to_string(helper_count_)},
        {"waited_ms", FormatMs(send_count_ > 0 ? sent_at_ - received_at_
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -143,6 +143,7 @@
   void EndAllAttempts(CallOutcome outcome);
   bool HasCall() const;
   PartKeys MakePartKeys() const;
+  PartKey MakeOwnMark() const;
 
   // --- Silent targets ---
   // Restarts the timer. On a route that is not repeatable it only stops it.
--- a/src/messages.h
+++ b/src/messages.h
@@ -243,6 +243,7 @@
     uint32_t weight = 0;      // See CrashEvidence.
     Duration request_age{0};  // Time from the sending of the request.
     Duration age{0};          // Time since the crash.
+    PartKey own_mark;         // Of the request; PartKey() if it has none.
 
     bool operator==(const Sighting&) const = default;
   };
@@ -251,6 +252,8 @@
   std::vector<Sighting> sightings;
   uint32_t blocks = 0;  // Times that the parts have been blocked.
   Duration blocked_left{0};
+  // `parts` is the mark of one request, see request_blame.h.
+  bool is_own_mark = false;
 
   bool operator==(const BlameRecord&) const = default;
 };
@@ -348,6 +351,7 @@
   // place work on the same targets.
   Duration unsettled_left{0};
   PartKeys parts;
+  PartKey own_mark;  // PartKey() if the request has none.
 };
 inline constexpr int kMaxExcludedTargets = 64;
 
@@ -422,6 +426,7 @@
   Duration gap_target{0};
   bool reading = true;  // The prompt is still being processed.
   PartKeys parts;
+  PartKey own_mark;  // PartKey() if the request has none.
 };
 
 // Entry to agent: all placed work of the entry that has not ended. It is the
--- a/src/placement_choice.cc
+++ b/src/placement_choice.cc
@@ -202,7 +202,10 @@
   // forbids it now.
   size_t seen = 0;
   const bool is_trial =
-      blame_.Check(ask.parts, TrialOf(request.entry, ask.number), now).is_trial;
+      blame_
+          .Check(ask.parts, TrialOf(request.entry, ask.number), now,
+                 ask.own_mark)
+          .is_trial;
   const double answer_penalty_ms =
       is_trial ? kTrialAnswerPenaltyMs : kAnswerPenaltyMs;
   for (Target* it : state.fill_order) {
@@ -225,6 +228,10 @@
         target.memory_used + memory > state.cost.memory) {
       continue;
     }
+    // A crash under two suspect requests would not tell which one is to blame.
+    if (is_trial && target.trials > 0) {
+      continue;
+    }
     const double score = target.pass_predictor.WaitMs(now) + prefill_ms +
                          TargetDecodePassMs(state, target) +
                          target.answers() * answer_penalty_ms +
--- a/src/placement_client.cc
+++ b/src/placement_client.cc
@@ -41,8 +41,8 @@
 // How long an entry without a leader expects the next one.
 constexpr Duration kExpectedLeaderTime = std::chrono::seconds(3);
 // How long an entry that has just learned its agents waits for the first of
-// them before it places requests with shared parts itself: it does not know
-// which parts are blocked.
+// them before it places requests with parts itself: it does not know which are
+// blocked.
 constexpr Duration kFirstLeaderWait = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -143,7 +143,7 @@
     Time now) {
   // A leader that has just started may not know of the block yet.
   const CrashBlame::Decision decision =
-      local_scheduler_.blame().Check(ask.parts, ask.number, now);
+      local_scheduler_.blame().Check(ask.parts, ask.number, now, ask.own_mark);
   if (decision.verdict == CrashBlame::Verdict::kBlocked) {
     local_scheduler_.blame().CountRefusal();
     PlacementReply reply;
@@ -169,7 +169,8 @@
   pending.ask.first_event_left = pending.first_event_by - now;
   pending.ask.time_left = std::max(pending.deadline - now, Duration(0));
   pending.awaits_first_leader =
-      !pending.ask.parts.empty() && AwaitsFirstLeader(now);
+      (!pending.ask.parts.empty() || pending.ask.own_mark != PartKey()) &&
+      AwaitsFirstLeader(now);
   if (pending.awaits_first_leader) {
     return;
   }
@@ -404,6 +405,7 @@
     work.output = pending.ask.output;
     work.gap_target = pending.ask.gap_target;
     work.parts = pending.ask.parts;
+    work.own_mark = pending.ask.own_mark;
     local_scheduler_.ImportRequest(self_, work, now);
   }
   pending.done(reply);
--- a/src/placement_leader.cc
+++ b/src/placement_leader.cc
@@ -20,6 +20,11 @@
 // only. An agent that has received none of them for this long leads for no
 // entry.
 constexpr Duration kLeadingTime = std::chrono::milliseconds(1'500);
+// Time in which the entries of a new leader tell it of parts that requests were
+// answered with.
+constexpr Duration kFirstAnswersTime = std::chrono::milliseconds(300);
+// Requests that are blocked by themselves are told together.
+constexpr Duration kBlockSpreadInterval = std::chrono::milliseconds(200);
 
 constexpr Duration kSignalSpreadInterval = std::chrono::milliseconds(100);
 constexpr Duration kShareCheckInterval = std::chrono::milliseconds(100);
@@ -40,6 +45,8 @@
       send_(std::move(send)),
       scheduler_(blame_limits, signal_limits) {
   scheduler_.blame().SetJudging(false);
+  // The entries that have seen the crashes tell the other agents.
+  scheduler_.blame().SetTellsRequests(false);
 }
 
 void PlacementLeader::OnMessage(const Message& message, Time now) {
@@ -90,10 +97,19 @@
   SpreadBlame(now);
 }
 
-// An agent that places no requests is told of crashes but not of answers.
+// An agent that places no requests is told of crashes but not of answers, and
+// one that has just begun to has been told of few.
 void PlacementLeader::UpdateJudging(Time now) {
-  scheduler_.blame().SetJudging(last_led_at_ != Time() &&
-                                now - last_led_at_ < kLeadingTime);
+  const bool is_leading =
+      last_led_at_ != Time() && now - last_led_at_ < kLeadingTime;
+  if (!is_leading) {
+    leading_since_.reset();
+  } else if (!leading_since_) {
+    leading_since_ = now;
+  }
+  scheduler_.blame().SetJudging(is_leading &&
+                                now - *leading_since_ >= kFirstAnswersTime);
+  scheduler_.blame().SetJudgingRequests(is_leading);
 }
 
 // An entry that is heard and sends nothing that is for the leader only follows
@@ -159,6 +175,7 @@
   scheduler_.Tick(now);
   SendDecisions();
   SpreadBlame(now);
+  SpreadBlockedRequests(now);
   SpreadSignals(now);
 }
 
@@ -208,6 +225,22 @@
   }
 }
 
+// Each entry refuses blocked requests when its leader is lost, and passes the
+// report on to its leader if that is another agent.
+void PlacementLeader::SpreadBlockedRequests(Time now) {
+  if (now < next_block_spread_) {
+    return;
+  }
+  const BlameReport blocked = scheduler_.blame().TakeBlockedRequests(now);
+  if (blocked.empty()) {
+    return;
+  }
+  next_block_spread_ = now + kBlockSpreadInterval;
+  for (const auto& [entry, state] : entries_) {
+    send_(entry, blocked);
+  }
+}
+
 std::string PlacementLeader::Dump(Time now) const {
   return scheduler_.Dump(now);
 }
--- a/src/placement_leader.h
+++ b/src/placement_leader.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "src/clock.h"
@@ -57,6 +58,7 @@
   // The entries keep suspicions and blocks in case this agent stops, refuse
   // blocked requests without asking, and tell other leaders.
   void SpreadBlame(Time now);
+  void SpreadBlockedRequests(Time now);
   // Tells all entries what one of them has reported of targets.
   void SpreadSignals(Time now);
 
@@ -75,6 +77,8 @@
   bool is_sole_leader_ = false;
   Time next_share_check_{};
   SignalReport signal_news_;  // Not told to the entries yet.
+  std::optional<Time> leading_since_;
+  Time next_block_spread_{};
   Time next_signal_spread_{};
 };
 
--- a/src/placement_scheduler.cc
+++ b/src/placement_scheduler.cc
@@ -213,7 +213,8 @@
 CrashBlame::Verdict PlacementScheduler::CheckParts(const QueuedRequest& request,
                                                    Time now) {
   const CrashBlame::Decision decision = blame_.Check(
-      request.ask.parts, TrialOf(request.entry, request.ask.number), now);
+      request.ask.parts, TrialOf(request.entry, request.ask.number), now,
+      request.ask.own_mark);
   if (decision.verdict == CrashBlame::Verdict::kBlocked) {
     blame_.CountRefusal();
     PlacementReply reply =
@@ -245,12 +246,13 @@
       return;
     case PlacementEvent::kFirstEvent:
       if (work.reading) {
-        blame_.OnAnswer(work.parts, now);
+        blame_.OnAnswer(work.parts, now, work.own_mark);
       }
       break;
     case PlacementEvent::kEnded:
-      if (work.reading && !work.parts.empty()) {
-        target.left_requests.push_back({work.parts, placed.placed_at, now});
+      if (work.reading && (!work.parts.empty() || work.own_mark != PartKey())) {
+        target.left_requests.push_back(
+            {work.parts, work.own_mark, placed.placed_at, now});
         if (target.left_requests.size() > kMaxLeftRequests) {
           target.left_requests.erase(target.left_requests.begin());
         }
@@ -262,7 +264,7 @@
                      change.event == PlacementEvent::kBrokenAtStart
                          ? CrashEvidence::kAtStart
                          : CrashEvidence::kUnanswered,
-                     now);
+                     now, work.own_mark);
       BlameLeftRequests(target, now);
       break;
     case PlacementEvent::kBrokenAfterStart:
@@ -280,7 +282,7 @@
   for (const LeftRequest& it : std::exchange(target.left_requests, {})) {
     if (now - it.left_at <= kLeftRequestWindow) {
       blame_.OnCrash(it.parts, target.description.target.value(), it.sent_at,
-                     CrashEvidence::kUnanswered, now);
+                     CrashEvidence::kUnanswered, now, it.own_mark);
     }
   }
 }
@@ -388,8 +390,10 @@
   placed.work = {ask.number,         ask.service,      assignment.target,
                  assignment.helpers, assignment.holds, ask.prompt,
                  ask.output,         ask.gap_target,   true,
-                 ask.parts};
-  blame_.OnSent(ask.parts, TrialOf(request.entry, ask.number), now);
+                 ask.parts,          ask.own_mark};
+  const uint64_t trial = TrialOf(request.entry, ask.number);
+  placed.is_trial = blame_.Check(ask.parts, trial, now, ask.own_mark).is_trial;
+  blame_.OnSent(ask.parts, trial, now, ask.own_mark);
   placed.placed_at = now;
   placed.expected_first_event = assignment.expected_first_event;
   placed.part_prefill_ms = assignment.part_prefill_ms;
@@ -426,6 +430,7 @@
   placed.placement_id = next_placement_id_++;
   target.decoding += placed.work.reading ? 0 : 1;
   if (placed.work.reading) {
+    target.trials += placed.is_trial ? 1 : 0;
     const Time due = now + placed.expected_first_event + kOverdueAllowance;
     state.long_prefill_in_progress_ms +=
         placed.is_long ? PrefillMs(state.cost, placed.work.prompt) : 0;
@@ -452,6 +457,7 @@
     return;
   }
   placed.work.reading = false;
+  state.targets[placed.work.target].trials -= placed.is_trial ? 1 : 0;
   ++state.targets[placed.work.target].decoding;
   state.long_prefill_in_progress_ms -=
       placed.is_long ? PrefillMs(state.cost, placed.work.prompt) : 0;
--- a/src/placement_scheduler.h
+++ b/src/placement_scheduler.h
@@ -138,12 +138,14 @@
     double part_prefill_ms = 0;  // Prefill time on each of its targets.
     bool is_long = false;
     bool is_unsettled = false;  // See PlacementAsk::unsettled_left.
+    bool is_trial = false;      // Its targets may crash under it.
   };
 
   // A request that ended before its first event, for example because its caller
   // left. The target may still crash under it.
   struct LeftRequest {
     PartKeys parts;
+    PartKey own_mark;
     Time sent_at{};
     Time left_at{};
   };
@@ -162,6 +164,7 @@
     uint32_t long_answers = 0;
     uint32_t decoding = 0;    // Answers that have sent their first event.
     uint32_t prefilling = 0;  // Prompts being prefilled here, whole or in part.
+    int trials = 0;  // Suspect requests whose prompts are being processed.
     Tokens memory_used;
     std::map<Duration, uint32_t> gap_target_counts;  // Answers by gap target.
     PassPredictor pass_predictor;
--- a/src/requests.cc
+++ b/src/requests.cc
@@ -326,6 +326,7 @@
   RequestRow& row = tables.requests[spec.request];
   row.spec = std::move(spec);
   row.parts = SharedPartsOf(row.spec);
+  row.own_mark = OwnMarkOf(row.spec);
   TryPlaceRequest(tables, row, now);
 }
 
--- a/src/wire.cc
+++ b/src/wire.cc
@@ -248,9 +248,11 @@
       sighting->set_weight(each.weight);
       sighting->set_request_age_us(each.request_age.count());
       sighting->set_age_us(each.age.count());
+      sighting->set_own_mark(each.own_mark.value());
     }
     record->set_blocks(it.blocks);
     record->set_blocked_left_us(it.blocked_left.count());
+    record->set_is_own_mark(it.is_own_mark);
   }
   for (const BlameReport::Answered& it : from.answered) {
     wire::AnsweredPart* answered = to->add_answered();
@@ -291,6 +293,7 @@
   }
   to->set_unsettled_left_us(from.unsettled_left.count());
   EncodeParts(from.parts, to->mutable_parts());
+  to->set_own_mark(from.own_mark.value());
 }
 
 void EncodeBody(const FeedPoll& from, wire::Envelope* envelope) {
@@ -370,6 +373,7 @@
     work->set_reading(it.reading);
     EncodeHolds(it.holds, work);
     EncodeParts(it.parts, work->mutable_parts());
+    work->set_own_mark(it.own_mark.value());
   }
 }
 
@@ -539,12 +543,13 @@
     to.was_answered = from.was_answered();
     CheckCount(from.sightings_size(), static_cast<int>(kMaxBlameSightings));
     for (const wire::CrashSighting& it : from.sightings()) {
-      to.sightings.push_back({it.target(), it.weight(),
-                              ReadDuration(it.request_age_us()),
-                              ReadDuration(it.age_us())});
+      to.sightings.push_back(
+          {it.target(), it.weight(), ReadDuration(it.request_age_us()),
+           ReadDuration(it.age_us()), PartKey(it.own_mark())});
     }
     to.blocks = from.blocks();
     to.blocked_left = ReadDuration(from.blocked_left_us());
+    to.is_own_mark = from.is_own_mark();
     return to;
   }
 
@@ -600,6 +605,7 @@
     to.excluded = ReadTargets(from.excluded(), kMaxExcludedTargets);
     to.unsettled_left = ReadDuration(from.unsettled_left_us());
     to.parts = ReadParts(from.parts());
+    to.own_mark = PartKey(from.own_mark());
     return to;
   }
 
@@ -683,6 +689,7 @@
       work.reading = it.reading();
       work.holds = ReadHolds(it.holds());
       work.parts = ReadParts(it.parts());
+      work.own_mark = PartKey(it.own_mark());
       to.works.push_back(std::move(work));
     }
     return to;
--- a/tests/crash_blame_fleet_test.cc
+++ b/tests/crash_blame_fleet_test.cc
@@ -30,6 +30,13 @@
 constexpr size_t kMaxLateSends = 3;
 constexpr Duration kReactionTime = seconds(3);
 
+// Targets that a request may take down which crashes them by itself, and its
+// client's attempts: each runs on up to kAttempts targets.
+constexpr size_t kMaxCrashesByRequest = 3;
+constexpr int kClientAttempts = 6;
+constexpr int kAttempts = 2;
+constexpr Duration kReturnDelay = milliseconds(300);
+
 constexpr PartKey kFirst(1);
 constexpr PartKey kPoison(66);
 
@@ -74,6 +81,39 @@
     SendFrom(entry, poison, 2);
   }
 
+  // Requests with kFirst and a mark of their own, whose clients come back
+  // through any entry.
+  void SendMarked(bool deadly) {
+    Work work;
+    work.poison = deadly;
+    work.mark = PartKey(next_mark_++);
+    work.returns_left = kClientAttempts;
+    Return(work);
+  }
+  void RunMarked(Duration length, int deadly_per_s, int sound_per_s) {
+    const Time end = now_ + length;
+    while (now_ < end) {
+      const double roll = random_.UniformReal() * 1'000;
+      if (roll < deadly_per_s + sound_per_s) {
+        SendMarked(roll < deadly_per_s);
+      }
+      Run(milliseconds(1), 0, 0);
+    }
+  }
+
+  // Crashes under the deadly request that took down most targets.
+  size_t most_crashes_by_request() const {
+    size_t most = 0;
+    for (const auto& [mark, crashes] : crashes_by_mark_) {
+      most = std::max(most, crashes);
+    }
+    return most;
+  }
+  size_t deadly_requests() const { return crashes_by_mark_.size(); }
+  size_t sound_blocked() const { return sound_blocked_; }
+  // Sound requests whose clients came back as often as they do, in vain.
+  size_t sound_given_up() const { return sound_given_up_; }
+
   void Run(Duration length, int poison_per_s, int healthy_per_s) {
     const Time end = now_ + length;
     while (now_ < end) {
@@ -120,6 +160,8 @@
     return blocks;
   }
   size_t reports() const { return reports_; }
+  // Reports that tell of requests by their own marks.
+  size_t mark_reports() const { return mark_reports_; }
   size_t healthy_refused() const { return healthy_refused_; }
   // Share of the healthy requests since the last call that began at their first
   // attempt.
@@ -174,6 +216,8 @@
     uint64_t number = 0;
     bool poison = false;
     int attempts_left = 0;
+    PartKey mark;
+    int returns_left = 0;  // Attempts that the client will make.
     bool has_head = false;
     bool has_event = false;
   };
@@ -189,7 +233,15 @@
     events_.emplace(time, std::move(event));
   }
   void CountReport(const MessageBody& body) {
-    reports_ += std::holds_alternative<BlameReport>(body) ? 1 : 0;
+    const auto* report = std::get_if<BlameReport>(&body);
+    if (report == nullptr) {
+      return;
+    }
+    ++reports_;
+    mark_reports_ += std::any_of(report->records.begin(), report->records.end(),
+                                 [](const auto& it) { return it.is_own_mark; })
+                         ? 1
+                         : 0;
   }
   Duration Delay() {
     return Duration(static_cast<int64_t>(1'000 + random_.UniformBelow(3'000)));
@@ -288,6 +340,29 @@
   }
 
   void SendFrom(int index, bool poison, int attempts) {
+    Work work;
+    work.entry = index;
+    work.poison = poison;
+    work.attempts_left = attempts;
+    SendWork(work);
+  }
+
+  // The client sends its request to any entry, if it has not given up.
+  void Return(Work work) {
+    if (work.returns_left == 0) {
+      sound_given_up_ += work.poison ? 0 : 1;
+      return;
+    }
+    --work.returns_left;
+    work.entry = static_cast<int>(random_.UniformBelow(entries_.size()));
+    work.attempts_left = kAttempts;
+    SendWork(work);
+  }
+
+  void SendWork(Work work) {
+    const int index = work.entry;
+    const bool poison = work.poison;
+    const int attempts = work.attempts_left;
     Entry& entry = *entries_[static_cast<size_t>(index)];
     PlacementAsk ask;
     ask.service = ServiceId("llm");
@@ -296,9 +371,13 @@
     ask.first_event_left = milliseconds(300);
     ask.gap_target = milliseconds(200);
     ask.time_left = seconds(10);
-    ask.parts = poison ? PartKeys{kFirst, kPoison} : PartKeys{kFirst};
+    ask.parts = poison && work.mark == PartKey() ? PartKeys{kFirst, kPoison}
+                                                 : PartKeys{kFirst};
+    ask.own_mark = work.mark;
     ask.number = entry.client->NextNumber();
-    Work work{index, entry.incarnation, ask.number, poison, attempts};
+    work.incarnation = entry.incarnation;
+    work.number = ask.number;
+    work.has_head = work.has_event = false;
     healthy_sent_ += !poison && attempts == 2 ? 1 : 0;
     entry.client->RequestPlacement(
         ask,
@@ -309,6 +388,11 @@
   void OnPlaced(const Work& work, const PlacementReply& reply) {
     if (reply.verdict != PlacementVerdict::kPlaced) {
       healthy_refused_ += work.poison ? 0 : 1;
+      sound_blocked_ +=
+          !work.poison && reply.verdict == PlacementVerdict::kBlocked ? 1 : 0;
+      if (work.mark != PartKey()) {
+        At(now_ + kReturnDelay, [this, work] { Return(work); });
+      }
       return;
     }
     if (work.poison) {
@@ -317,8 +401,10 @@
     const TargetId target = reply.target;
     const uint64_t id = next_work_++;
     if (std::find(targets_.begin(), targets_.end(), target) == targets_.end()) {
-      At(now_ + milliseconds(1), [this, work] {
-        Report(work, PlacementEvent::kTargetFailed, TargetId());
+      // A target without work goes down unnoticed until it is tried.
+      const TargetId failed = work.mark == PartKey() ? TargetId() : target;
+      At(now_ + milliseconds(1), [this, work, failed] {
+        Report(work, PlacementEvent::kTargetFailed, failed);
         Retry(work);
       });
       return;
@@ -355,6 +441,7 @@
       return;
     }
     if (work->poison) {
+      crashes_by_mark_[work->mark] += work->mark != PartKey() ? 1 : 0;
       Crash(target);
       return;
     }
@@ -397,7 +484,11 @@
   void Retry(const Work& work) {
     const Entry& entry = *entries_[static_cast<size_t>(work.entry)];
     if (work.attempts_left > 1 && entry.incarnation == work.incarnation) {
-      SendFrom(work.entry, work.poison, work.attempts_left - 1);
+      Work next = work;
+      --next.attempts_left;
+      SendWork(next);
+    } else if (work.mark != PartKey()) {
+      At(now_ + kReturnDelay, [this, work] { Return(work); });
     }
   }
 
@@ -415,7 +506,12 @@
   int hidden_agent_ = -1;
   std::vector<Time> crash_times_;
   std::vector<Time> poison_sends_;
+  std::map<PartKey, size_t> crashes_by_mark_;  // Of deadly requests.
+  uint64_t next_mark_ = 1'000;
+  size_t sound_blocked_ = 0;
+  size_t sound_given_up_ = 0;
   size_t reports_ = 0;
+  size_t mark_reports_ = 0;
   size_t healthy_refused_ = 0;
   size_t healthy_sent_ = 0;
   size_t healthy_begun_ = 0;
@@ -545,6 +641,88 @@
   EXPECT_LE(fleet.reports() - reports, 24 * static_cast<size_t>(entries()));
 }
 
+// Requests that each crash every target they run on, all of whose parts sound
+// requests share.
+class DeadlyRequestFleetTest : public LeaderFleetTest {
+ protected:
+  static constexpr int kDeadlyPerS = 2;
+  static constexpr int kSoundPerS = 100;
+  // Reports of suspicions; independent of the number of entries.
+  static constexpr size_t kMaxMarkReportsPerCrash = 20;
+
+  static void ExpectRequestsAreBlocked(const LeaderFleet& fleet) {
+    EXPECT_GT(fleet.deadly_requests(), 4u);
+    EXPECT_LE(fleet.most_crashes_by_request(), kMaxCrashesByRequest);
+    EXPECT_EQ(fleet.sound_blocked(), 0u);
+    EXPECT_EQ(fleet.sound_given_up(), 0u);
+    EXPECT_GT(fleet.healthy_answered(), 100u);
+  }
+};
+
+INSTANTIATE_TEST_SUITE_P(Entries,
+                         DeadlyRequestFleetTest,
+                         testing::Combine(testing::Values(10, 100, 1'000),
+                                          testing::Values(1, 2)));
+
+// Guards against a request that takes down a target at each entry that its
+// client comes back to, and against refusals of requests that share its parts.
+TEST_P(DeadlyRequestFleetTest, RequestIsBlockedAtAllEntries) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.RunMarked(seconds(2), 0, kSoundPerS);
+  fleet.RunMarked(seconds(8), kDeadlyPerS, kSoundPerS);
+  ExpectRequestsAreBlocked(fleet);
+  // Each entry is told once of a block, and only agents of a suspicion.
+  EXPECT_LE(fleet.mark_reports(),
+            fleet.deadly_requests() * static_cast<size_t>(entries()) +
+                fleet.crashes() * kMaxMarkReportsPerCrash);
+}
+
+// Guards against evidence that is lost with a leader.
+TEST_P(DeadlyRequestFleetTest, BlockOutlivesLeaders) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.RunMarked(seconds(2), 0, kSoundPerS);
+  fleet.RunMarked(seconds(2), kDeadlyPerS, kSoundPerS);
+  for (int i = 0; i < LeaderFleet::kAgents; ++i) {
+    fleet.KillAgent(i, seconds(2));
+    fleet.RunMarked(seconds(4), kDeadlyPerS, kSoundPerS);
+  }
+  ExpectRequestsAreBlocked(fleet);
+}
+
+// Guards against evidence that is lost with an entry.
+TEST_P(DeadlyRequestFleetTest, BlockOutlivesEntries) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.RunMarked(seconds(2), 0, kSoundPerS);
+  for (int i = 0; i < 20; ++i) {
+    fleet.RestartEntry(i % entries());
+    fleet.RunMarked(milliseconds(250), kDeadlyPerS, kSoundPerS);
+  }
+  ExpectRequestsAreBlocked(fleet);
+}
+
+// Guards against two leaders that each need crashes of their own.
+TEST_P(DeadlyRequestFleetTest, RequestIsBlockedByTwoLeaders) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.HideAgentFromOddEntries(0);
+  fleet.RunMarked(seconds(3), 0, kSoundPerS);
+  fleet.RunMarked(seconds(8), kDeadlyPerS, kSoundPerS);
+  ExpectRequestsAreBlocked(fleet);
+}
+
+// Guards against blocks of requests that ordinary crashes cut off, and against
+// a storm of messages about them.
+TEST_P(DeadlyRequestFleetTest, OrdinaryCrashesBlockNoRequest) {
+  LeaderFleet fleet(entries(), seed());
+  fleet.RunMarked(seconds(2), 0, 200);
+  for (int i = 0; i < 40; ++i) {
+    fleet.CrashTargets(i == 20 ? LeaderFleet::kTargets / 2 : 1);
+    fleet.RunMarked(milliseconds(250), 0, 200);
+  }
+  EXPECT_EQ(fleet.blocks(), 0u);
+  EXPECT_EQ(fleet.sound_blocked(), 0u);
+  EXPECT_LE(fleet.mark_reports(), fleet.crashes() * kMaxMarkReportsPerCrash);
+}
+
 // Entries that exchange reports with their heartbeat peers. All requests with
 // kPoison crash their engine 150 ms after they were offered.
 class GossipFleet {
@@ -591,6 +769,44 @@
     }
   }
 
+  // Requests that crash by themselves; all entries know answers with kFirst.
+  // Their clients come back through any entry.
+  void RunDeadly(Duration length, int deadly_per_s) {
+    const Time end = now_ + length;
+    while (now_ < end) {
+      now_ += milliseconds(1);
+      if (now_.time_since_epoch() % seconds(1) == Duration(0)) {
+        for (CrashBlame& it : blames_) {
+          it.OnAnswer({kFirst}, now_);
+        }
+      }
+      if (random_.UniformReal() * 1'000 < deadly_per_s) {
+        OfferDeadly(AnyEntry(), PartKey(next_mark_++), kAttempts,
+                    kClientAttempts);
+      }
+      while (!events_.empty() && events_.begin()->first <= now_) {
+        auto node = events_.extract(events_.begin());
+        node.mapped()();
+      }
+    }
+  }
+  size_t most_crashes_by_request() const {
+    size_t most = 0;
+    for (const auto& [mark, crashes] : crashes_by_mark_) {
+      most = std::max(most, crashes);
+    }
+    return most;
+  }
+  // Entries at which a sound request with kFirst may be sent at once.
+  size_t CountServing() const {
+    return static_cast<size_t>(
+        std::count_if(blames_.begin(), blames_.end(), [&](const auto& it) {
+          const auto decision = it.Check({kFirst}, 0, now_, PartKey(9));
+          return decision.verdict == CrashBlame::Verdict::kSend &&
+                 !decision.is_trial;
+        }));
+  }
+
   // Healthy requests that share the first part and one of `sessions` further
   // ones, while a target crashes every half second.
   void RunHealthy(Duration length, int requests_per_s, uint64_t sessions) {
@@ -652,6 +868,41 @@
         });
   }
 
+  int AnyEntry() {
+    return static_cast<int>(random_.UniformBelow(blames_.size()));
+  }
+
+  void OfferDeadly(int index, PartKey mark, int attempts, int returns) {
+    const uint64_t trial = next_trial_++;
+    const CrashBlame::Verdict verdict =
+        blame(index).Check({kFirst}, trial, now_, mark).verdict;
+    if (verdict == CrashBlame::Verdict::kWait) {
+      events_.emplace(now_ + milliseconds(20), [=, this] {
+        OfferDeadly(index, mark, attempts, returns);
+      });
+      return;
+    }
+    if (verdict == CrashBlame::Verdict::kBlocked || attempts == 0) {
+      if (returns > 1) {
+        events_.emplace(now_ + kReturnDelay, [=, this] {
+          OfferDeadly(AnyEntry(), mark, kAttempts, returns - 1);
+        });
+      }
+      return;
+    }
+    blame(index).OnSent({kFirst}, trial, now_, mark);
+    const Time sent = now_;
+    events_.emplace(now_ + milliseconds(150), [=, this] {
+      ++crashes_;
+      ++crashes_by_mark_[mark];
+      blame(index).OnCrash({kFirst}, std::to_string(crashes_), sent,
+                           CrashEvidence::kAtStart, now_, mark);
+      blame(index).EndTrial(trial);
+      Spread(index);
+      OfferDeadly(index, mark, attempts - 1, returns);
+    });
+  }
+
   struct HealthyWork {
     int entry = 0;
     PartKey session;
@@ -711,6 +962,8 @@
   std::vector<std::vector<int>> peers_;
   std::vector<CrashBlame> blames_;
   std::map<uint64_t, std::map<uint64_t, HealthyWork>> healthy_;  // By target.
+  std::map<PartKey, size_t> crashes_by_mark_;
+  uint64_t next_mark_ = 1'000;
   uint64_t next_trial_ = 1;
   size_t crashes_ = 0;
   size_t messages_ = 0;
@@ -738,6 +991,20 @@
   EXPECT_EQ(fleet.messages(), messages);
 }
 
+// Guards against a request that takes down an engine through each entry that
+// its client comes back to.
+TEST_P(GossipFleetTest, DeadlyRequestIsBlockedAtAllEntries) {
+  const auto [entries, seed] = GetParam();
+  GossipFleet fleet(entries, seed);
+  fleet.RunDeadly(seconds(1), 0);
+  fleet.RunDeadly(seconds(6), 2);
+  EXPECT_GT(fleet.crashes(), 10u);
+  EXPECT_LE(fleet.most_crashes_by_request(), kMaxCrashesByRequest);
+  EXPECT_EQ(fleet.CountServing(), static_cast<size_t>(entries));
+  EXPECT_LE(fleet.messages(),
+            fleet.crashes() * static_cast<size_t>(entries) * 24);
+}
+
 // Guards against blame of a hot part and of sessions for crashes that have
 // another cause.
 TEST_P(GossipFleetTest, OrdinaryCrashesBlameNoPart) {
--- a/tests/crash_blame_test.cc
+++ b/tests/crash_blame_test.cc
@@ -471,8 +471,225 @@
   EXPECT_EQ(blame_.suspect_count(), 0u);
 }
 
+// Requests that have a mark of their own. Their first part is in every prompt.
+class RequestBlameTest : public CrashBlameTest {
+ protected:
+  static constexpr PartKey kDeadly{70};
+  static constexpr PartKey kSound{71};
+
+  Verdict CheckRequest(PartKey mark) {
+    return blame_.Check({kFirst}, next_trial_, now_, mark).verdict;
+  }
+  void AnswerRequest(PartKey mark) {
+    now_ += milliseconds(100);
+    blame_.OnSent({kFirst}, next_trial_, now_, mark);
+    now_ += milliseconds(100);
+    blame_.OnAnswer({kFirst}, now_, mark);
+    blame_.EndTrial(next_trial_++);
+  }
+  void CrashRequest(PartKey mark,
+                    CrashEvidence evidence = CrashEvidence::kAtStart) {
+    CrashWithParts({kFirst}, mark, evidence);
+  }
+  void CrashWithParts(const PartKeys& parts,
+                      PartKey mark,
+                      CrashEvidence evidence = CrashEvidence::kAtStart) {
+    now_ += milliseconds(100);
+    blame_.OnSent(parts, next_trial_, now_, mark);
+    const Time sent = now_;
+    now_ += milliseconds(100);
+    blame_.OnCrash(parts, NextTarget(), sent, evidence, now_, mark);
+    blame_.EndTrial(next_trial_++);
+  }
+};
+
+// Guards against a block of a part that sound requests share, while the request
+// that crashes targets goes on to the next one.
+TEST_F(RequestBlameTest, BlocksTheRequestAndNotItsAnsweredParts) {
+  AnswerRequest(kSound);
+  for (uint64_t mark = 100; mark < 130; ++mark) {
+    CrashRequest(PartKey(mark));
+    EXPECT_EQ(CheckRequest(PartKey(mark)), Verdict::kSend);
+    EXPECT_EQ(CheckRequest(kSound), Verdict::kSend);
+    CrashRequest(PartKey(mark));
+    EXPECT_EQ(CheckRequest(PartKey(mark)), Verdict::kBlocked);
+    EXPECT_FALSE(blame_.Check({kFirst}, 1, now_, kSound).is_trial);
+    EXPECT_FALSE(blame_.Check({kFirst}, 1, now_).is_trial);
+    AnswerRequest(kSound);
+  }
+  EXPECT_EQ(CheckRequest(PartKey(100)), Verdict::kBlocked);
+}
+
+// Guards against a new part that sound requests share and that is blocked
+// because one request with it crashes targets, and against one that is never
+// blocked because each request is.
+TEST_F(RequestBlameTest, CrashesOfOneRequestCountOnceAgainstItsParts) {
+  CrashWithParts({kPoison}, kDeadly);
+  CrashWithParts({kPoison}, kDeadly);
+  EXPECT_EQ(blame_.Check({kPoison}, 1, now_, kDeadly).verdict,
+            Verdict::kBlocked);
+  EXPECT_EQ(blame_.Check({kPoison}, 1, now_, kSound).verdict, Verdict::kSend);
+  CrashWithParts({kPoison}, PartKey(72));
+  EXPECT_EQ(blame_.Check({kPoison}, 1, now_, kSound).verdict,
+            Verdict::kBlocked);
+}
+
+// Guards against refusals of requests that were read beside others that crashed
+// their targets, or when a rack was lost.
+TEST_F(RequestBlameTest, RequestBesideCrashesIsSentAgainAndCleared) {
+  AnswerRequest(PartKey(72));
+  CrashRequest(kSound, CrashEvidence::kUnanswered);
+  CrashRequest(kSound, CrashEvidence::kUnanswered);
+  EXPECT_EQ(CheckRequest(kSound), Verdict::kSend);
+  AnswerRequest(kSound);
+  CrashRequest(kSound);
+  EXPECT_EQ(CheckRequest(kSound), Verdict::kSend);
+  AnswerRequest(kSound);
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+  const Time sent = SentNow();
+  for (int i = 0; i < 20; ++i) {
+    now_ += milliseconds(1);
+    blame_.OnCrash({kFirst}, NextTarget(), sent, CrashEvidence::kAtStart, now_,
+                   kSound);
+  }
+  EXPECT_EQ(CheckRequest(kSound), Verdict::kSend);
+  EXPECT_EQ(blame_.counters().blocks, 0u);
+}
+
+// Guards against a block of a request that was beside another one at both
+// crashes of that one.
+TEST_F(RequestBlameTest, RequestsWithTheSameCrashesAreToldApart) {
+  AnswerRequest(PartKey(72));
+  for (int i = 0; i < 2; ++i) {
+    now_ += milliseconds(100);
+    const Time sent = now_;
+    const std::string target = NextTarget();
+    now_ += milliseconds(100);
+    for (const PartKey it : {kDeadly, kSound}) {
+      now_ += milliseconds(1);
+      blame_.OnCrash({kFirst}, target, sent, CrashEvidence::kAtStart, now_, it);
+    }
+  }
+  for (const PartKey it : {kDeadly, kSound}) {
+    EXPECT_EQ(CheckRequest(it), Verdict::kSend);
+    EXPECT_TRUE(blame_.Check({kFirst}, 1, now_, it).is_trial);
+  }
+  CrashRequest(kDeadly);
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kBlocked);
+  AnswerRequest(kSound);
+  EXPECT_FALSE(blame_.Check({kFirst}, 1, now_, kSound).is_trial);
+}
+
+// Guards against a request that crashes its targets before they answer and is
+// sent to more and more of them.
+TEST_F(RequestBlameTest, ThreeUnansweredCrashesBlockTheRequest) {
+  AnswerRequest(kSound);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(CheckRequest(kDeadly), Verdict::kSend);
+    CrashRequest(kDeadly, CrashEvidence::kUnanswered);
+  }
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kBlocked);
+}
+
+// Guards against a client that sends its request through several entries at
+// once and takes down a target through each.
+TEST_F(RequestBlameTest, SuspectRequestIsTriedOnceAtATime) {
+  AnswerRequest(kSound);
+  blame_.OnSent({kFirst}, 100, now_, kDeadly);
+  CrashRequest(kDeadly);
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kWait);
+  EXPECT_EQ(CheckRequest(kSound), Verdict::kSend);
+  blame_.EndTrial(100);
+  const CrashBlame::Decision trial = blame_.Check({kFirst}, 1, now_, kDeadly);
+  EXPECT_EQ(trial.verdict, Verdict::kSend);
+  EXPECT_TRUE(trial.is_trial);
+  blame_.OnSent({kFirst}, 101, now_, kDeadly);
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kWait);
+  // The end of a trial may be lost with the process that was to report it.
+  now_ += seconds(6);
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kSend);
+}
+
+// Guards against an agent that takes over without the evidence against a
+// request, and against a report that suspects an answered one again.
+TEST_F(RequestBlameTest, EvidenceOfSeveralProcessesAddsUp) {
+  AnswerRequest(kSound);
+  CrashRequest(kDeadly);
+  CrashBlame next;
+  next.SetJudging(false);
+  next.Merge(blame_.TakeChanges(now_), now_);
+  now_ += milliseconds(100);
+  const Time sent = now_;
+  now_ += milliseconds(100);
+  next.OnCrash({kFirst}, "elsewhere", sent, CrashEvidence::kAtStart, now_,
+               kDeadly);
+  EXPECT_EQ(next.Check({kFirst}, 1, now_, kDeadly).verdict, Verdict::kSend);
+  next.SetJudging(true);
+  for (int i = 0; i < 5; ++i) {
+    next.Merge(blame_.Export(now_), now_ + milliseconds(i));
+  }
+  EXPECT_EQ(next.Check({kFirst}, 1, now_, kDeadly).verdict, Verdict::kBlocked);
+  EXPECT_EQ(next.Check({kFirst}, 1, now_, kSound).verdict, Verdict::kSend);
+  const BlameReport late = blame_.Export(now_);
+  AnswerRequest(kDeadly);
+  blame_.Merge(late, now_);
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+  next.Merge(blame_.TakeChanges(now_), now_);
+  EXPECT_EQ(next.Check({kFirst}, 1, now_, kDeadly).verdict, Verdict::kSend);
+}
+
+// Guards against marks that stay in memory, that push out suspect parts or
+// answers, and against reports beyond their limits.
+TEST_F(RequestBlameTest, MarksAreBounded) {
+  AnswerRequest(kSound);
+  CrashRequest(kDeadly);
+  CrashRequest(kDeadly);
+  Crash({kPoison});
+  for (uint64_t mark = 1'000; mark < 6'000; ++mark) {
+    blame_.OnCrash({kFirst}, NextTarget(), now_ - milliseconds(1),
+                   CrashEvidence::kAtStart, now_, PartKey(mark));
+    blame_.OnSent({kFirst}, mark, now_, PartKey(mark + 10'000));
+    blame_.OnAnswer({kFirst}, now_, PartKey(mark + 10'000));
+    blame_.EndTrial(mark);
+  }
+  EXPECT_LE(blame_.suspect_count(), RequestBlame::kMaxSuspects + 2);
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kBlocked);
+  EXPECT_TRUE(blame_.Check({kPoison}, 1, now_).is_trial);
+  const BlameReport report = blame_.Export(now_);
+  EXPECT_LE(report.records.size(), kMaxBlameRecords);
+  EXPECT_EQ(report.answered.size(), 1u);
+  now_ += minutes(5);
+  blame_.Prune(now_);
+  EXPECT_EQ(blame_.suspect_count(), 0u);
+}
+
+// Guards against a leader that tells all entries of each request that was
+// beside an ordinary crash.
+TEST_F(RequestBlameTest, LeaderTellsOnlyOfLiftedRequests) {
+  blame_.SetTellsRequests(false);
+  AnswerRequest(kSound);
+  blame_.TakeChanges(now_);
+  for (uint64_t mark = 100; mark < 120; ++mark) {
+    blame_.OnCrash({kFirst}, "t", now_ - milliseconds(1),
+                   CrashEvidence::kAtStart, now_, PartKey(mark));
+  }
+  AnswerRequest(PartKey(100));
+  for (const BlameRecord& it : blame_.TakeChanges(now_).records) {
+    EXPECT_FALSE(it.is_own_mark);
+  }
+  CrashRequest(kDeadly);
+  CrashRequest(kDeadly);
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kBlocked);
+  EXPECT_NE(blame_.Dump(now_).find("\"is_own_mark\":true"), std::string::npos);
+  EXPECT_TRUE(blame_.Lift(kDeadly, now_));
+  EXPECT_EQ(CheckRequest(kDeadly), Verdict::kSend);
+  EXPECT_FALSE(blame_.TakeChanges(now_).answered.empty());
+}
+
 // Guards against blame that crosses from one model to another.
 TEST_F(CrashBlameTest, KeysDifferByModel) {
+  EXPECT_NE(MakeOwnMark("a", 1), MakeOwnMark("b", 1));
+  EXPECT_NE(MakeOwnMark("a", 1), MakePartKey("a", uint64_t{1}));
   EXPECT_NE(MakePartKey("a", "part"), MakePartKey("b", "part"));
   EXPECT_NE(MakePartKey("a", uint64_t{1}), MakePartKey("b", uint64_t{1}));
 }
--- a/tests/ctl_parts_test.cc
+++ b/tests/ctl_parts_test.cc
@@ -23,6 +23,7 @@
       "10.0.0.1:80", StateWith(blame.Dump(now + std::chrono::seconds(13))));
   ASSERT_TRUE(suspects);
   ASSERT_EQ(suspects->size(), 1u);
+  EXPECT_EQ((*suspects)[0].kind, "parts");
   EXPECT_EQ((*suspects)[0].parts, "00000000000000ab");
   EXPECT_EQ((*suspects)[0].state, "blocked");
   EXPECT_EQ((*suspects)[0].crashes, 2);
@@ -36,6 +37,29 @@
             std::string::npos);
 }
 
+// Guards against a blocked request that operators cannot see, and against one
+// that looks like a part of many.
+TEST(CtlPartsTest, ListsRequestsThatAreSuspectByThemselves) {
+  CrashBlame blame;
+  const Time now{std::chrono::seconds(100)};
+  blame.OnCrash({}, "t1", now, CrashEvidence::kAtStart,
+                now + std::chrono::seconds(1), PartKey(0xcd));
+  blame.OnCrash({}, "t2", now + std::chrono::seconds(2),
+                CrashEvidence::kAtStart, now + std::chrono::seconds(3),
+                PartKey(0xcd));
+  const auto suspects = ParseSuspects(
+      "10.0.0.1:80", StateWith(blame.Dump(now + std::chrono::seconds(13))));
+  ASSERT_TRUE(suspects);
+  ASSERT_EQ(suspects->size(), 1u);
+  EXPECT_EQ((*suspects)[0].kind, "request");
+  EXPECT_EQ((*suspects)[0].parts, "00000000000000cd");
+  EXPECT_EQ((*suspects)[0].state, "blocked");
+  EXPECT_NE(FormatSuspects(*suspects, false).find("request"),
+            std::string::npos);
+  EXPECT_NE(FormatSuspects(*suspects, true).find("\"kind\":\"request\""),
+            std::string::npos);
+}
+
 // Guards against state of another process that is taken for an empty list.
 TEST(CtlPartsTest, RejectsOtherStates) {
   EXPECT_TRUE(ParseSuspects("a", StateWith(R"({"suspects":[]})")));
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -558,6 +558,53 @@
   EXPECT_NE(dump.find("\"phase\":\"offered\""), std::string::npos);
 }
 
+// Guards against a request that crashes engine after engine as its caller sends
+// it again, and against refusals of requests that share all of its full blocks.
+TEST(EntryCrashBlameTest, StopsOfferingRequestThatCrashesEngines) {
+  constexpr uint64_t kDeadly = 77;
+  constexpr uint32_t kMaxCrashes = 3;
+  EntryDriver driver(1);
+  std::vector<std::string> names;
+  for (int i = 0; i < 30; ++i) {
+    names.push_back("engine-" + std::to_string(i));
+    driver.AddAgent(names.back(), "dc-a", "model", "").crashing_prefixes = {
+        kDeadly};
+  }
+  driver.Start();
+  std::vector<RequestId> healthy;
+  RequestId last_deadly;
+  const auto submit_healthy = [&](uint64_t i) {
+    RequestSpec other = driver.Completion();
+    other.prefix_hashes = {1, 2, 2'000 + i};
+    other.prompt_hash = 2'000 + i;
+    healthy.push_back(driver.Submit(other));
+    driver.Run(milliseconds(250));
+  };
+  submit_healthy(0);
+  for (uint64_t i = 1; i < 20; ++i) {
+    RequestSpec deadly = driver.Completion();
+    deadly.prefix_hashes = {1, 2, kDeadly};
+    deadly.prompt_hash = kDeadly;
+    last_deadly = driver.Submit(deadly);
+    submit_healthy(i);
+  }
+  uint32_t crashes = 0;
+  for (const std::string& it : names) {
+    crashes += driver.agent(it).crashes;
+  }
+  EXPECT_GE(crashes, 1u);
+  EXPECT_LE(crashes, kMaxCrashes);
+  for (const RequestId& it : healthy) {
+    const RequestEnd* end = driver.FirstEnd(it);
+    ASSERT_NE(end, nullptr);
+    EXPECT_TRUE(end->completed);
+  }
+  const RequestEnd* refused = driver.FirstEnd(last_deadly);
+  ASSERT_NE(refused, nullptr);
+  EXPECT_EQ(ToString(refused->failure.code), "part_blocked");
+  EXPECT_EQ(ToString(refused->failure.outcome), "not_run");
+}
+
 // Guards against one prefix of prompts that crashes engine after engine: each
 // request with it, new or repeated, was offered to another one.
 TEST(EntryCrashBlameTest, StopsOfferingPrefixThatCrashesEngines) {
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -9,6 +9,7 @@
 
 #include <gtest/gtest.h>
 
+#include "src/rendezvous.h"
 #include "tests/manual_timers.h"
 
 namespace burdockhatch {
@@ -31,6 +32,9 @@
     if (!part.empty()) {
       fields.shared_parts = {"first", part};
     }
+    if (const std::string own = Text(headers, "own"); !own.empty()) {
+      fields.prompt_hash = StableHash(own);
+    }
     return fields;
   }
   HeaderList BuildForwardHeaders(const HeaderList&,
@@ -1144,5 +1148,45 @@
   EXPECT_LE(crashes, kMaxCrashes + kMaxSendsAfterThem);
 }
 
+// Guards against a request that takes down target after target as its client
+// comes back, and against refusals of those that share its answered parts.
+TEST_F(ForwardRequestTest, RequestThatCrashesTargetsIsKnownByItsOwnPart) {
+  AddTargets("llm", 60);
+  constexpr size_t kMaxCrashesPerRequest = 2;
+  int sound = 0;
+  const auto answer_sound = [&] {
+    const size_t sent = connector_.calls.size();
+    Send("/stream/",
+         {{"part", "document"}, {"own", "sound" + std::to_string(sound++)}});
+    ASSERT_EQ(connector_.calls.size(), sent + 1);
+    Head(sent);
+    Body(sent, "id: 0\ndata: a\n\n");
+    End(sent);
+    EXPECT_EQ(exchange_->text, "id: 0\ndata: a\n\n");
+  };
+  answer_sound();
+  for (int request = 0; request < 3; ++request) {
+    const std::string own = "deadly" + std::to_string(request);
+    size_t crashes = 0;
+    for (int attempt = 0; attempt < 10; ++attempt) {
+      timers_.Advance(milliseconds(300));
+      size_t sent = connector_.calls.size();
+      Send("/stream/", {{"part", "document"}, {"own", own}});
+      for (; sent < connector_.calls.size(); ++sent) {
+        Head(sent);
+        End(sent, ForwardCallResult::kBroken);
+        ++crashes;
+      }
+      if (attempt % 3 == 2) {
+        answer_sound();
+      }
+    }
+    EXPECT_LE(crashes, kMaxCrashesPerRequest);
+    EXPECT_EQ(exchange_->status, 503u);
+    EXPECT_NE(exchange_->text.find("part_blocked"), std::string::npos);
+    answer_sound();
+  }
+}
+
 }  // namespace
 }  // namespace burdockhatch
--- a/tests/placement_scheduler_test.cc
+++ b/tests/placement_scheduler_test.cc
@@ -168,6 +168,30 @@
   }
 }
 
+// Guards against two suspect requests on one target, whose crash would not tell
+// which one is to blame.
+TEST_F(PlacementSchedulerTest, SuspectRequestsAreTriedOnTargetsOfTheirOwn) {
+  constexpr uint64_t kSuspects = 4;
+  std::vector<uint64_t> numbers;
+  const auto make_ask = [&](uint64_t mark) {
+    PlacementAsk ask = MakeAsk(kShortPrompt);
+    ask.own_mark = PartKey(mark);
+    return ask;
+  };
+  for (uint64_t mark = 1; mark <= kSuspects; ++mark) {
+    const PlacementReply reply = RequestPlacement(make_ask(mark));
+    now_ += milliseconds(50);
+    ApplyChange(reply.number, PlacementEvent::kBrokenAtStart,
+                reply.target.value());
+  }
+  now_ += std::chrono::seconds(5);
+  std::set<TargetId> of_suspects;
+  for (uint64_t mark = 1; mark <= kSuspects; ++mark) {
+    of_suspects.insert(RequestPlacement(make_ask(mark)).target);
+  }
+  EXPECT_EQ(of_suspects.size(), kSuspects);
+}
+
 // Guards against parts of long prompts in quick succession that share a pass
 // and stall an answer beyond its gap target.
 TEST_F(PlacementSchedulerTest, PartsOfSeveralPromptsKeepTheGapTarget) {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -216,6 +216,15 @@
   ask.service = ServiceId("llm");
   ask.parts = {PartKey(1), PartKey(2)};
   EXPECT_EQ(std::get<PlacementAsk>(round_trip(ask)).parts, ask.parts);
+  ask.own_mark = PartKey(3);
+  EXPECT_EQ(std::get<PlacementAsk>(round_trip(ask)).own_mark, PartKey(3));
+  PlacementSnapshot snapshot;
+  snapshot.works.emplace_back();
+  snapshot.works[0].service = ServiceId("llm");
+  snapshot.works[0].target = TargetId("t");
+  snapshot.works[0].own_mark = PartKey(4);
+  EXPECT_EQ(std::get<PlacementSnapshot>(round_trip(snapshot)).works[0].own_mark,
+            PartKey(4));
   ask.parts.assign(kMaxPartsOfPrompt + 1, PartKey(1));
   EXPECT_EQ(ErrorOf(Decode, Encode(Wrap(ask))), WireError::kBadCount);
   BlameReport report = SampleBlameReport();
