Tell entries of a blocked request at once

Cause: the leader told its entries of blocked requests at its next tick only.

Change: it does so with the message that leads to the block. The wire test shows that messages without marks are read.

--- a/src/placement_leader.cc
+++ b/src/placement_leader.cc
@@ -95,6 +95,7 @@
   }
   SendDecisions();
   SpreadBlame(now);
+  SpreadBlockedRequests(now);
 }
 
 // An agent that places no requests is told of crashes but not of answers, and
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -235,6 +235,26 @@
   EXPECT_EQ(ErrorOf(Decode, Encode(Wrap(report))), WireError::kMissingId);
 }
 
+// Guards against an update during which processes with and without marks of
+// requests do not understand each other.
+TEST(WireTest, MarksOfRequestsAreOptional) {
+  PlacementAsk ask;
+  ask.service = ServiceId("llm");
+  ask.parts = {PartKey(1)};
+  const std::string without = Encode(Wrap(ask));
+  const leaf::result<Message> decoded = Decode(without);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<PlacementAsk>(decoded->body).own_mark, PartKey());
+  ask.own_mark = PartKey(3);
+  EXPECT_GT(Encode(Wrap(ask)).size(), without.size());
+  BlameReport report = SampleBlameReport();
+  report.records[0].is_own_mark = true;
+  report.records[0].sightings[0].own_mark = PartKey(3);
+  const leaf::result<Message> told = Decode(Encode(Wrap(report)));
+  ASSERT_TRUE(told);
+  EXPECT_EQ(std::get<BlameReport>(told->body), report);
+}
+
 // Guards against what targets say of themselves being dropped by the codec,
 // accepted without limit, or accepted with a rate that is no number.
 TEST(WireTest, SignalReportIsKeptAndBounded) {
