Do not report an answered call as not run when its answer cannot be sent

Callers of calls that may run once could hear 503 (not run) after their target had answered, when there was no memory for the response.

Cause: the attempt had ended when the exception came, so that nothing showed that the request had been sent.

A complete response of a target now counts as executed before it is passed on.

AnswerThatCannotBeSentIsNotReportedAsNotRun fails without the change (503) and passes with it.

--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -717,6 +717,7 @@
     FailAttempt(attempt, AttemptFailure::kNotExecuted);
     return;
   }
+  may_have_executed_ = true;
   if (attempt->is_streaming) {
     if (!IsStreamComplete(*attempt)) {
       FailAttempt(attempt, AttemptFailure::kBroken);
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -122,6 +122,7 @@
                     const HeaderList& answer_headers,
                     const std::string& body) override {
     if (throws) {
+      throws = !throws_once;
       throw std::bad_alloc();
     }
     ++ends;
@@ -151,6 +152,7 @@
   HeaderList headers;
   std::string text;
   bool throws = false;  // For want of memory for a response.
+  bool throws_once = false;
   bool aborted = false;
   bool congested = false;
   std::function<void()> on_drained;
@@ -997,6 +999,19 @@
   EXPECT_TRUE(connector_.calls.empty());
 }
 
+// Guards against a call that is reported as not run although its target has
+// answered: there was no memory for the response, and enough for the refusal.
+TEST_F(ForwardRequestTest, AnswerThatCannotBeSentIsNotReportedAsNotRun) {
+  Send("/once/1");
+  exchange_->throws = true;
+  exchange_->throws_once = true;
+  Head(0);
+  Body(0, "whole");
+  End(0);
+  EXPECT_EQ(exchange_->ends, 1);
+  EXPECT_EQ(exchange_->status, 502u);
+}
+
 // Guards against a request that stays open for ever because its refusal could
 // not be sent.
 TEST_F(ForwardRequestTest, RequestWhoseRefusalFailsIsAborted) {
