Refuse a request that cannot be taken for want of memory

An exception while a whole request was taken out of its parser, or while the watch for a disconnect began, closed the connection without an answer and without a report. The parser now keeps the message until nothing can throw, so that the connection refuses it; a request without the watch is handled.

Found by a review, not reproduced; the tests of CallerServerHttpTest pass.

--- a/src/caller_request_http.cc
+++ b/src/caller_request_http.cc
@@ -79,8 +79,9 @@
 }
 
 ReceivedRequest CallerRequestReader::Take() {
-  http::request<http::string_body> message = parser_->release();
-  parser_.reset();
+  // The parser keeps the message until nothing can throw, so that a request
+  // that cannot be taken can be refused.
+  http::request<http::string_body>& message = parser_->get();
   ReceivedRequest request;
   request.method = std::string(message.method_string());
   request.path = std::string(message.target());
@@ -90,6 +91,7 @@
         {std::string(it.name_string()), std::string(it.value())});
   }
   request.body = std::make_shared<const std::string>(std::move(message.body()));
+  parser_.reset();
   return request;
 }
 
--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -323,7 +323,7 @@
     // Input of a pipelined request ends the watch, because a disconnect behind
     // it can be detected only by reading that request.
     if (reader_.buffered_bytes() == 0) {
-      WatchInput();
+      RunGuarded("caller_connection", [this] { WatchInput(); });
     }
     if (!RunGuarded("request_handler", [&] {
           shared_->handler(shared_from_this(), std::move(request));
