Go on with ticks and actions after one that threw

An exception in a tick stopped all later ticks of the process, and one in an action of an entry dropped the answers of all requests behind it.

Each action, and each step of a tick, now ends by itself. Found by a review, not reproduced.

--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -217,13 +217,17 @@
 
 void DaemonLoop::Tick() {
   const Time now = Now();
-  if (now >= internals_->next_config_spread_tick) {
-    internals_->next_config_spread_tick = now + kConfigTickInterval;
-    internals_->config_spread.Tick(now);
-  }
-  OnTick(now);
-  ExecutePendingActions();
-  UpdateServingPhase(now);
+  RunGuarded("config_tick", [&] {
+    if (now >= internals_->next_config_spread_tick) {
+      internals_->next_config_spread_tick = now + kConfigTickInterval;
+      internals_->config_spread.Tick(now);
+    }
+  });
+  RunGuarded("tick", [&] {
+    OnTick(now);
+    ExecutePendingActions();
+  });
+  RunGuarded("serving_phase", [&] { UpdateServingPhase(now); });
   if (!control_io_.stopped()) {
     StartTick();
   }
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -10,6 +10,7 @@
 #include "src/daemon_loop.h"
 #include "src/entry_core.h"
 #include "src/entry_tables.h"
+#include "src/exception_guard.h"
 
 namespace burdockhatch {
 
@@ -110,7 +111,10 @@
 
   void ExecuteActions(Time) override {
     for (EntryAction& it : core_.TakeActions()) {
-      std::visit([this](auto& action) { Execute(action); }, it);
+      // The actions that follow may answer other requests.
+      RunGuarded("action", [&] {
+        std::visit([this](auto& action) { Execute(action); }, it);
+      });
     }
   }
 
--- a/src/forward_loop_daemon.cc
+++ b/src/forward_loop_daemon.cc
@@ -129,14 +129,12 @@
   const Time now = Now();
   Duration next = kTickRetryDelay;
   RunGuarded("tick", [&] { next = OnTick(now); });
-  const bool ready = IsReady();
-  if (ready != ready_ && !stopping_) {
-    ready_ = ready;
-    Log(LogLevel::kInfo, ready ? "ready" : "not_ready");
-    admin_server_->SetPhase(ready ? ServingPhase::kServing
-                                  : ServingPhase::kStarting);
-  }
-  if (stopping_ && CanExit(now - stop_requested_at_)) {
+  bool can_exit = false;
+  RunGuarded("serving_phase", [&] {
+    UpdateReadiness();
+    can_exit = stopping_ && CanExit(now - stop_requested_at_);
+  });
+  if (can_exit) {
     io_.stop();
     return;
   }
@@ -148,6 +146,17 @@
   });
 }
 
+void ForwardDaemonBase::UpdateReadiness() {
+  const bool ready = IsReady();
+  if (ready == ready_ || stopping_) {
+    return;
+  }
+  ready_ = ready;
+  Log(LogLevel::kInfo, ready ? "ready" : "not_ready");
+  admin_server_->SetPhase(ready ? ServingPhase::kServing
+                                : ServingPhase::kStarting);
+}
+
 void ForwardDaemonBase::DumpState(std::function<void(std::string)> done) {
   asio::post(io_, [this, done = std::move(done)] {
     done(fmt::format(
--- a/src/forward_loop_daemon.h
+++ b/src/forward_loop_daemon.h
@@ -79,6 +79,7 @@
   void WaitForSignal();
   void OnSignal(int signal);
   void Tick();
+  void UpdateReadiness();
 
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_;
