--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -729,7 +729,7 @@
   BlameReport report;
   BlameRecord& record = report.records.emplace_back();
   record.parts = {MakePartKey("model", kPoison)};
-  record.sightings = {{1, 2, milliseconds(100), seconds(2)}};
+  record.sightings = {{1, 2, milliseconds(100), seconds(2), PartKey()}};
   record.blocks = 1;
   record.blocked_left = seconds(90);
   driver.Deliver(agent, report);
