--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -131,7 +131,7 @@
   void PauseWhileCongested();
   bool ExceedsResponseLimits(const ForwardAttempt& attempt, size_t more) const;
   void DropBody(ForwardAttempt& attempt);
-  // Makes `attempt` the only one: its response is forwarded.
+  // Forwards the response of `attempt` and ends all other attempts.
   void ChooseAttempt(const ForwardAttemptPtr& attempt);
   void FailAttempt(const ForwardAttemptPtr& attempt, AttemptFailure failure);
   void KeepErrorResponse(ForwardAttempt& attempt);
