--- a/review/standin.h
+++ b/review/standin.h
@@ -591,10 +591,13 @@
 
 inline std::string g_directory;  // Of settings and logs.
 
-inline std::unique_ptr<Process> StartEntry(const std::string& node,
-                                           const Machine& machine,
-                                           const std::string& store,
-                                           const std::string& zone) {
+// Writes the settings of an entry as the platform fills in the template. Returns
+// the path of the file.
+inline std::string WriteEntrySettings(const std::string& node,
+                                      const Machine& machine,
+                                      const std::string& store,
+                                      const std::string& zone,
+                                      const std::string& grace_s) {
   const std::string path = g_directory + "/" + node + ".json";
   std::ofstream(path) << Fill(
       ReadFile("deploy/entry.json"),
@@ -612,7 +615,15 @@
        {"bounds.retry_budget_ratio", "0.2"},
        {"bounds.retry_window_s", "10"},
        {"bounds.budget_slack", "100"},
-       {"bounds.grace_s", "8"}});
+       {"bounds.grace_s", grace_s}});
+  return path;
+}
+
+inline std::unique_ptr<Process> StartEntry(const std::string& node,
+                                           const Machine& machine,
+                                           const std::string& store,
+                                           const std::string& zone) {
+  const std::string path = WriteEntrySettings(node, machine, store, zone, "8");
   return std::make_unique<Process>(path, g_directory + "/" + node + ".log");
 }
 
