--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,7 +1,7 @@
 // Streams are sent to the only entry of a zone. With the trouble, the platform
 // stops the entry, in calm; streams that come between 3 and 4 s later are taken
-// and passed on, too. The replicas write an event each 250 ms, half of the pause
-// that the route allows.
+// and passed on, too. The replicas write an event each 250 ms, half of the
+// pause that the route allows.
 #include "review/standin.h"
 
 using namespace review;
@@ -50,8 +50,8 @@
       if (i > 1) {
         SleepMs(kEventMs);
       }
-      const std::string event = "id: " + std::to_string(i) +
-                                "\ndata: tokens " + std::to_string(i) + "\n\n";
+      const std::string event = "id: " + std::to_string(i) + "\ndata: tokens " +
+                                std::to_string(i) + "\n\n";
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
       if (!SendAll(fd, size + event + "\r\n")) {
@@ -81,13 +81,12 @@
     const std::string app = replicas.back()->server->address();
     store.Put("servers", replicas.back()->id,
               ServerSpec("wire-llm", app, zone, 16));
-    agents.push_back(StartAgent(
-        app, {side, machine.bus_port, FreePort(side), 0}, store.address(),
-        zone));
+    agents.push_back(StartAgent(app,
+                                {side, machine.bus_port, FreePort(side), 0},
+                                store.address(), zone));
   }
-  store.Put(
-      "config", "main",
-      R"({"version":7,"routes":[{"name":"r-1","host":"h.example",
+  store.Put("config", "main",
+            R"({"version":7,"routes":[{"name":"r-1","host":"h.example",
       "path_prefix":"/review/","type":"streaming","timeout_ms":10000,
       "target_latency_ms":1500,"priority":1,"service":"wire-llm",
       "max_attempts":2,"anonymous":false,"sticky":true,"resumable":true,
@@ -131,8 +130,7 @@
         {{"Host", "h.example"},
          {"X-Attempt-Id", id},
          {"X-Model", "m"},
-         {"X-Token-Usage",
-          "10000," + std::to_string(kEvents * kTokensOfEvent)},
+         {"X-Token-Usage", "10000," + std::to_string(kEvents * kTokensOfEvent)},
          {"X-Prompt-Prefix", "5c1e07a2:40," + id + ":9960"},
          {"X-Deadline-Ms", "10000"},
          {"Authorization", "Token k1"}},
@@ -202,5 +200,7 @@
   const bool could_run = served > 0;
   entry.reset();
   agents.clear();
-  _exit(!could_run ? 2 : lost > 0 || (!HasTrouble() && !losses.empty()) ? 1 : 0);
+  _exit(!could_run                                       ? 2
+        : lost > 0 || (!HasTrouble() && !losses.empty()) ? 1
+                                                         : 0);
 }
--- a/review/standin.h
+++ b/review/standin.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -53,7 +54,8 @@
   return value == nullptr || std::string(value) != "0";
 }
 
-// --- Record -------------------------------------------------------------------
+// --- Record
+// -------------------------------------------------------------------
 
 inline FILE* g_record = nullptr;
 inline std::mutex g_record_mutex;
@@ -74,7 +76,8 @@
   std::fflush(g_record);
 }
 
-// --- HTTP ---------------------------------------------------------------------
+// --- HTTP
+// ---------------------------------------------------------------------
 
 inline bool SameName(const std::string& a, const std::string& b) {
   return a.size() == b.size() && strcasecmp(a.c_str(), b.c_str()) == 0;
@@ -211,7 +214,8 @@
   double at = 0;
 };
 
-inline std::string Text(int status, const Headers& headers,
+inline std::string Text(int status,
+                        const Headers& headers,
                         const std::string& body) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
   for (const auto& [name, value] : headers) {
@@ -286,8 +290,7 @@
         break;
       }
       const std::string length = request.Header("Content-Length");
-      if (!length.empty() &&
-          !reader.Bytes(std::stoul(length), &request.body)) {
+      if (!length.empty() && !reader.Bytes(std::stoul(length), &request.body)) {
         break;
       }
       if (!handler_(request, fd)) {
@@ -345,8 +348,8 @@
         whole = reader_.Chunks(&answer.body);
       } else {
         const std::string length = Find(answer.headers, "Content-Length");
-        whole = !length.empty() &&
-                reader_.Bytes(std::stoul(length), &answer.body);
+        whole =
+            !length.empty() && reader_.Bytes(std::stoul(length), &answer.body);
       }
     }
     answer.at = Seconds();
@@ -367,7 +370,8 @@
 };
 
 inline std::string RequestText(const std::string& method,
-                               const std::string& path, const Headers& headers,
+                               const std::string& path,
+                               const Headers& headers,
                                const std::string& body) {
   std::string text = method + " " + path + " HTTP/1.1\r\n";
   for (const auto& [name, value] : headers) {
@@ -379,7 +383,8 @@
   return text + "\r\n" + body;
 }
 
-// --- Store ----------------------------------------------------------------------
+// --- Store
+// ----------------------------------------------------------------------
 
 // The platform's store: lists and watches.
 class Store {
@@ -390,7 +395,8 @@
         }) {}
   const std::string& address() const { return server_.address(); }
 
-  void Put(const std::string& kind, const std::string& name,
+  void Put(const std::string& kind,
+           const std::string& name,
            const std::string& spec) {
     const std::lock_guard lock(mutex_);
     const std::string object = Object(name, ++revision_, spec);
@@ -400,7 +406,8 @@
   void Remove(const std::string& kind, const std::string& name) {
     const std::lock_guard lock(mutex_);
     ++revision_;
-    changes_.push_back({revision_, kind, Object(name, revision_, "null"), true});
+    changes_.push_back(
+        {revision_, kind, Object(name, revision_, "null"), true});
     objects_.erase({kind, name});
   }
 
@@ -411,7 +418,8 @@
     std::string object;
     bool removed;
   };
-  static std::string Object(const std::string& name, uint64_t revision,
+  static std::string Object(const std::string& name,
+                            uint64_t revision,
                             const std::string& spec) {
     return "{\"metadata\":{\"name\":\"" + name +
            "\",\"revision\":" + std::to_string(revision) +
@@ -448,14 +456,14 @@
           }
         }
       }
-      return Reply(fd, "{\"items\":[" + items +
-                           "],\"truncated\":false,\"at\":" +
-                           std::to_string(at) + "}");
+      return Reply(
+          fd, "{\"items\":[" + items +
+                  "],\"truncated\":false,\"at\":" + std::to_string(at) + "}");
     }
     const uint64_t after = std::stoull(watch);
-    const auto end =
-        Clock::now() + std::chrono::milliseconds(
-                           std::stoul("0" + Parameter(request.path, "wait_ms")));
+    const auto end = Clock::now() +
+                     std::chrono::milliseconds(
+                         std::stoul("0" + Parameter(request.path, "wait_ms")));
     while (true) {
       std::string events;
       uint64_t at;
@@ -487,17 +495,20 @@
 
 inline std::string ServerSpec(const std::string& service,
                               const std::string& address,
-                              const std::string& zone, int slots,
+                              const std::string& zone,
+                              int slots,
                               const std::string& state = "ready",
                               uint64_t born = 1) {
   return "{\"service\":\"" + service + "\",\"address\":\"" + address +
-         "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" +
-         std::to_string(slots) + ",\"state\":\"" + state +
+         "\",\"zone\":\"" + zone +
+         "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) +
+         ",\"state\":\"" + state +
          "\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":" +
          std::to_string(born) + "}";
 }
 
-// --- Processes -------------------------------------------------------------------
+// --- Processes
+// -------------------------------------------------------------------
 
 inline std::string ReadFile(const std::string& path) {
   std::ifstream in(path);
@@ -534,6 +545,7 @@
   void Start() {
     pid_ = fork();
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
@@ -591,8 +603,8 @@
 
 inline std::string g_directory;  // Of settings and logs.
 
-// Writes the settings of an entry as the platform fills in the template. Returns
-// the path of the file.
+// Writes the settings of an entry as the platform fills in the template.
+// Returns the path of the file.
 inline std::string WriteEntrySettings(const std::string& node,
                                       const Machine& machine,
                                       const std::string& store,
@@ -631,8 +643,7 @@
                                            const Machine& machine,
                                            const std::string& store,
                                            const std::string& zone) {
-  const std::string path =
-      g_directory + "/agent-" + machine.ip + ".json";
+  const std::string path = g_directory + "/agent-" + machine.ip + ".json";
   std::ofstream(path) << Fill(
       ReadFile("deploy/agent.json"),
       {{"app|json", "\"" + app + "\""},
