Keep to the stop grace that the settings file states when the stop begins

Cause: both kinds of entries read the settings once. SIGHUP wrote a log line only, and the stop was planned with the grace of the start.

Change: SIGHUP and the signal of the stop read the file again; only the grace is taken over. A change during a stop plans the rest of the stop anew.

--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -24,6 +24,7 @@
 #include "src/log.h"
 #include "src/object_api_http.h"
 #include "src/random.h"
+#include "src/settings_reload.h"
 
 namespace burdockhatch {
 
@@ -93,10 +94,12 @@
   std::atomic<bool> started = false;
   ServingPhase phase = ServingPhase::kStarting;
   Time stop_requested_at{};
-  Time accept_until{};      // End of the phase kTerminating.
-  bool work_ended = false;  // By the end of the stop grace.
-  Time drained_at{};        // Time at which all work was found complete.
-  bool drained = false;     // Whether all work was complete at the last tick.
+  Duration stop_grace{};
+  std::optional<Time> exit_at;  // Of a stop that is bounded.
+  Time accept_until{};          // End of the phase kTerminating.
+  bool work_ended = false;      // By the end of the stop grace.
+  Time drained_at{};            // Time at which all work was found complete.
+  bool drained = false;  // Whether all work was complete at the last tick.
 };
 
 DaemonLoop::DaemonLoop(Settings settings)
@@ -107,6 +110,7 @@
                                       ConfigSpreadOptionsFor(settings_, self_),
                                       clock_.Now())) {
   internals_->random = Random(self_.incarnation.value());
+  internals_->stop_grace = settings_.limits.stop_grace;
 }
 
 DaemonLoop::~DaemonLoop() = default;
@@ -271,8 +275,10 @@
 }
 
 void DaemonLoop::OnSignal(int signal_number) {
+  // The settings may also have changed without a SIGHUP.
+  UpdateStopGrace();
   if (signal_number == SIGHUP) {
-    // Settings are read only at startup.
+    // Other settings are read only at startup.
     Log(LogLevel::kInfo, "reload_requested");
   } else if (internals_->phase == ServingPhase::kStarting ||
              internals_->phase == ServingPhase::kServing) {
@@ -286,17 +292,49 @@
   internals_->config_spread.BeginDrain();
   internals_->phase = ServingPhase::kTerminating;
   internals_->stop_requested_at = Now();
-  internals_->accept_until = Now() + AcceptPeriodAfterStop();
+  PlanStop();
   UpdateServingPhase(Now());
 }
 
-void DaemonLoop::KeepStopGrace(Time now) {
+Duration DaemonLoop::configured_stop_grace() const {
+  return internals_->stop_grace;
+}
+
+void DaemonLoop::UpdateStopGrace() {
+  const std::optional<Settings> settings = ReloadSettings(settings_);
+  if (!settings || settings->limits.stop_grace == internals_->stop_grace) {
+    return;
+  }
+  const Duration former =
+      std::exchange(internals_->stop_grace, settings->limits.stop_grace);
+  Log(LogLevel::kInfo, "stop_grace_changed",
+      {{"from_ms", std::to_string(former.count() / 1'000)},
+       {"to_ms", std::to_string(internals_->stop_grace.count() / 1'000)}});
+  if (internals_->phase == ServingPhase::kTerminating ||
+      internals_->phase == ServingPhase::kDraining) {
+    PlanStop();
+  }
+}
+
+void DaemonLoop::PlanStop() {
+  Internals& internals = *internals_;
+  internals.accept_until =
+      internals.stop_requested_at + AcceptPeriodAfterStop();
   const std::optional<Duration> grace = StopGrace();
   if (!grace) {
     return;
   }
+  internals.exit_at = internals.stop_requested_at + *grace - kStopMargin;
+  const Time work_ends_at = *internals.exit_at - kLastResponsesTime;
+  internals.accept_until = std::min(internals.accept_until, work_ends_at);
+}
+
+void DaemonLoop::KeepStopGrace(Time now) {
   Internals& internals = *internals_;
-  const Time exit_at = internals.stop_requested_at + *grace - kStopMargin;
+  if (!internals.exit_at) {
+    return;
+  }
+  const Time exit_at = *internals.exit_at;
   if (internals.work_ended && now >= exit_at) {
     Log(LogLevel::kWarning, "stop_grace_over",
         {{"responses", std::to_string(http_server_->Stats().requests)}});
--- a/src/daemon_loop.h
+++ b/src/daemon_loop.h
@@ -60,6 +60,8 @@
   // Time after SIGTERM by which the process must have exited, if it bounds its
   // planned stop.
   virtual std::optional<Duration> StopGrace() const { return std::nullopt; }
+  // limits.stop_grace_ms, as the settings file says now.
+  Duration configured_stop_grace() const;
   // Ends all open work shortly before the end of the stop grace. Returns how
   // much there was.
   virtual size_t EndOpenWork(Time now) { return 0; }
@@ -119,6 +121,10 @@
   void WaitForSignal();
   void OnSignal(int signal_number);
   void BeginStop(int signal_number);
+  // Reads the stop grace anew from the settings file.
+  void UpdateStopGrace();
+  // Sets when the process begins to exit.
+  void PlanStop();
   // Ends open work, and the process, when the stop grace is nearly over.
   void KeepStopGrace(Time now);
   void FinishStop();
--- a/src/daemon_main.cc
+++ b/src/daemon_main.cc
@@ -44,6 +44,9 @@
         std::optional<Settings> settings =
             burdockhatch::ParseSettings(text, &findings);
         fmt::print(stderr, "{}", ToString(findings));
+        if (settings) {
+          settings->path = path;
+        }
         return settings;
       },
       [](const burdockhatch::SettingsFileError& error) {
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -125,7 +125,7 @@
   bool IsDrained() const override { return core_.IsDrained(); }
 
   std::optional<Duration> StopGrace() const override {
-    return settings_.limits.stop_grace;
+    return configured_stop_grace();
   }
 
   size_t EndOpenWork(Time now) override { return core_.EndOpenRequests(now); }
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -161,13 +161,12 @@
   }
 
   void OnStopRequested() override {
-    const Time now = Now();
-    const Time deadline = now + RequestsEndAfterStop();
-    context_.stop_deadline = deadline;
-    context_.accepts_all_until = std::min(now + kBalancerLag, deadline);
+    PlanStop();
     caller_server_->BeginDrain();
   }
 
+  void OnStopGraceChanged() override { PlanStop(); }
+
   // If all entries of a data centre stop, the load balancer keeps sending to
   // them, so requests that can finish within the grace are still served. The
   // listener closes only shortly before the end, or when nothing is left to do.
@@ -241,12 +240,16 @@
   // --- Planned stop ---
 
   Duration ExitAfterStop() const {
-    return std::max<Duration>(forwarding_settings_.stop_grace - kStopMargin,
-                              kLastResponsesTime);
+    return std::max<Duration>(stop_grace() - kStopMargin, kLastResponsesTime);
   }
   Duration RequestsEndAfterStop() const {
     return ExitAfterStop() - kLastResponsesTime;
   }
+  void PlanStop() {
+    context_.stop_deadline = stop_requested_at() + RequestsEndAfterStop();
+    context_.accepts_all_until =
+        stop_requested_at() + std::min(kBalancerLag, RequestsEndAfterStop());
+  }
 
   void EndRequests() {
     requests_ended_ = true;
--- a/src/forward_loop_daemon.cc
+++ b/src/forward_loop_daemon.cc
@@ -12,6 +12,7 @@
 #include "src/daemon_common.h"
 #include "src/exception_guard.h"
 #include "src/log.h"
+#include "src/settings_reload.h"
 
 namespace burdockhatch {
 
@@ -30,7 +31,8 @@
       self_{settings_.instance, NewIncarnation()},
       timers_(io_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
-      tick_(io_) {}
+      tick_(io_),
+      stop_grace_(settings_.forwarding->stop_grace) {}
 
 ForwardDaemonBase::~ForwardDaemonBase() = default;
 
@@ -110,6 +112,8 @@
 }
 
 void ForwardDaemonBase::OnSignal(int signal) {
+  // The settings may also have changed without a SIGHUP.
+  UpdateStopGrace();
   if (signal == SIGHUP) {
     // Addresses and limits are read only at startup: the platform restarts a
     // process whose addresses change.
@@ -125,6 +129,22 @@
   }
 }
 
+void ForwardDaemonBase::UpdateStopGrace() {
+  const std::optional<Settings> settings = ReloadSettings(settings_);
+  if (!settings || !settings->forwarding ||
+      settings->forwarding->stop_grace == stop_grace_) {
+    return;
+  }
+  const Duration former =
+      std::exchange(stop_grace_, settings->forwarding->stop_grace);
+  Log(LogLevel::kInfo, "stop_grace_changed",
+      {{"from_ms", std::to_string(former.count() / 1'000)},
+       {"to_ms", std::to_string(stop_grace_.count() / 1'000)}});
+  if (stopping_) {
+    OnStopGraceChanged();
+  }
+}
+
 void ForwardDaemonBase::Tick() {
   const Time now = Now();
   Duration next = kTickRetryDelay;
--- a/src/forward_loop_daemon.h
+++ b/src/forward_loop_daemon.h
@@ -55,6 +55,8 @@
   virtual Duration OnTick(Time now) = 0;
   virtual bool IsReady() const = 0;
   virtual void OnStopRequested() = 0;
+  // The stop grace has changed while the process stops.
+  virtual void OnStopGraceChanged() {}
   // Whether the process may exit, given the time since the stop was requested.
   virtual bool CanExit(Duration since_stop_requested) = 0;
   // Ends what is still in progress. Called after the last event.
@@ -65,6 +67,10 @@
   // Returns the state of the daemon as JSON.
   virtual std::string Dump(Time now) const = 0;
 
+  // Time between SIGTERM and SIGKILL, as the settings file says now.
+  Duration stop_grace() const { return stop_grace_; }
+  Time stop_requested_at() const { return stop_requested_at_; }
+
   const Settings settings_;
   const PeerId self_;
   SteadyClock clock_;
@@ -78,6 +84,8 @@
   std::string StartServers();
   void WaitForSignal();
   void OnSignal(int signal);
+  // Reads the stop grace anew from the settings file.
+  void UpdateStopGrace();
   void Tick();
   void UpdateReadiness();
 
@@ -85,6 +93,7 @@
   boost::asio::steady_timer tick_;
   bool stopping_ = false;
   bool ready_ = false;
+  Duration stop_grace_;
   Time stop_requested_at_{};
 };
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -89,6 +89,7 @@
 };
 
 struct Settings {
+  std::string path;  // Of the file that they were read from; may be empty.
   Role role = Role::kEntry;
   InstanceId instance;
   DataCentreId data_centre;
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -503,10 +503,10 @@
       LogPath("object_api"));
 }
 
-void Fleet::StartEntry(size_t i) {
+std::string Fleet::WriteEntrySettings(size_t i, int stop_grace_ms) const {
   const std::string name = fmt::format("entry-{}", i);
   json::object limits{{"balancer_lag_ms", spec_.balancer_lag_ms},
-                      {"stop_grace_ms", spec_.stop_grace_ms},
+                      {"stop_grace_ms", stop_grace_ms},
                       {"max_body_bytes", 8 * 1024 * 1024}};
   json::object settings{
       {"role", "entry"},
@@ -517,10 +517,14 @@
       {"http_address", entry_address(i)},
       {"object_api_address", object_api_address()},
       {"limits", limits}};
-  const std::string path = WriteFile(name + ".json", json::serialize(settings));
+  return WriteFile(name + ".json", json::serialize(settings));
+}
+
+void Fleet::StartEntry(size_t i) {
+  const std::string path = WriteEntrySettings(i, spec_.stop_grace_ms);
   entries_[i] = std::make_unique<ChildProcess>(
       "burdockhatchd", std::vector<std::string>{"--settings=" + path},
-      LogPath(name));
+      LogPath(fmt::format("entry-{}", i)));
 }
 
 void Fleet::StartEngine(size_t i) {
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -153,6 +153,8 @@
 
   void StartObjectApi();
   void StartEntry(size_t i);
+  // Writes the settings file of an entry, which it may read again.
+  std::string WriteEntrySettings(size_t i, int stop_grace_ms) const;
   void StartEngine(size_t i);
   void StartEngineAgent(size_t i);
   void StartService(size_t i);
--- a/tests/process_operation_test.cc
+++ b/tests/process_operation_test.cc
@@ -87,13 +87,13 @@
   EXPECT_TRUE(fleet_.WaitForMemoryReleased());
 }
 
-// Guards against an entry that the platform kills with its requests, because it
-// waits for them beyond the stop grace.
-TEST(ProcessStopTest, EntryAnswersLongRequestsWithinTheStopGrace) {
+// The stop grace in force at the signal is 3 s.
+void ExpectLongRequestsToEndWithinTheStopGrace(int grace_at_start_ms) {
+  constexpr int kGraceMs = 3'000;
   FleetSpec spec;
   spec.engines = {{"dc-a"}};
   spec.engines[0].time_scale = 1;
-  spec.stop_grace_ms = 3'000;
+  spec.stop_grace_ms = grace_at_start_ms;
   Fleet fleet(spec);
   ASSERT_TRUE(fleet.Start());
   // About 15 s of work each.
@@ -110,11 +110,12 @@
         CallHttp(fleet.entry_address(0), "GET", "/debug/state");
     return state.body.find("\"requests\":2") != std::string::npos;
   }));
+  fleet.WriteEntrySettings(0, kGraceMs);
   const auto stopped_at = std::chrono::steady_clock::now();
   fleet.entry(0).Signal(SIGTERM);
   EXPECT_EQ(fleet.entry(0).WaitForExit(), 0);
   EXPECT_LT(std::chrono::steady_clock::now() - stopped_at,
-            std::chrono::milliseconds(spec.stop_grace_ms));
+            std::chrono::milliseconds(kGraceMs));
   for (std::thread& it : callers) {
     it.join();
   }
@@ -124,6 +125,18 @@
   }
 }
 
+// Guards against an entry that the platform kills with its requests, because it
+// waits for them beyond the stop grace.
+TEST(ProcessStopTest, EntryAnswersLongRequestsWithinTheStopGrace) {
+  ExpectLongRequestsToEndWithinTheStopGrace(3'000);
+}
+
+// Guards against an entry that keeps to the stop grace of its start, after the
+// settings file has shortened it.
+TEST(ProcessStopTest, EntryKeepsTheGraceThatChangedBeforeTheStop) {
+  ExpectLongRequestsToEndWithinTheStopGrace(75'000);
+}
+
 // Guards against SIGHUP, whose default action ends a process with all its
 // requests, and against signals that disturb a stop.
 TEST_F(ProcessOperationTest, ReloadSignalInterruptsNothing) {
