Admit near the end of a planned stop only what a time limit ends before it

Cause: CanFinishBeforeStop admitted a resumable stream on an estimate of its target's pace (90 ms a pass, 1.2 s of silence). A sound target may take longer for each event within the bounds of its route. The log tells it apart from a failed target: the requests had one attempt each, no attempt_failed line, and ended with outcome "stopped".

Change: only the request's own time limit counts as a bound. What it does not end before the stop is refused at once, 503 and not run, by the same check at each send: of a new request, a retry, a request that has waited for placement, for memory or for a plain service (which was not checked before). Requests that still wait when the accept period ends are refused then, instead of when their turn comes. The accept period is at most half of the stop, so that a short grace leaves time for what was taken in it. A stream that has begun is still resumed at any time, as it would be cut otherwise. The product's own path: an entry that stops refuses requests whose deadline lies beyond the end of the stop.

Tests, failing on: ForwardRequestTest.StoppingEntryEstimatesNoPaceOfAStream, .OrderThatWaitedTooLongInTheStopIsNotSent, .StreamIsNotRepeatedTooLateInTheStop. New functions: .WaitingRequestsAreRefusedOnceTheyAreTooLate, EntryRequestsTest.StoppingEntryRefusesWhatMayOutlastTheStop. StoppingEntryExpectsSilence and three expectations held the estimate itself (a stream that might be cut was to be taken); they now ask for the refusal, or for a stream that its time limit bounds.

--- a/src/daemon_loop.cc
+++ b/src/daemon_loop.cc
@@ -327,6 +327,7 @@
   internals.exit_at = internals.stop_requested_at + *grace - kStopMargin;
   const Time work_ends_at = *internals.exit_at - kLastResponsesTime;
   internals.accept_until = std::min(internals.accept_until, work_ends_at);
+  OnStopPlanned(work_ends_at);
 }
 
 void DaemonLoop::KeepStopGrace(Time now) {
--- a/src/daemon_loop.h
+++ b/src/daemon_loop.h
@@ -54,6 +54,9 @@
   virtual void ExecuteActions(Time now) = 0;
   // Whether this process can accept work, regardless of a planned stop.
   virtual bool IsReady() const = 0;
+  // A planned stop ends all open work at `work_ends_at`. Called again when the
+  // stop grace changes meanwhile.
+  virtual void OnStopPlanned(Time work_ends_at) {}
   // Starts to refuse new work because of a planned stop.
   virtual void BeginDrain(Time now) = 0;
   virtual bool IsDrained() const = 0;
--- a/src/entry_core.cc
+++ b/src/entry_core.cc
@@ -189,6 +189,10 @@
   PruneRetryBudgets(tables_->retries, *tables_->config);
 }
 
+void EntryCore::OnStopPlanned(Time work_ends_at) {
+  tables_->work_ends_at = work_ends_at;
+}
+
 void EntryCore::BeginDrain(Time now) {
   tables_->draining = true;
 }
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -136,6 +136,8 @@
   void OnPeerUnreachable(const InstanceId& instance, Time now);
   void OnConfig(FleetConfigPtr config, Time now);
 
+  // From now on, refuses requests whose deadline is not before `work_ends_at`.
+  void OnStopPlanned(Time work_ends_at);
   void BeginDrain(Time now);
   bool IsDrained() const;
   // Fails the requests in progress because the process ends. Returns their
--- a/src/entry_daemon.cc
+++ b/src/entry_daemon.cc
@@ -128,6 +128,10 @@
     return configured_stop_grace();
   }
 
+  void OnStopPlanned(Time work_ends_at) override {
+    core_.OnStopPlanned(work_ends_at);
+  }
+
   size_t EndOpenWork(Time now) override { return core_.EndOpenRequests(now); }
 
   void SendGoodbye() override {
--- a/src/entry_tables.h
+++ b/src/entry_tables.h
@@ -278,6 +278,7 @@
   Random random{1};
   FleetConfigPtr config;
   bool draining = false;
+  std::optional<Time> work_ends_at;  // In a planned stop.
   FleetTable fleet;
   std::map<InstanceId, EntryPeer> entries;
   // Incremented whenever the set of live entries changes.
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -185,6 +185,9 @@
     }
     if (since_stop_requested >= RequestsEndAfterStop()) {
       EndRequests();
+    } else if (!late_requests_refused_ && Now() >= context_.accepts_all_until) {
+      late_requests_refused_ = true;
+      RefuseWaitingRequests();
     }
     return false;
   }
@@ -245,10 +248,23 @@
   Duration RequestsEndAfterStop() const {
     return ExitAfterStop() - kLastResponsesTime;
   }
+  // Time after the signal for which every request is accepted. As much is left
+  // for the last of them.
+  Duration AcceptPeriod() const {
+    return std::min(kBalancerLag, RequestsEndAfterStop() / 2);
+  }
+
   void PlanStop() {
     context_.stop_deadline = stop_requested_at() + RequestsEndAfterStop();
-    context_.accepts_all_until =
-        stop_requested_at() + std::min(kBalancerLag, RequestsEndAfterStop());
+    context_.accepts_all_until = stop_requested_at() + AcceptPeriod();
+    late_requests_refused_ = false;
+  }
+
+  void RefuseWaitingRequests() {
+    if (const size_t refused = RefuseLateRequests(context_)) {
+      Log(LogLevel::kInfo, "requests_refused_by_stop",
+          {{"count", std::to_string(refused)}});
+    }
   }
 
   void EndRequests() {
@@ -466,6 +482,7 @@
   std::map<InstanceId, int> connection_users_;
   uint64_t published_generation_ = 0;
   bool listener_closed_ = false;
+  bool late_requests_refused_ = false;
   bool requests_ended_ = false;
   Time next_prune_at_{};
   Time next_counters_at_{};
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -53,10 +53,6 @@
 constexpr Duration kTargetRetryInterval = std::chrono::milliseconds(25);
 // Engine memory that was not free may become free after one or two passes.
 constexpr Duration kReservationRetryDelay = std::chrono::milliseconds(100);
-// Duration of an engine pass that also prefills other prompts.
-constexpr Duration kSlowPassDuration = std::chrono::milliseconds(90);
-// How long a sound target may be silent, in addition, while it responds.
-constexpr Duration kSilenceAllowance = std::chrono::milliseconds(1'200);
 // Retry-After of a 503 response: this minimum plus random jitter, so that
 // callers rejected together do not retry together.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
@@ -125,11 +121,8 @@
   exchange_->SetDisconnectHandler([self = shared_from_this()] {
     self->Guard([&] { self->OnCallerGone(); });
   });
-  const Duration time_left = std::min(
-      caller_fields_.time_left.value_or(route_->timeout), route_->timeout);
-  deadline_ = received_at_ + time_left;
-  deadline_timer_ =
-      context_->timers->Schedule(time_left, [self = shared_from_this()] {
+  deadline_timer_ = context_->timers->Schedule(
+      deadline_ - received_at_, [self = shared_from_this()] {
         self->Guard([&] { self->OnDeadline(); });
       });
   StartNextAttempt();
@@ -159,40 +152,20 @@
   service_ = ChooseService(*route_, context_->random.UniformReal());
   const auto pool = config_->services.find(service_);
   pool_ = pool == config_->services.end() ? nullptr : &pool->second;
-  if (context_->stop_deadline && received_at_ >= context_->accepts_all_until &&
-      !CanFinishBeforeStop(Duration(0))) {
+  const Duration time_left = std::min(
+      caller_fields_.time_left.value_or(route_->timeout), route_->timeout);
+  deadline_ = received_at_ + time_left;
+  if (IsTooLateToSend()) {
     Reject(503, "stopping");
     return false;
   }
   return true;
 }
 
-bool ForwardRequest::CanFinishBeforeStop(Duration expected_first_event) const {
-  const Duration limit = std::min(
-      route_->timeout, caller_fields_.time_left.value_or(route_->timeout));
-  if (received_at_ + limit < *context_->stop_deadline) {
-    return true;
-  }
-  const bool has_estimate = pool_ != nullptr && pool_->engine;
-  const bool may_be_cut = route_->is_streaming && !route_->repeatable;
-  if (!has_estimate || may_be_cut) {
-    return false;
-  }
-  const int64_t passes = caller_fields_.max_output.value() /
-                         std::max<int64_t>(pool_->engine->steps_per_pass, 1);
-  const std::chrono::milliseconds read(
-      static_cast<int64_t>(PrefillMs(*pool_->engine, caller_fields_.prompt)));
-  const Duration estimate = std::max<Duration>(read, expected_first_event) +
-                            kSlowPassDuration * (passes + 2) +
-                            kSilenceAllowance;
-  return context_->timers->Now() + estimate < *context_->stop_deadline;
-}
-
 bool ForwardRequest::IsTooLateToSend() const {
-  const bool has_estimate = pool_ != nullptr && pool_->engine;
-  return has_estimate && !stream_started_ && context_->stop_deadline &&
+  return context_->stop_deadline && !stream_started_ &&
          context_->timers->Now() >= context_->accepts_all_until &&
-         !CanFinishBeforeStop(attempt_->expected_first_event);
+         deadline_ >= *context_->stop_deadline;
 }
 
 void ForwardRequest::Reject(uint32_t status, std::string_view reason) {
@@ -948,6 +921,16 @@
   FinishWithFailure("deadline");
 }
 
+void ForwardRequest::RefuseIfTooLateToSend() {
+  Guard([this] {
+    if (finished_ || HasCall() || !IsTooLateToSend()) {
+      return;
+    }
+    EndAllAttempts(CallOutcome::kCallerGone);
+    FinishWithFailure("stopping");
+  });
+}
+
 void ForwardRequest::EndAtStop() {
   Guard([this] {
     if (finished_) {
@@ -959,17 +942,31 @@
   });
 }
 
-size_t EndOpenRequests(ForwardContext& context) {
+namespace {
+
+// Calls `step` for each open request, which it may end. Returns the number of
+// those that it has ended.
+template <class Step>
+size_t EndRequestsWith(ForwardContext& context, Step&& step) {
   // A request that ends leaves the table.
   const auto open = context.open_requests;
-  size_t ended = 0;
   for (const auto& [key, weak] : open) {
     if (const std::shared_ptr<ForwardRequest> request = weak.lock()) {
-      request->EndAtStop();
-      ++ended;
+      step(*request);
     }
   }
-  return ended;
+  return open.size() - context.open_requests.size();
+}
+
+}  // namespace
+
+size_t RefuseLateRequests(ForwardContext& context) {
+  return EndRequestsWith(
+      context, [](ForwardRequest& it) { it.RefuseIfTooLateToSend(); });
+}
+
+size_t EndOpenRequests(ForwardContext& context) {
+  return EndRequestsWith(context, [](ForwardRequest& it) { it.EndAtStop(); });
 }
 
 void ForwardRequest::FinishAsBlocked(Duration blocked_left) {
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -50,7 +50,8 @@
   RouteConfigPtr config;  // Null until the first configuration arrives.
   std::optional<Time> stop_deadline;  // End of a planned stop.
   // Before this time a stopping entry still accepts every request, because the
-  // load balancer in front has not yet had time to move traffic elsewhere.
+  // load balancer in front has not yet had time to move traffic elsewhere. From
+  // then on it sends only what its own time limit ends before the stop does.
   Time accepts_all_until{};
   FleetDirectory directory;
   ServiceBalancer balancer{0};
@@ -72,6 +73,9 @@
 
   void Start();
 
+  // Refuses the request if it waits to be sent and IsTooLateToSend().
+  void RefuseIfTooLateToSend();
+
   // Ends the request because the process stops: with 503 if it has not been
   // sent, else with 502 or 504; a stream that has begun is aborted.
   void EndAtStop();
@@ -86,12 +90,10 @@
   // Sets the route, client account and service. On failure rejects the request
   // and returns false.
   bool ResolveRoute();
-  // Whether the response can be complete before the planned stop ends. A stream
-  // that may run once can only be cut at that end, so its own time limit counts
-  // instead of an estimate.
-  bool CanFinishBeforeStop(Duration expected_first_event) const;
-  // Whether a placed request has waited so long that its response would not be
-  // complete before the planned stop ends.
+  // Whether the process stops and nothing bounds the request to the time before
+  // the end of the stop. Only its own time limit is a bound: a sound target may
+  // be slow or silent within it. A stream that has begun is always resumed, as
+  // it would be cut otherwise.
   bool IsTooLateToSend() const;
   void Reject(uint32_t status, std::string_view reason);
 
@@ -249,6 +251,10 @@
                          const std::shared_ptr<CallerExchange>& exchange,
                          ReceivedRequest request);
 
+// Refuses, in a planned stop, the open requests that wait to be sent and can no
+// longer be. Returns their number.
+size_t RefuseLateRequests(ForwardContext& context);
+
 // Ends all open requests at the end of a planned stop. Returns their number.
 size_t EndOpenRequests(ForwardContext& context);
 
--- a/src/request_admission.cc
+++ b/src/request_admission.cc
@@ -70,6 +70,9 @@
   if (spec.deadline <= now) {
     return Refusal(ErrorCode::kDeadlineExceeded);
   }
+  if (tables.work_ends_at && spec.deadline >= *tables.work_ends_at) {
+    return Refusal(ErrorCode::kNotReady, kNotReadyRetryAfter);
+  }
   if (const auto failure = CheckDestination(*tables.config, spec)) {
     return failure;
   }
--- a/tests/entry_requests_test.cc
+++ b/tests/entry_requests_test.cc
@@ -399,6 +399,20 @@
   CheckEntryInvariants(driver_);
 }
 
+// Guards against a stopping entry that takes a request which may last longer
+// than the stop, and is then ended with it.
+TEST_F(EntryRequestsTest, StoppingEntryRefusesWhatMayOutlastTheStop) {
+  RequestSpec spec = driver_.Completion();
+  const Time deadline = spec.deadline;
+  driver_.core().OnStopPlanned(deadline);
+  ExpectFailure(driver_.Submit(spec), ErrorCode::kNotReady, Outcome::kNotRun);
+  driver_.core().OnStopPlanned(deadline + std::chrono::milliseconds(1));
+  const RequestId fits = driver_.Submit(driver_.Completion());
+  driver_.Run(seconds(1));
+  EXPECT_TRUE(driver_.FirstEnd(fits)->completed);
+  CheckEntryInvariants(driver_);
+}
+
 // Guards against a planned stop that ends with open requests: each is answered,
 // and only one that was never offered is reported as not run.
 TEST_F(EntryRequestsTest, EndOfTheStopFailsOpenRequests) {
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -727,18 +727,61 @@
   EXPECT_NE(FindHeader(exchange_->headers, "Retry-After"), nullptr);
   Send("/chat/", {{"output", "10"}, {"time-left", "4900"}});
   EXPECT_EQ(connector_.calls.size(), 1u);
-  // Ten passes and two more take less than 1.1 s.
-  Send("/stream/", {{"output", "10"}, {"time-left", "6000"}});
-  EXPECT_EQ(connector_.calls.size(), 2u);
 }
 
-// Guards against a stopping entry whose estimate has no room for a sound target
-// that falls silent for a second.
-TEST_F(ForwardRequestTest, StoppingEntryExpectsSilence) {
-  context_.stop_deadline = timers_.Now() + std::chrono::seconds(2);
-  Send("/stream/", {{"output", "10"}});
+// Guards against a stopping entry that takes a stream on an estimate of its
+// target's pace: a sound target may be slower, or silent, and the stream is
+// cut.
+TEST_F(ForwardRequestTest, StoppingEntryEstimatesNoPaceOfAStream) {
+  context_.stop_deadline = timers_.Now() + std::chrono::seconds(5);
+  Send("/stream/", {{"output", "1"}, {"prompt", "1"}, {"time-left", "5000"}});
   EXPECT_TRUE(connector_.calls.empty());
   EXPECT_EQ(exchange_->status, 503u);
+  EXPECT_NE(FindHeader(exchange_->headers, "Retry-After"), nullptr);
+  EXPECT_EQ(EndOpenRequests(context_), 0u);
+  Send("/stream/", {{"output", "1000"}, {"time-left", "4900"}});
+  EXPECT_EQ(connector_.calls.size(), 1u);
+}
+
+// Guards against requests that wait in a planned stop although they can no
+// longer be sent.
+TEST_F(ForwardRequestTest, WaitingRequestsAreRefusedOnceTheyAreTooLate) {
+  context_.stop_deadline = timers_.Now() + std::chrono::seconds(4);
+  context_.accepts_all_until = timers_.Now() + std::chrono::seconds(1);
+  memory_.defers = true;
+  const HeaderList large = {{"prompt", "1000000"}};
+  Send("/stream/", {large[0], {"time-left", "3900"}});
+  Send("/stream/", large);
+  const size_t reserved = memory_.reserved.size();
+  Send("/stream/");
+  ASSERT_EQ(connector_.calls.size(), 1u);
+  EXPECT_EQ(RefuseLateRequests(context_), 0u);
+  timers_.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(RefuseLateRequests(context_), 1u);
+  EXPECT_EQ(exchanges_[0]->ends, 0);
+  EXPECT_EQ(exchanges_[1]->status, 503u);
+  EXPECT_NE(FindHeader(exchanges_[1]->headers, "Retry-After"), nullptr);
+  EXPECT_EQ(exchanges_[2]->ends, 0);
+  EXPECT_LT(memory_.released.size(), reserved);
+}
+
+// Guards against an order that is sent late in a planned stop because it has
+// waited for a target since before.
+TEST_F(ForwardRequestTest, OrderThatWaitedTooLongInTheStopIsNotSent) {
+  TargetSignals refusal;
+  refusal.back_off = milliseconds(500);
+  for (int i = 0; i < 3; ++i) {
+    placement_.OnResponse(TargetId("orders" + std::to_string(i)), 0, refusal,
+                          false, timers_.Now(), timers_.Now());
+  }
+  context_.stop_deadline = timers_.Now() + std::chrono::seconds(4);
+  context_.accepts_all_until = timers_.Now() + milliseconds(100);
+  Send("/once/", {{"time-left", "3900"}});
+  Send("/once/");
+  timers_.Advance(milliseconds(900));
+  EXPECT_EQ(connector_.calls.size(), 1u);
+  EXPECT_EQ(exchanges_[0]->ends, 0);
+  EXPECT_EQ(exchanges_[1]->status, 503u);
 }
 
 // Guards against a stopping entry that sends a request which has waited until
@@ -765,13 +808,12 @@
 TEST_F(ForwardRequestTest, StreamIsNotRepeatedTooLateInTheStop) {
   context_.stop_deadline = timers_.Now() + milliseconds(2'500);
   context_.accepts_all_until = timers_.Now() + milliseconds(100);
-  for (int i = 0; i < 3; ++i) {
-    Send("/stream/", {{"output", "10"}});
-  }
+  Send("/stream/", {{"time-left", "2400"}});
+  Send("/stream/", {{"output", "10"}});
+  Send("/stream/", {{"output", "10"}});
   timers_.Advance(milliseconds(150));
   End(0, ForwardCallResult::kBroken);
   ASSERT_EQ(connector_.calls.size(), 4u);
-  timers_.Advance(milliseconds(250));
   Head(1, 503, {{"not-run", "1"}});
   End(1);
   End(2, ForwardCallResult::kBroken);
