Take no memory for the length that a target states

Cause: the body of the parser reserves what Content-Length states. The exception left the handler, so that nothing ended the call. Change: the body is read into parts of 8 KiB. The head of a response is limited to 16 KiB instead of 64, and the read buffer to 32 KiB instead of 128, as each open call holds one; these are the limits of callers.

Test: ForwardCallHttpTest.StatedLengthTakesNoMemory.

--- a/src/forward_call_http.cc
+++ b/src/forward_call_http.cc
@@ -8,9 +8,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "src/forward_call.h"
 #include "src/ip_endpoint.h"
@@ -26,10 +26,12 @@
 
 namespace {
 
-constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+constexpr uint32_t kMaxHeaderBytes = 16 * 1024;
 // Also limits what a target may send without the end of a chunk header or of
 // the trailer.
 constexpr size_t kReadBufferBytes = 2 * kMaxHeaderBytes;
+// Of the body, passed on at a time.
+constexpr size_t kBodyPartBytes = 8 * 1024;
 // Responses with a status of 1xx that may precede the final response.
 constexpr int kMaxInterimResponses = 8;
 
@@ -179,6 +181,9 @@
       Finish(ForwardCallResult::kComplete);
       return;
     }
+    auto& body = parser_->get().body();
+    body.data = body_part_.data();
+    body.size = body_part_.size();
     http::async_read_some(stream_, buffer_, *parser_,
                           [self = shared_from_this()](error_code ec, size_t) {
                             self->OnBodyRead(ec);
@@ -189,14 +194,17 @@
     if (stopped_) {
       return;
     }
-    const std::string data =
-        std::exchange(parser_->get().body(), std::string());
+    const std::string_view data(body_part_.data(),
+                                body_part_.size() - parser_->get().body().size);
     if (!data.empty() && handlers_.on_body) {
       handlers_.on_body(data);
     }
     if (stopped_) {
       return;
     }
+    if (ec == http::error::need_buffer) {
+      ec = {};
+    }
     // A response without Content-Length ends with the connection. Beast then
     // reports end_of_stream and marks the message as done.
     if (ec && !(ec == http::error::end_of_stream && parser_->is_done())) {
@@ -236,7 +244,8 @@
   beast::tcp_stream stream_;
   std::string request_head_;
   beast::flat_buffer buffer_{kReadBufferBytes};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::array<char, kBodyPartBytes> body_part_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
   int interim_responses_ = 0;
   bool response_head_read_ = false;
   bool stopped_ = false;
--- a/tests/forward_call_http_test.cc
+++ b/tests/forward_call_http_test.cc
@@ -173,6 +173,14 @@
   }
 }
 
+// Guards against memory that is taken for the length which a response states.
+TEST_F(ForwardCallHttpTest, StatedLengthTakesNoMemory) {
+  CallAndClose(
+      "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\nabc");
+  EXPECT_EQ(result_, ForwardCallResult::kBroken);
+  EXPECT_EQ(body_, "abc");
+}
+
 // Guards against a body without end that is read after the call was stopped.
 TEST_F(ForwardCallHttpTest, StopEndsAnEndlessBody) {
   on_body_ = [this] {
