Limit incomplete events of all streams together with buffered bodies

Cause: an event is limited to 1 MiB, but only bodies counted towards the limit of all responses (32 MiB).

Change: both count. When the sum is reached, the largest response fails, so that large ones do not take the memory of small ones; before, whichever asked next did.

--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -32,6 +32,9 @@
     held_events_.clear();
   }
 
+  size_t buffered_bytes() const {
+    return partial_event_.size() + held_events_.size();
+  }
   bool has_partial_event() const { return !partial_event_.empty(); }
   // True after an event that is too long or whose id skips at least one, or
   // after more than kMaxEventBytes of events without output.
--- a/src/forward_attempt.cc
+++ b/src/forward_attempt.cc
@@ -20,6 +20,10 @@
   return "unknown";
 }
 
+size_t HeldBytes(const ForwardAttempt& attempt) {
+  return attempt.body.size() + attempt.events.buffered_bytes();
+}
+
 bool IsSuccessStatus(uint32_t status) {
   return status >= 200 && status < 300;
 }
--- a/src/forward_attempt.h
+++ b/src/forward_attempt.h
@@ -49,6 +49,7 @@
   TargetFields fields;
   std::string body;  // Of a response that is not streamed.
   EventStream events;
+  size_t counted_bytes = 0;  // Part of ForwardContext::buffered_response_bytes.
   bool is_streaming = false;  // Events are forwarded as they arrive.
   bool has_events = false;
   // The response has neither a length nor chunks.
@@ -57,6 +58,9 @@
 
 using ForwardAttemptPtr = std::shared_ptr<ForwardAttempt>;
 
+// Returns how much of the response is held in memory.
+size_t HeldBytes(const ForwardAttempt& attempt);
+
 bool IsSuccessStatus(uint32_t status);
 
 // Returns how far the attempt has come: "none", "head" after the head of a
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -77,6 +77,23 @@
   return fmt::format("{:.1f}", static_cast<double>(duration.count()) / 1e3);
 }
 
+// Returns the open request with the attempt that holds the most of a response;
+// null if none holds any.
+std::shared_ptr<ForwardRequest> FindLargestRequest(
+    const ForwardContext& context) {
+  std::shared_ptr<ForwardRequest> largest;
+  size_t most = 0;
+  for (const auto& [key, weak] : context.open_requests) {
+    std::shared_ptr<ForwardRequest> request = weak.lock();
+    const size_t held = request ? request->LargestHeldBytes() : 0;
+    if (held > most) {
+      most = held;
+      largest = std::move(request);
+    }
+  }
+  return largest;
+}
+
 }  // namespace
 
 ForwardRequest::ForwardRequest(ForwardContext* context,
@@ -568,37 +585,81 @@
 
 void ForwardRequest::OnResponseBody(const ForwardAttemptPtr& attempt,
                                     std::string_view data) {
-  if (attempt->is_streaming) {
-    ForwardEvents(attempt, data);
+  if (!MakeRoom(attempt, data.size())) {
+    // The attempt may have ended when room was made.
+    if (attempt->call) {
+      FailAttempt(attempt, AttemptFailure::kTooLarge);
+    }
     return;
   }
-  if (ExceedsResponseLimits(*attempt, data.size())) {
-    FailAttempt(attempt, AttemptFailure::kTooLarge);
+  if (attempt->is_streaming) {
+    ForwardEvents(attempt, data);
     return;
   }
   attempt->body.append(data);
-  buffered_bytes_ += data.size();
-  context_->buffered_response_bytes += data.size();
+  CountHeldBytes(*attempt);
 }
 
-bool ForwardRequest::ExceedsResponseLimits(const ForwardAttempt& attempt,
-                                           size_t more) const {
+bool ForwardRequest::MakeRoom(const ForwardAttemptPtr& attempt, size_t more) {
   const ResponseLimits& limits = context_->response_limits;
-  return attempt.body.size() + more >
-             static_cast<size_t>(limits.max_response.value()) ||
-         context_->buffered_response_bytes + more >
-             static_cast<size_t>(limits.max_buffered_responses.value());
+  const size_t wanted = HeldBytes(*attempt) + more;
+  const auto max_sum =
+      static_cast<size_t>(limits.max_buffered_responses.value());
+  if (!attempt->is_streaming &&
+      wanted > static_cast<size_t>(limits.max_response.value())) {
+    return false;
+  }
+  while (context_->buffered_response_bytes + more > max_sum) {
+    const std::shared_ptr<ForwardRequest> largest =
+        FindLargestRequest(*context_);
+    if (!largest || largest->LargestHeldBytes() <= wanted) {
+      return false;
+    }
+    largest->FailLargestAttempt();
+  }
+  return attempt->call != nullptr;
 }
 
-void ForwardRequest::DropBody(ForwardAttempt& attempt) {
-  buffered_bytes_ -= attempt.body.size();
-  context_->buffered_response_bytes -= attempt.body.size();
+void ForwardRequest::CountHeldBytes(ForwardAttempt& attempt) {
+  const size_t held = HeldBytes(attempt);
+  const size_t former = std::exchange(attempt.counted_bytes, held);
+  buffered_bytes_ += held - former;
+  context_->buffered_response_bytes += held - former;
+}
+
+void ForwardRequest::DropResponse(ForwardAttempt& attempt) {
   attempt.body = std::string();
+  attempt.events.DropPartialEvent();
+  CountHeldBytes(attempt);
+}
+
+ForwardAttemptPtr ForwardRequest::FindLargestAttempt() const {
+  ForwardAttemptPtr largest = attempt_ && attempt_->call ? attempt_ : nullptr;
+  for (const ForwardAttemptPtr& it : silent_attempts_) {
+    if (!largest || HeldBytes(*it) > HeldBytes(*largest)) {
+      largest = it;
+    }
+  }
+  return largest;
+}
+
+size_t ForwardRequest::LargestHeldBytes() const {
+  const ForwardAttemptPtr largest = FindLargestAttempt();
+  return largest ? HeldBytes(*largest) : 0;
+}
+
+void ForwardRequest::FailLargestAttempt() {
+  Guard([this] {
+    if (const ForwardAttemptPtr largest = FindLargestAttempt()) {
+      FailAttempt(largest, AttemptFailure::kTooLarge);
+    }
+  });
 }
 
 void ForwardRequest::ForwardEvents(const ForwardAttemptPtr& attempt,
                                    std::string_view data) {
   std::string complete_events = attempt->events.Feed(data);
+  CountHeldBytes(*attempt);
   if (attempt->events.is_invalid()) {
     FailAttempt(attempt, AttemptFailure::kInvalid);
     return;
@@ -777,7 +838,7 @@
        (attempt->status != 503 && attempt->status != 429))) {
     KeepErrorResponse(*attempt);
   }
-  DropBody(*attempt);
+  DropResponse(*attempt);
   const bool not_sent = failure == AttemptFailure::kNotSent;
   const bool not_executed = failure == AttemptFailure::kNotExecuted;
   may_have_executed_ = may_have_executed_ || (!not_sent && !not_executed);
@@ -809,6 +870,8 @@
   context_->buffered_response_bytes -= replaced;
   error_response_ = ErrorResponse{attempt.status, attempt.headers,
                                   std::exchange(attempt.body, {})};
+  // The body stays counted, as part of the request.
+  attempt.counted_bytes -= error_response_->body.size();
 }
 
 void ForwardRequest::RetryAfterFailure(AttemptFailure failure) {
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -28,8 +28,8 @@
 
 namespace burdockhatch {
 
-// Limits of response bodies that an entry holds in memory until they are
-// complete.
+// Limits of responses, or events of a stream, that an entry holds in memory
+// until they are complete.
 struct ResponseLimits {
   Bytes max_response{2 * 1024 * 1024};             // Of one response.
   Bytes max_buffered_responses{32 * 1024 * 1024};  // Of all of them.
@@ -76,6 +76,11 @@
   // Refuses the request if it waits to be sent and IsTooLateToSend().
   void RefuseIfTooLateToSend();
 
+  // Returns the most bytes that one attempt of the request holds of a response.
+  size_t LargestHeldBytes() const;
+  // Fails the attempt that holds the most, so that others get its memory.
+  void FailLargestAttempt();
+
   // Ends the request because the process stops: with 503 if it has not been
   // sent, else with 502 or 504; a stream that has begun is aborted.
   void EndAtStop();
@@ -131,8 +136,15 @@
   bool IsStreamComplete(const ForwardAttempt& attempt) const;
   // Reads the stream no faster than the caller does.
   void PauseWhileCongested();
-  bool ExceedsResponseLimits(const ForwardAttempt& attempt, size_t more) const;
-  void DropBody(ForwardAttempt& attempt);
+  // Makes room for `more` bytes of the response, at the cost of the largest
+  // ones if all of them exceed their limit. Returns false if the attempt would
+  // be the largest itself, or if its response exceeds a limit.
+  bool MakeRoom(const ForwardAttemptPtr& attempt, size_t more);
+  // Updates the sums after the attempt has received or dropped data.
+  void CountHeldBytes(ForwardAttempt& attempt);
+  void DropResponse(ForwardAttempt& attempt);
+  // The attempt that holds the most of a response; null if there is none.
+  ForwardAttemptPtr FindLargestAttempt() const;
   // Forwards the response of `attempt` and ends all other attempts.
   void ChooseAttempt(const ForwardAttemptPtr& attempt);
   void FailAttempt(const ForwardAttemptPtr& attempt, AttemptFailure failure);
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -909,6 +909,69 @@
   EXPECT_EQ(exchanges.front()->status, 200u);
 }
 
+// Guards against many events without end that together fill the memory though
+// each of them is within its limit.
+TEST_F(ForwardRequestTest, IncompleteEventsAreLimitedTogether) {
+  context_.response_limits.max_buffered_responses = Bytes(50'000);
+  const std::string event = "id: 0\ndata: " + std::string(9'000, 'x');
+  for (size_t i = 0; i < 50; ++i) {
+    Send("/chat/");
+    Head(i);
+    Body(i, event);
+    EXPECT_LE(context_.buffered_response_bytes, 50'000u);
+  }
+  EXPECT_GT(context_.buffered_response_bytes, 30'000u);
+  for (size_t i = 0; i < 50; ++i) {
+    if (!call(i).stopped) {
+      Body(i, "\n\n");
+      End(i);
+    }
+    EXPECT_EQ(exchanges_[i]->ends, 1);
+  }
+  EXPECT_EQ(exchanges_.front()->text, event + "\n\n");
+  EXPECT_EQ(context_.buffered_response_bytes, 0u);
+}
+
+// Guards against large responses, which may have no end, that take the memory
+// of small ones: the largest gives way.
+TEST_F(ForwardRequestTest, LargestResponseGivesWayToSmallOnes) {
+  context_.response_limits.max_buffered_responses = Bytes(50'000);
+  Send("/chat/");
+  Head(0);
+  Body(0, "id: 0\ndata: " + std::string(30'000, 'x'));
+  Send("/once/");
+  Head(1);
+  Body(1, std::string(19'000, 'x'));
+  Send("/once/");
+  Head(2);
+  Body(2, std::string(1'000, 'x'));
+  EXPECT_TRUE(call(0).stopped);
+  EXPECT_EQ(exchanges_[0]->status, 502u);
+  End(1);
+  End(2);
+  EXPECT_EQ(exchanges_[1]->status, 200u);
+  EXPECT_EQ(exchanges_[2]->status, 200u);
+  EXPECT_EQ(context_.buffered_response_bytes, 0u);
+}
+
+// Guards against a request that is answered twice because it loses its own
+// attempt when room is made for another one of it.
+TEST_F(ForwardRequestTest, RoomIsMadeWithinOneRequest) {
+  context_.response_limits.max_buffered_responses = Bytes(50'000);
+  Send("/read/");
+  Head(0);
+  Body(0, std::string(40'000, 'x'));
+  timers_.Advance(milliseconds(250));
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  Head(1);
+  Body(1, std::string(20'000, 'x'));
+  EXPECT_TRUE(call(0).stopped);
+  End(1);
+  EXPECT_EQ(exchange_->status, 200u);
+  EXPECT_EQ(exchange_->ends, 1);
+  EXPECT_EQ(context_.buffered_response_bytes, 0u);
+}
+
 // Guards against an error answer that is counted after it has been delivered.
 TEST_F(ForwardRequestTest, ErrorBodyIsReleasedWithTheRequest) {
   Send("/once/1");
