Bound what a reply to any call of the HTTP clients may hold

Cause: both clients read whole responses into buffers without a limit; the parser limits the head and the body, not chunk headers and trailers. Bodies were limited to 64 MiB a call (8 for the object API) and not together, events to 16 MiB. An engine's stream of valid events had no end but its own.

Change: responses are read in parts, through a buffer of 32 KiB. All responses that a process is reading share 64 MiB, those of the object API 32 MiB; the first 16 KiB of each are free, so that small ones do not fail because of large ones. An event is limited to 1 MiB, a stream to 1 KiB for each token that was asked for; an engine that exceeds it has failed.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 TEST_SOURCES := $(filter-out tests/process_% tests/loopback_proxy.cc platform/tests/process_% platform/tests/fake_%, \
                 $(wildcard tests/*.cc platform/tests/*.cc))
 PROCESS_TEST_SOURCES := $(wildcard tests/process_*.cc platform/tests/process_*.cc) \
-                        platform/tests/fake_platform.cc tests/loopback_proxy.cc
+                        platform/tests/fake_platform.cc tests/loopback_proxy.cc tests/endless_server.cc
 STANDIN_MAINS := $(wildcard standins/*_main.cc)
 STANDIN_SOURCES := $(filter-out $(STANDIN_MAINS),$(wildcard standins/*.cc))
 BENCH_SOURCES := $(wildcard bench/*.cc)
--- a/src/engine_http.cc
+++ b/src/engine_http.cc
@@ -1,5 +1,6 @@
 #include "src/engine_http.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <fmt/format.h>
 #include <boost/asio/post.hpp>
 
+#include "src/answer_assembler.h"
 #include "src/engine_json.h"
 #include "src/http_call.h"
 
@@ -23,6 +25,17 @@
 constexpr Duration kEventIdleTimeout = std::chrono::seconds(5);
 // Loading a model reads its weights from the weight store.
 constexpr Duration kOrderTimeout = std::chrono::minutes(5);
+// Of a response: a report, a list of holdings or of cache events.
+constexpr Bytes kMaxResponse(4 * 1024 * 1024);
+
+// Of the text of one token, with room to spare.
+constexpr size_t kMaxBytesPerToken = 1'024;
+
+size_t MaxStreamBytes(Tokens max_output) {
+  const auto tokens = static_cast<size_t>(std::clamp<int64_t>(
+      max_output.value(), 1, kMaxAnswerBytes / kMaxBytesPerToken));
+  return tokens * kMaxBytesPerToken;
+}
 
 bool IsSuccess(const HttpReply& reply) {
   return reply.status == CallStatus::kAnswered && reply.http_status >= 200 &&
@@ -72,6 +85,7 @@
   call.method = std::move(method);
   call.target = std::move(target);
   call.timeout = kCallTimeout;
+  call.max_response = kMaxResponse;
   return call;
 }
 
@@ -95,6 +109,8 @@
 // State of a stream according to the events read so far. Accessed only on the
 // strand of the reader.
 struct StreamProgress {
+  size_t max_bytes = 0;
+  size_t bytes = 0;
   std::optional<StreamEndEvent> end;
   bool invalid = false;
 };
@@ -103,6 +119,9 @@
                                 EventStreamEnd end,
                                 uint32_t http_status) {
   constexpr uint32_t kNotFound = 404;
+  if (progress.bytes > progress.max_bytes) {
+    return {StreamEnd::kFailed, 0};
+  }
   if (progress.end && !progress.invalid) {
     return *progress.end;
   }
@@ -126,22 +145,27 @@
     CallOnControl(
         std::move(call),
         [this, stream = spec.stream, first_chunk = spec.first_chunk,
+         max_bytes = MaxStreamBytes(spec.max_output_tokens),
          callbacks = std::move(callbacks)](const HttpReply& reply) mutable {
-          OnStarted(stream, first_chunk, ToStartStatus(reply),
+          OnStarted(stream, first_chunk, max_bytes, ToStartStatus(reply),
                     std::move(callbacks));
         });
   }
 
+  // An engine that sends more than `max_bytes` has failed.
   void StartReader(const StreamId& stream,
                    uint32_t next_chunk,
+                   size_t max_bytes,
                    Engine::StreamCallbacks callbacks) {
     StopReader(stream);
     const uint64_t generation = ++last_generation_;
     auto progress = std::make_shared<StreamProgress>();
+    progress->max_bytes = max_bytes;
     EventStreamCallbacks events;
     events.on_event = [progress, on_chunk = std::move(callbacks.on_chunk)](
                           std::string_view data) {
       OnEvent(data, *progress, on_chunk);
+      return progress->bytes <= progress->max_bytes;
     };
     events.on_end = [self = shared_from_this(), stream, generation, progress,
                      on_end = std::move(callbacks.on_end)](
@@ -202,18 +226,23 @@
       progress.end = *end;
       return;
     }
-    on_chunk(std::get<StreamChunk>(std::move(*event)));
+    StreamChunk chunk = std::get<StreamChunk>(std::move(*event));
+    progress.bytes += chunk.data.size();
+    if (progress.bytes <= progress.max_bytes) {
+      on_chunk(std::move(chunk));
+    }
   }
 
   void OnStarted(const StreamId& stream,
                  uint32_t first_chunk,
+                 size_t max_bytes,
                  StartStatus status,
                  Engine::StreamCallbacks callbacks) {
     callbacks.on_start(status);
     // If `on_start` called Attach, that reader replaces this one.
     if (status == StartStatus::kStarted && !closed_ &&
         !readers_.contains(stream)) {
-      StartReader(stream, first_chunk, std::move(callbacks));
+      StartReader(stream, first_chunk, max_bytes, std::move(callbacks));
     }
   }
 
@@ -262,7 +291,8 @@
   void Attach(const StreamId& stream,
               uint32_t next_chunk,
               StreamCallbacks callbacks) override {
-    session_->StartReader(stream, next_chunk, std::move(callbacks));
+    session_->StartReader(stream, next_chunk, kMaxAnswerBytes,
+                          std::move(callbacks));
   }
 
   void Cancel(const StreamId& stream) override {
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <mutex>
@@ -17,10 +18,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include "src/byte_budget.h"
 #include "src/http_headers.h"
 #include "src/ip_endpoint.h"
 #include "src/log.h"
@@ -44,7 +46,14 @@
 constexpr Duration kMaxTimeout = std::chrono::hours(24);
 constexpr std::chrono::seconds kMaxIdleTime{10};
 constexpr size_t kMaxIdleConnections = 8;
-constexpr uint64_t kMaxResponseBytes = 64 << 20;
+constexpr uint32_t kMaxHeaderBytes = 16 * 1024;
+// Also limits what a server may send without the end of a chunk header or of
+// the trailer.
+constexpr size_t kReadBufferBytes = 2 * kMaxHeaderBytes;
+constexpr size_t kBodyPartBytes = 8 * 1024;
+constexpr size_t kMaxLoggedTargetBytes = 128;
+// Of all responses that the process is reading. One that needs more fails.
+constexpr Bytes kMaxHeldResponses(64 * 1024 * 1024);
 
 using Strand = asio::strand<asio::io_context::executor_type>;
 using Stream = beast::tcp_stream;
@@ -89,6 +98,66 @@
   return text + call.body;
 }
 
+std::shared_ptr<ByteBudget> HeldResponses() {
+  static const auto budget = std::make_shared<ByteBudget>(kMaxHeldResponses);
+  return budget;
+}
+
+// Reads a response in parts of bounded size, whatever the server sends.
+class ResponseReader {
+ public:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  // Begins the next response. Input that follows the previous one is kept.
+  void Begin() {
+    parser_.emplace();
+    // The owner limits the body.
+    parser_->body_limit(boost::none);
+    parser_->header_limit(kMaxHeaderBytes);
+  }
+  void DiscardInput() { buffer_.clear(); }
+
+  template <class Handler>
+  void ReadHeader(Stream& stream, Handler handler) {
+    http::async_read_header(stream, buffer_, *parser_, std::move(handler));
+  }
+
+  // Reads the next part of the body, which part() returns afterwards.
+  template <class Handler>
+  void ReadPart(Stream& stream, Handler handler) {
+    auto& body = parser_->get().body();
+    body.data = part_.data();
+    body.size = part_.size();
+    http::async_read_some(
+        stream, buffer_, *parser_,
+        [handler = std::move(handler)](error_code ec, size_t) mutable {
+          // The part is full.
+          handler(ec == http::error::need_buffer ? error_code() : ec);
+        });
+  }
+  std::string_view part() const {
+    return {part_.data(), part_.size() - parser_->get().body().size};
+  }
+
+  Parser& parser() { return *parser_; }
+  size_t buffered_bytes() const { return buffer_.size(); }
+
+ private:
+  beast::flat_buffer buffer_{kReadBufferBytes};
+  std::array<char, kBodyPartBytes> part_;
+  std::optional<Parser> parser_;
+};
+
+void LogTooLarge(const std::string& address,
+                 const std::string& target,
+                 size_t bytes) {
+  Log(LogLevel::kWarning, "response_too_large",
+      {{"address", address},
+       {"target", target.substr(0, kMaxLoggedTargetBytes)},
+       {"bytes", std::to_string(bytes)},
+       {"held_by_all", std::to_string(HeldResponses()->used())}});
+}
+
 // Pool of idle keep-alive connections.
 class ConnectionPool {
  public:
@@ -265,27 +334,60 @@
   }
 
   void Read() {
-    parser_.emplace();
-    parser_->body_limit(kMaxResponseBytes);
-    parser_->skip(call_.method == "HEAD");
-    http::async_read(*stream_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code ec, size_t) {
-                       self->OnRead(ec);
-                     });
+    reader_.Begin();
+    reader_.parser().skip(call_.method == "HEAD");
+    reader_.ReadHeader(*stream_,
+                       [self = shared_from_this()](error_code ec, size_t) {
+                         self->OnHeader(ec);
+                       });
   }
 
-  void OnRead(error_code ec) {
-    if (ec) {
-      const bool nothing_read = !parser_->got_some() && buffer_.size() == 0;
-      if (nothing_read && ec != beast::error::timeout &&
-          RetryOnFreshConnection()) {
-        return;
-      }
+  void OnHeader(error_code ec) {
+    if (!ec) {
+      ReadBody();
+      return;
+    }
+    const bool nothing_read =
+        !reader_.parser().got_some() && reader_.buffered_bytes() == 0;
+    if (nothing_read && ec != beast::error::timeout &&
+        RetryOnFreshConnection()) {
+      return;
+    }
+    Finish(CallStatus::kUnknown);
+  }
+
+  void ReadBody() {
+    if (reader_.parser().is_done()) {
+      OnResponse();
+      return;
+    }
+    reader_.ReadPart(*stream_, [self = shared_from_this()](error_code ec) {
+      self->OnBodyPart(ec);
+    });
+  }
+
+  void OnBodyPart(error_code ec) {
+    const std::string_view part = reader_.part();
+    const size_t held = reply_.body.size() + part.size();
+    if (held > static_cast<size_t>(call_.max_response.value()) ||
+        !held_.Resize(held)) {
+      LogTooLarge(server_->address, call_.target, held);
       Finish(CallStatus::kUnknown);
       return;
     }
-    const bool keep_alive = parser_->keep_alive() && buffer_.size() == 0;
-    http::response<http::string_body> message = parser_->release();
+    reply_.body.append(part);
+    // A response without Content-Length ends with the connection.
+    if (ec &&
+        !(ec == http::error::end_of_stream && reader_.parser().is_done())) {
+      Finish(CallStatus::kUnknown);
+      return;
+    }
+    ReadBody();
+  }
+
+  void OnResponse() {
+    const ResponseReader::Parser& parser = reader_.parser();
+    const auto& message = parser.get();
     reply_.http_status = message.result_int();
     reply_.content_type = std::string(message[http::field::content_type]);
     reply_.etag = std::string(message[http::field::etag]);
@@ -293,8 +395,7 @@
       const auto text = message[http::field::retry_after];
       reply_.retry_after = ParseRetryAfter({text.data(), text.size()});
     }
-    reply_.body = std::move(message.body());
-    if (keep_alive) {
+    if (parser.keep_alive() && reader_.buffered_bytes() == 0) {
       server_->pool.Put(std::move(stream_));
     }
     Finish(CallStatus::kAnswered);
@@ -306,7 +407,7 @@
     if (!uses_pooled_connection_ || !call_.repeatable) {
       return false;
     }
-    buffer_.clear();
+    reader_.DiscardInput();
     Connect();
     return true;
   }
@@ -318,6 +419,9 @@
       status = CallStatus::kUnknown;
     }
     CloseNow(stream_.get());
+    if (status != CallStatus::kAnswered) {
+      reply_.body = std::string();
+    }
     reply_.status = status;
     done_(std::move(reply_));
   }
@@ -330,8 +434,8 @@
   std::unique_ptr<Stream> stream_;
   bool uses_pooled_connection_ = false;
   bool any_byte_written_ = false;  // On any connection used by this call.
-  beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  ResponseReader reader_;
+  ByteShare held_{HeldResponses()};
   HttpReply reply_;
 };
 
@@ -404,11 +508,11 @@
   }
 
   void ReadHeader() {
-    parser_.body_limit(boost::none);
-    http::async_read_header(*stream_, buffer_, parser_,
-                            [self = shared_from_this()](error_code ec, size_t) {
-                              self->OnHeader(ec);
-                            });
+    reader_.Begin();
+    reader_.ReadHeader(*stream_,
+                       [self = shared_from_this()](error_code ec, size_t) {
+                         self->OnHeader(ec);
+                       });
   }
 
   void OnHeader(error_code ec) {
@@ -416,7 +520,7 @@
       Finish(EventStreamEnd::kLost);
       return;
     }
-    http_status_ = parser_.get().result_int();
+    http_status_ = reader_.parser().get().result_int();
     if (http_status_ != 200) {
       Finish(EventStreamEnd::kRefused);
       return;
@@ -425,26 +529,32 @@
   }
 
   void ReadBodyPart() {
-    if (parser_.is_done()) {
+    if (reader_.parser().is_done()) {
       Finish(EventStreamEnd::kFinished);
       return;
     }
     stream_->expires_after(idle_timeout_);
-    http::async_read_some(*stream_, buffer_, parser_,
-                          [self = shared_from_this()](error_code ec, size_t) {
-                            self->OnBodyPart(ec);
-                          });
+    reader_.ReadPart(*stream_, [self = shared_from_this()](error_code ec) {
+      self->OnBodyPart(ec);
+    });
   }
 
   void OnBodyPart(error_code ec) {
-    std::string text = std::move(parser_.get().body());
-    parser_.get().body().clear();
-    const bool valid = events_.Feed(text, [this](std::string_view data) {
-      if (!stopped_) {
-        callbacks_.on_event(data);
+    bool wants_more = true;
+    const bool valid = events_.Feed(reader_.part(), [&](std::string_view data) {
+      if (!stopped_ && wants_more) {
+        wants_more = callbacks_.on_event(data);
       }
     });
-    if (ec || !valid) {
+    if (!wants_more) {
+      Finish(EventStreamEnd::kLost);
+      return;
+    }
+    if (!valid || !held_.Resize(events_.buffered_bytes())) {
+      LogTooLarge(server_->address, call_.target, events_.buffered_bytes());
+      ec = http::error::body_limit;
+    }
+    if (ec) {
       Finish(EventStreamEnd::kLost);
       return;
     }
@@ -465,9 +575,9 @@
   EventStreamCallbacks callbacks_;
   std::string request_text_;
   std::unique_ptr<Stream> stream_;
-  beast::flat_buffer buffer_;
-  http::response_parser<http::string_body> parser_;
+  ResponseReader reader_;
   ServerSentEventParser events_;
+  ByteShare held_{HeldResponses()};
   uint32_t http_status_ = 0;
   std::atomic<bool> stopped_ = false;
 };
--- a/src/http_call.h
+++ b/src/http_call.h
@@ -27,6 +27,8 @@
   // last time on the writing thread just before the first write; if it has
   // expired by then, the reply is kNotSent.
   Duration timeout{0};
+  // A larger body of the response fails the call. It may have taken effect.
+  Bytes max_response{32 * 1024 * 1024};
   // Whether the request may reach the server twice. Only such a request uses a
   // pooled connection; if the call fails on it before any byte of the response
   // is read, the request is sent once more on a new connection.
@@ -46,11 +48,13 @@
 enum class EventStreamEnd : uint8_t {
   kFinished,  // The server completed the response.
   kRefused,   // The response status was not 200.
-  kLost,      // The connection failed or exceeded the idle timeout.
+  kLost,      // The connection failed, an event was too large, or the stream
+              // exceeded the idle timeout.
 };
 
 struct EventStreamCallbacks {
-  std::function<void(std::string_view data)> on_event;
+  // Returns whether to go on; otherwise the stream ends with kLost.
+  std::function<bool(std::string_view data)> on_event;
   // Called once, unless the reader was stopped. `http_status` is 0 if no
   // response was received.
   std::function<void(EventStreamEnd, uint32_t http_status)> on_end;
--- a/src/object_api_http.cc
+++ b/src/object_api_http.cc
@@ -14,9 +14,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "src/byte_budget.h"
 #include "src/ip_endpoint.h"
 #include "src/json_reader.h"
 #include "src/lenient_json.h"
+#include "src/log.h"
 
 namespace burdockhatch {
 
@@ -31,6 +33,16 @@
 // Exceeds kMaxObjectSize and the instance list at the design scale.
 constexpr uint64_t kMaxBodyBytes = uint64_t{8} << 20;
 constexpr size_t kMaxIdleConnections = 8;
+// Limits what a server may send without the end of the head, of a chunk header
+// or of the trailer.
+constexpr size_t kReadBufferBytes = 32 * 1024;
+// Of all replies that the process is reading. One that needs more fails.
+constexpr Bytes kMaxHeldReplies(32 * 1024 * 1024);
+
+std::shared_ptr<ByteBudget> HeldReplies() {
+  static const auto budget = std::make_shared<ByteBudget>(kMaxHeldReplies);
+  return budget;
+}
 
 std::optional<tcp::endpoint> ParseEndpoint(const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -174,7 +186,7 @@
   explicit Connection(const Strand& strand) : socket(strand) {}
 
   tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kReadBufferBytes};
 };
 
 // Returns whether the server has closed an idle connection or has sent
@@ -227,7 +239,8 @@
  private:
   void Write();
   void ReadResponse();
-  void OnResponse(boost::system::error_code ec);
+  void OnResponsePart(boost::system::error_code ec);
+  void OnResponse();
   void OnTimeout();
   void Fail();
   void Finish(HttpReply reply, bool reusable);
@@ -238,6 +251,7 @@
   asio::steady_timer timer_;
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
+  ByteShare held_{HeldReplies()};
   std::unique_ptr<Connection> connection_;
   // The pool owns its calls.
   std::weak_ptr<ConnectionPool> connection_pool_;
@@ -339,20 +353,34 @@
 }
 
 void ObjectApiHttp::PendingCall::ReadResponse() {
-  http::async_read(
+  http::async_read_some(
       connection_->socket, connection_->buffer, parser_,
       [self = shared_from_this()](boost::system::error_code ec, size_t) {
         if (!self->finished()) {
-          self->OnResponse(ec);
+          self->OnResponsePart(ec);
         }
       });
 }
 
-void ObjectApiHttp::PendingCall::OnResponse(boost::system::error_code ec) {
+void ObjectApiHttp::PendingCall::OnResponsePart(boost::system::error_code ec) {
+  if (!ec && !held_.Resize(parser_.get().body().size())) {
+    ec = http::error::body_limit;
+  }
+  if (ec == http::error::body_limit) {
+    Log(LogLevel::kWarning, "object_reply_too_large",
+        {{"bytes", std::to_string(parser_.get().body().size())},
+         {"held_by_all", std::to_string(HeldReplies()->used())}});
+  }
   if (ec) {
     Fail();
-    return;
+  } else if (parser_.is_done()) {
+    OnResponse();
+  } else {
+    ReadResponse();
   }
+}
+
+void ObjectApiHttp::PendingCall::OnResponse() {
   const bool reusable = parser_.keep_alive();
   auto response = parser_.release();
   HttpReply reply;
--- a/src/plain_service_http.cc
+++ b/src/plain_service_http.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration kHealthCheckTimeout = std::chrono::seconds(2);
+constexpr Bytes kMaxHealthResponse(64 * 1024);
 
 // Each call has a connection of its own: on one that is kept, a faulty service
 // may write an earlier answer once more.
@@ -62,6 +63,7 @@
     call.method = "GET";
     call.target = "/healthz";
     call.timeout = kHealthCheckTimeout;
+    call.max_response = kMaxHealthResponse;
     client_->Call(std::move(call), [&control = control_,
                                     done = std::move(done)](HttpReply reply) {
       const bool healthy = reply.status == CallStatus::kAnswered &&
--- a/src/server_sent_events.h
+++ b/src/server_sent_events.h
@@ -13,13 +13,15 @@
 class ServerSentEventParser {
  public:
   // Maximum size of the current line plus the data of one event.
-  static constexpr size_t kMaxEventBytes = 16 << 20;
+  static constexpr size_t kMaxEventBytes = 1 << 20;
 
   // Calls `on_event` with the data of each event that `text` completes. Returns
   // false, also on all later calls, once an event exceeds kMaxEventBytes.
   bool Feed(std::string_view text,
             const std::function<void(std::string_view data)>& on_event);
 
+  size_t buffered_bytes() const { return line_.size() + data_.size(); }
+
  private:
   void OnLine(std::string_view line,
               const std::function<void(std::string_view data)>& on_event);
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -173,6 +173,17 @@
   }
 }
 
+int64_t ChildProcess::PeakMemoryKb() const {
+  std::ifstream status(fmt::format("/proc/{}/status", pid_));
+  const std::string key = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(key)) {
+      return std::stoll(line.substr(key.size()));
+    }
+  }
+  return -1;
+}
+
 void ChildProcess::Kill() {
   if (IsRunning()) {
     kill(pid_, SIGKILL);
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -42,6 +42,9 @@
   // WaitUntil().
   std::optional<int> WaitForExit();
   bool IsRunning();
+  // Returns the most resident memory that the process has used, in KiB, or -1
+  // if it does not run.
+  int64_t PeakMemoryKb() const;
 
  private:
   void Reap(bool block);
