Apply larger size limits of a newer configuration to kept connections

What callers saw: a body that the newest configuration allows was answered 413 on a connection that had begun to wait under an older one. Cause: a connection takes its limits when its wait begins, and a newer configuration extended the times only. Change: the larger of both sizes is in force until the header of the request has been read.

Test: CallerServerHttpTest.LargerSizeLimitsApplyToAWaitingConnection.

--- a/src/caller_request_http.cc
+++ b/src/caller_request_http.cc
@@ -1,5 +1,6 @@
 #include "src/caller_request_http.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -22,12 +23,25 @@
 
 void CallerRequestReader::Begin(const CallerLimits& limits) {
   parser_.emplace();
-  parser_->header_limit(static_cast<uint32_t>(limits.max_header.value()) +
+  limits_ = limits;
+  ApplyLimits();
+  is_header_reported_ = false;
+}
+
+void CallerRequestReader::RaiseLimits(const CallerLimits& limits) {
+  if (parser_ && !parser_->is_header_done()) {
+    limits_.max_header = std::max(limits_.max_header, limits.max_header);
+    limits_.max_body = std::max(limits_.max_body, limits.max_body);
+    ApplyLimits();
+  }
+}
+
+void CallerRequestReader::ApplyLimits() {
+  parser_->header_limit(static_cast<uint32_t>(limits_.max_header.value()) +
                         kMaxRequestLineBytes);
-  parser_->body_limit(static_cast<uint64_t>(limits.max_body.value()));
-  max_unparsed_bytes_ = static_cast<size_t>(limits.max_header.value()) +
+  parser_->body_limit(static_cast<uint64_t>(limits_.max_body.value()));
+  max_unparsed_bytes_ = static_cast<size_t>(limits_.max_header.value()) +
                         kMaxRequestLineBytes + kReadBufferBytes;
-  is_header_reported_ = false;
 }
 
 size_t CallerRequestReader::Receive(boost::asio::ip::tcp::socket& socket,
--- a/src/caller_request_http.h
+++ b/src/caller_request_http.h
@@ -28,6 +28,10 @@
   // Begins the next request. Input that follows the previous one is kept.
   void Begin(const CallerLimits& limits);
 
+  // Applies the limits of a newer configuration, as far as they are larger, to
+  // a request whose header has not been read.
+  void RaiseLimits(const CallerLimits& limits);
+
   // Moves input that has arrived from the socket to the buffer. `ec` is
   // would_block if there is none.
   size_t Receive(boost::asio::ip::tcp::socket& socket,
@@ -55,10 +59,13 @@
   void DiscardInput() { buffer_.clear(); }
 
  private:
+  void ApplyLimits();
+
   boost::beast::flat_buffer buffer_;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
+  CallerLimits limits_;
   size_t max_unparsed_bytes_ = 0;
   bool is_header_reported_ = false;
   boost::system::error_code error_;
--- a/src/caller_server_http.cc
+++ b/src/caller_server_http.cc
@@ -114,9 +114,10 @@
     }
   }
 
-  // Callers may count on newer, longer times as well as on the older ones.
-  void ExtendWait(const CallerLimits& newer) {
+  // Callers may count on newer, larger limits as well as on the older ones.
+  void RaiseLimits(const CallerLimits& newer) {
     wait_limits_ = WithLongerTimes(wait_limits_, newer);
+    reader_.RaiseLimits(newer);
   }
 
   void CloseNow() { Close(ConnectionEnd::kStop); }
@@ -721,7 +722,7 @@
     shared_->earlier_limits_until = now + kLimitsOverlap;
     shared_->limits = limits;
     for (const auto& it : OpenConnections()) {
-      it->ExtendWait(limits);
+      it->RaiseLimits(limits);
     }
   }
 
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -363,6 +363,27 @@
   EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
 }
 
+// Guards against a request that is refused by the size limits of the time at
+// which its connection began to wait.
+TEST_F(CallerServerHttpTest, LargerSizeLimitsApplyToAWaitingConnection) {
+  CallerLimits small = ShortLimits();
+  small.max_body = Bytes(4);
+  StartServer(small);
+  client_.connect(endpoint_);
+  Run(milliseconds(5));
+  CallerLimits large = ShortLimits();
+  large.max_body = Bytes(100);
+  server_->SetLimits(large);
+  Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n12345678");
+  Run();
+  EXPECT_EQ(Receive().substr(0, 15), "HTTP/1.1 200 OK");
+  server_->SetLimits(small);
+  Run(milliseconds(5));
+  Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n");
+  Run();
+  EXPECT_EQ(Receive().substr(0, 12), "HTTP/1.1 413");
+}
+
 // Guards against a connection that is closed while its caller has not heard of
 // a shorter timeout.
 TEST_F(CallerServerHttpTest, ShorterIdleTimeoutLeavesTheWait) {
