--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -92,7 +92,7 @@
   options.call_timeout = seconds(2);
   auto api = std::make_unique<ObjectApiHttp>(control_.io, traffic_.io, options);
   auto promise = std::make_shared<std::promise<ObjectStatus>>();
-  api->Read(ObjectName("config"), [promise](const ObjectReply& reply) {
+  api->Read(ObjectName{"config", "main"}, [promise](const ObjectReply& reply) {
     promise->set_value(reply.status);
   });
   EXPECT_NE(promise->get_future().get(), ObjectStatus::kOk);
