--- a/tests/endless_server.cc
+++ b/tests/endless_server.cc
@@ -18,30 +18,30 @@
 
 }  // namespace
 
-std::vector<EndlessResponse> EndlessResponses() {
+std::vector<EndlessResponse> EndlessResponses(const std::string& headers) {
   const std::string filler(8'192, 'x');
   const std::string event = ": " + std::string(62, 'x') + "\n";
   const std::string ok = "HTTP/1.1 200 OK\r\n";
-  const std::string signed_ok =
-      ok + "X-Replica-Signature: s\r\nContent-Type: text/event-stream\r\n";
-  const std::string chunked = signed_ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string accepted =
+      ok + headers + "Content-Type: text/event-stream\r\n";
+  const std::string chunked = accepted + "Transfer-Encoding: chunked\r\n\r\n";
   return {
       {"status line", "HTTP/1.1 200 ", filler},
       {"header line", ok + "X-Filler: ", filler},
       {"header lines", ok, "X-Filler: " + std::string(1'000, 'x') + "\r\n"},
       {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
       {"body with a length",
-       signed_ok + "Content-Length: 9000000000000000000\r\n\r\n", filler},
-      {"body without a length", signed_ok + "\r\n", filler},
+       accepted + "Content-Length: 9000000000000000000\r\n\r\n", filler},
+      {"body without a length", accepted + "\r\n", filler},
       {"one chunk", chunked + "fffffffffff\r\n", filler},
       {"chunks", chunked, "2000\r\n" + filler + "\r\n"},
       {"chunk size", chunked, std::string(8'192, '0')},
       {"chunk extension", chunked + "5;", filler},
       {"trailer line", chunked + "0\r\nX-Filler: ", filler},
       {"trailer lines", chunked + "0\r\n", "X-F: " + filler + "\r\n"},
-      {"event", signed_ok + "\r\nid: 1\ndata: ", filler},
-      {"event without output", signed_ok + "\r\n", event + "\n"},
-      {"lines of an event", signed_ok + "\r\nid: 1\n", "data: x\n"},
+      {"event", accepted + "\r\nid: 1\ndata: ", filler},
+      {"event without output", accepted + "\r\n", event + "\n"},
+      {"lines of an event", accepted + "\r\nid: 1\n", "data: x\n"},
   };
 }
 
--- a/tests/endless_server.h
+++ b/tests/endless_server.h
@@ -18,8 +18,9 @@
   std::string repeated;
 };
 
-// Every part of an HTTP response that may have no end.
-std::vector<EndlessResponse> EndlessResponses();
+// Every part of an HTTP response that may have no end. `headers` are those that
+// a client needs to accept a response, each with its line end.
+std::vector<EndlessResponse> EndlessResponses(const std::string& headers = "");
 
 class EndlessServer {
  public:
