--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -763,6 +763,7 @@
   EXPECT_NE(FindHeader(exchanges_[1]->headers, "Retry-After"), nullptr);
   EXPECT_EQ(exchanges_[2]->ends, 0);
   EXPECT_LT(memory_.released.size(), reserved);
+  exchanges_[0]->on_gone();
 }
 
 // Guards against an order that is sent late in a planned stop because it has
