--- a/fuzz/platform_decode_fuzz.cc
+++ b/fuzz/platform_decode_fuzz.cc
@@ -1,6 +1,7 @@
 // Fuzzes what the platform and its callers send: lists, changes,
 // configurations, target records and headers.
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
@@ -28,6 +29,32 @@
   }
 }
 
+// Like operator== of the library, but NaN equals NaN: both parsers read 0e845
+// as NaN.
+bool IsSameJson(const boost::json::value& a, const boost::json::value& b) {
+  if (a.kind() != b.kind()) {
+    return a == b;  // integers of different kinds may be equal
+  }
+  switch (a.kind()) {
+    case boost::json::kind::double_:
+      return a.get_double() == b.get_double() ||
+             (std::isnan(a.get_double()) && std::isnan(b.get_double()));
+    case boost::json::kind::array:
+      return std::equal(a.get_array().begin(), a.get_array().end(),
+                        b.get_array().begin(), b.get_array().end(), IsSameJson);
+    case boost::json::kind::object:
+      return a.get_object().size() == b.get_object().size() &&
+             std::all_of(
+                 a.get_object().begin(), a.get_object().end(),
+                 [&b](const boost::json::key_value_pair& field) {
+                   const auto* other = b.get_object().if_contains(field.key());
+                   return other != nullptr && IsSameJson(field.value(), *other);
+                 });
+    default:
+      return a == b;
+  }
+}
+
 // Text that is valid JSON must be read as by the strict parser.
 void CheckLenientParser(std::string_view text) {
   boost::system::error_code ec;
@@ -35,7 +62,7 @@
       boost::json::string_view(text.data(), text.size()), ec);
   const auto lenient = ParseLenientJson(text);
   Require(ec || (lenient && lenient->unreadable_parts == 0 &&
-                 lenient->value == strict));
+                 IsSameJson(lenient->value, strict)));
   if (lenient) {
     Require(HasUnreadablePart(lenient->value) ||
             lenient->unreadable_parts == 0);
