Renew engine memory only while the target of its request can be reached

Each renewal now follows a connect to the target. Without one the memory lapses within its 3 s, and after two failed connects the stream is tried elsewhere without waiting for three times the expected time. Ruled out: to stop renewing when the target is silent, as a sound target may read for seconds and would be cut off; to wait for its removal from the list, which comes 2 to 3 s later.

--- a/src/forward_call.h
+++ b/src/forward_call.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "src/http_headers.h"
+#include "src/reservations.h"
 #include "src/units.h"
 
 namespace burdockhatch {
@@ -53,10 +54,8 @@
   virtual void ResumeReading() = 0;
 };
 
-class ForwardConnector {
+class ForwardConnector : public TargetProbe {
  public:
-  virtual ~ForwardConnector() = default;
-
   virtual std::shared_ptr<ForwardCall> Start(ForwardCallSpec spec,
                                              ForwardCallHandlers handlers) = 0;
 };
--- a/src/forward_call_http.cc
+++ b/src/forward_call_http.cc
@@ -269,6 +269,19 @@
     return call;
   }
 
+  void Probe(const std::string& address,
+             std::function<void(bool reachable)> done) override {
+    const std::optional<tcp::endpoint> endpoint = ParseIpEndpoint(address);
+    if (!endpoint) {
+      done(false);
+      return;
+    }
+    const auto stream = std::make_shared<beast::tcp_stream>(io_);
+    stream->expires_after(ForwardCallSpec().connect_timeout);
+    stream->async_connect(*endpoint, [stream, done = std::move(done)](
+                                         error_code ec) { done(!ec); });
+  }
+
  private:
   asio::io_context& io_;
 };
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -390,6 +390,7 @@
 void ForwardRequest::ReserveAndSend(const FleetDirectory::KnownTarget& entry,
                                     std::vector<ForwardHelper> helpers,
                                     const std::vector<MemoryHold>& holds) {
+  ++reservation_round_;
   std::vector<Reservation> wanted;
   for (const MemoryHold& it : holds) {
     const FleetDirectory::KnownTarget* holder =
@@ -399,15 +400,30 @@
         helpers.begin(), helpers.end(),
         [&](const ForwardHelper& each) { return each.address == address; });
     if (helper != helpers.end()) {
-      // The id is unique per send, so that no other attempt can use the memory.
+      // The id is unique per round, so that no other attempt can use the memory
+      // and the release of a former round does not end this one.
       helper->reservation = fmt::format("{}-{}-{}", caller_fields_.attempt_id,
-                                        send_count_, wanted.size());
+                                        reservation_round_, wanted.size());
       wanted.push_back({address, helper->reservation, it.tokens});
     }
   }
   const TargetId target = entry.record.target;
+  if (wanted.size() < holds.size()) {
+    // A helper is not usable any more, and the prompt does not fit without it.
+    OnReserved(attempt_, target, {}, false);
+    return;
+  }
   attempt_->reservations = std::make_unique<ReservationSet>(
-      context_->engine_memory, context_->timers, std::move(wanted));
+      context_->engine_memory, context_->connector, context_->timers,
+      entry.record.address, std::move(wanted));
+  attempt_->reservations->SetUnreachableHandler(
+      [request = weak_from_this(), attempt = std::weak_ptr(attempt_)] {
+        const std::shared_ptr<ForwardRequest> self = request.lock();
+        const ForwardAttemptPtr unreachable = attempt.lock();
+        if (self && unreachable) {
+          self->Guard([&] { self->OnTargetUnreachable(unreachable); });
+        }
+      });
   attempt_->reservations->Start(
       [self = shared_from_this(), attempt = std::weak_ptr(attempt_), target,
        helpers = std::move(helpers)](bool reserved) mutable {
@@ -631,6 +647,12 @@
   StartNextAttempt();
 }
 
+void ForwardRequest::OnTargetUnreachable(const ForwardAttemptPtr& attempt) {
+  if (attempt == attempt_ && attempt->call && route_->repeatable) {
+    OnSilenceTimeout();
+  }
+}
+
 // A silent target may be sound. Its attempt ends only when another one has
 // made progress, because the others may refuse or fail.
 void ForwardRequest::SetAttemptAside() {
--- a/src/forward_request.h
+++ b/src/forward_request.h
@@ -200,6 +200,9 @@
   Duration FirstResponseTimeout() const;
   Duration GapTimeout() const;
   void OnSilenceTimeout();
+  // Treats the target of the attempt in progress as silent, without waiting for
+  // the timeout.
+  void OnTargetUnreachable(const ForwardAttemptPtr& attempt);
   // Keeps the attempt in progress open, as its target may be sound, while
   // another one is made.
   void SetAttemptAside();
@@ -248,6 +251,7 @@
   uint32_t attempt_count_ = 0;  // Sends that may have executed.
   uint32_t send_count_ = 0;     // All sends, including failed connections.
   uint32_t failed_connection_count_ = 0;
+  uint32_t reservation_round_ = 0;
   std::vector<TargetId> excluded_targets_;
   bool may_have_executed_ = false;
 
--- a/src/reservations.cc
+++ b/src/reservations.cc
@@ -8,6 +8,7 @@
 
 struct ReservationSet::State {
   EngineMemory* memory = nullptr;
+  TargetProbe* probe = nullptr;
   Timers* timers = nullptr;
   std::vector<Reservation> reservations;
   std::function<void(bool)> done;
@@ -17,10 +18,14 @@
 };
 
 ReservationSet::ReservationSet(EngineMemory* memory,
+                               TargetProbe* probe,
                                Timers* timers,
+                               std::string target_address,
                                std::vector<Reservation> reservations)
-    : state_(std::make_shared<State>()) {
+    : state_(std::make_shared<State>()),
+      target_address_(std::move(target_address)) {
   state_->memory = memory;
+  state_->probe = probe;
   state_->timers = timers;
   state_->reservations = std::move(reservations);
 }
@@ -55,23 +60,62 @@
   if (state->is_destroyed) {
     return;
   }
-  ScheduleRenewal();
+  renewed_at_ = requested_at;
+  ScheduleProbe(kRenewInterval);
 }
 
-void ReservationSet::ScheduleRenewal() {
-  renewed_at_ = state_->timers->Now();
-  renewal_ = state_->timers->Schedule(kRenewInterval, [this] { Renew(); });
+void ReservationSet::SetUnreachableHandler(std::function<void()> handler) {
+  on_unreachable_ = std::move(handler);
 }
 
-void ReservationSet::Renew() {
+void ReservationSet::ScheduleProbe(Duration delay) {
+  renewal_ = state_->timers->Schedule(delay, [this] { ProbeTarget(); });
+}
+
+bool ReservationSet::HasLapsed() const {
   const Duration age = state_->timers->Now() - renewed_at_;
-  if (age >= kReservationTtl) {
-    // The engines have freed the memory and aborted the request while this
-    // process was paused. A renewal would reserve memory that nothing uses.
-    Log(LogLevel::kWarning, "reservation_lapsed",
-        {{"age_ms", std::to_string(age.count() / 1'000)}});
+  if (age < kReservationTtl) {
+    return false;
+  }
+  Log(LogLevel::kWarning, "reservation_lapsed",
+      {{"target_address", target_address_},
+       {"failed_probes", std::to_string(failed_probes_)},
+       {"age_ms", std::to_string(age.count() / 1'000)}});
+  return true;
+}
+
+void ReservationSet::ProbeTarget() {
+  if (HasLapsed()) {
+    return;
+  }
+  state_->probe->Probe(target_address_, [this, state = state_](bool reachable) {
+    if (!state->is_destroyed) {
+      OnProbed(reachable);
+    }
+  });
+}
+
+void ReservationSet::OnProbed(bool reachable) {
+  if (HasLapsed()) {
+    return;
+  }
+  if (reachable) {
+    failed_probes_ = 0;
+    Renew();
+    return;
+  }
+  ScheduleProbe(kProbeRetryInterval);
+  if (++failed_probes_ != kFailedProbesUntilUnreachable) {
     return;
   }
+  Log(LogLevel::kWarning, "target_unreachable",
+      {{"target_address", target_address_}});
+  if (const auto handler = on_unreachable_) {
+    handler();
+  }
+}
+
+void ReservationSet::Renew() {
   for (const Reservation& it : state_->reservations) {
     state_->memory->Reserve(it, kReservationTtl, [id = it.id](bool reserved) {
       if (!reserved) {
@@ -80,7 +124,8 @@
       }
     });
   }
-  ScheduleRenewal();
+  renewed_at_ = state_->timers->Now();
+  ScheduleProbe(kRenewInterval);
 }
 
 }  // namespace burdockhatch
--- a/tests/forward_call_http_test.cc
+++ b/tests/forward_call_http_test.cc
@@ -325,5 +325,23 @@
   EXPECT_GT(body_.size(), paused_at);
 }
 
+// Guards against a target that counts as reachable though nothing listens
+// there.
+TEST_F(ForwardCallHttpTest, ProbeTellsWhetherATargetCanBeReached) {
+  RawTarget target(io_, "", "");
+  const std::string address = target.address();
+  const auto probe = [&](const std::string& to) {
+    std::optional<bool> reachable;
+    io_.restart();
+    connector_->Probe(to, [&](bool result) { reachable = result; });
+    io_.run_for(std::chrono::seconds(5));
+    return reachable;
+  };
+  EXPECT_EQ(probe(address), true);
+  target.Close();
+  EXPECT_EQ(probe(address), false);
+  EXPECT_EQ(probe("no address"), false);
+}
+
 }  // namespace
 }  // namespace burdockhatch
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -116,8 +116,14 @@
     return calls.back();
   }
 
+  void Probe(const std::string& address,
+             std::function<void(bool)> done) override {
+    done(!unreachable.contains(address));
+  }
+
   std::vector<std::shared_ptr<FakeCall>> calls;
   bool throws = false;
+  std::set<std::string> unreachable;  // Addresses.
 };
 
 struct FakeExchange : CallerExchange {
@@ -255,11 +261,13 @@
     config.routes.push_back(std::move(route));
   }
 
-  void AddTargets(const std::string& service, int count) {
+  void AddTargets(const std::string& service,
+                  int count,
+                  double read_tokens_per_s = 5'000'000) {
     TargetList list;
     list.service = ServiceId(service);
     list.revision = 1;
-    list.cost.read_tokens_per_s = 5'000'000;
+    list.cost.read_tokens_per_s = read_tokens_per_s;
     for (int i = 0; i < count; ++i) {
       TargetRecord record;
       record.target = TargetId(service + std::to_string(i));
@@ -697,6 +705,69 @@
   EXPECT_EQ(memory_.released.size(), count);
 }
 
+// Guards against memory that helpers hold until the deadline because their
+// request's target has lost power, and against a stream that waits for it for
+// as long as a sound target may be silent.
+TEST_F(ForwardRequestTest, MemoryIsNotRenewedForATargetWithoutPower) {
+  Send("/stream/", {{"prompt", "1000000"}});
+  ASSERT_EQ(connector_.calls.size(), 1u);
+  const size_t count = memory_.reserved.size();
+  ASSERT_GT(count, 0u);
+  TakeAllRetries();
+  timers_.Advance(ReservationSet::kRenewInterval);
+  EXPECT_EQ(memory_.reserved.size(), 2 * count);
+  connector_.unreachable.insert(call(0).spec.address);
+  timers_.Advance(2 * ReservationSet::kReservationTtl);
+  EXPECT_EQ(memory_.reserved.size(), 2 * count);
+  EXPECT_EQ(exchange_->ends, 0);
+}
+
+TEST_F(ForwardRequestTest, UnreachableTargetIsLeftForAnother) {
+  // With memory for two such prompts, and so slow that the target would not
+  // count as silent yet.
+  AddTargets("llm", 32, 100'000);
+  Send("/stream/", {{"prompt", "1000000"}});
+  ASSERT_EQ(connector_.calls.size(), 1u);
+  connector_.unreachable.insert(call(0).spec.address);
+  timers_.Advance(ReservationSet::kRenewInterval);
+  EXPECT_EQ(connector_.calls.size(), 1u);  // One packet may be lost.
+  timers_.Advance(ReservationSet::kProbeRetryInterval);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  EXPECT_FALSE(call(0).stopped);
+  EXPECT_NE(call(1).spec.address, call(0).spec.address);
+  Head(1);
+  Body(1, "id: 0\n\n");
+  EXPECT_TRUE(call(0).stopped);
+}
+
+// Guards against memory that lapses under a sound target because probes failed
+// for a moment.
+TEST_F(ForwardRequestTest, MemoryIsRenewedOnceTheTargetIsReachableAgain) {
+  Send("/stream/", {{"prompt", "1000000"}});
+  const size_t count = memory_.reserved.size();
+  TakeAllRetries();
+  connector_.unreachable.insert(call(0).spec.address);
+  timers_.Advance(ReservationSet::kReservationTtl - milliseconds(400));
+  EXPECT_EQ(memory_.reserved.size(), count);
+  connector_.unreachable.clear();
+  timers_.Advance(milliseconds(399));
+  EXPECT_EQ(memory_.reserved.size(), 2 * count);
+}
+
+// Guards against a request that waits for its deadline because a helper whose
+// memory it needs is not usable any more.
+TEST_F(ForwardRequestTest, OversizePromptIsPlacedAgainWithoutAHelper) {
+  for (const char* it : {"llm1", "llm2"}) {
+    context_.directory.Remove(TargetId(it), 2, false, timers_.Now());
+  }
+  Send("/stream/", {{"prompt", "1000000"}});
+  EXPECT_TRUE(connector_.calls.empty());
+  EXPECT_TRUE(memory_.reserved.empty());
+  AddTargets("llm", 4);
+  timers_.Advance(milliseconds(200));
+  EXPECT_EQ(connector_.calls.size(), 1u);
+}
+
 // Guards against sending a prompt without the memory that it needs.
 TEST_F(ForwardRequestTest, OversizePromptIsNotSentWithoutReservations) {
   memory_.accepts = false;
--- a/tests/loop_timers_test.cc
+++ b/tests/loop_timers_test.cc
@@ -112,17 +112,24 @@
   int released = 0;
 };
 
+struct FakeProbe : TargetProbe {
+  void Probe(const std::string&, std::function<void(bool)> done) override {
+    done(true);
+  }
+};
+
 // Guards against a renewal on a freed set: the request ends in the turn of the
 // loop in which its renewal expires. AddressSanitizer reports the access.
 TYPED_TEST(TimersContractTest, ReservationSetEndsAsItsRenewalExpires) {
   Timers& timers = this->loop_.timers();
   CountingMemory memory;
+  FakeProbe probe;
   std::unique_ptr<ReservationSet> reservations;
   const auto end_of_request =
       timers.Schedule(ReservationSet::kRenewInterval - milliseconds(1),
                       [&] { reservations.reset(); });
   reservations = std::make_unique<ReservationSet>(
-      &memory, &timers,
+      &memory, &probe, &timers, "10.0.0.2:80",
       std::vector<Reservation>{{"10.0.0.1:80", "r1", Tokens(1'000)}});
   reservations->Start([](bool) {});
   this->loop_.RunExpired(ReservationSet::kRenewInterval + milliseconds(5));
@@ -135,8 +142,9 @@
 TEST(ReservationSetTest, LapsedReservationsAreNotRenewed) {
   ManualTimers timers;
   CountingMemory memory;
+  FakeProbe probe;
   ReservationSet reservations(
-      &memory, &timers,
+      &memory, &probe, &timers, "10.0.0.2:80",
       std::vector<Reservation>{{"10.0.0.1:80", "r1", Tokens(1'000)}});
   reservations.Start([](bool) {});
   timers.Advance(ReservationSet::kRenewInterval);
