Save calls to the store: prove lists complete by the replies to another one

An entry makes 1.1 calls a second while nothing changes, and while the store is away each of three lists tries it alone.

Lists share the store's revision counter.

--- a/src/fleet_feed.h
+++ b/src/fleet_feed.h
@@ -38,7 +38,8 @@
 struct FeedReply {
   FeedStatus status = FeedStatus::kFailed;
   std::vector<FeedItem> items;
-  uint64_t revision = 0;
+  std::vector<uint64_t> changes;  // Of a watch: the revision of each item.
+  uint64_t revision = 0;          // Of the store.
   StoreEpoch epoch;
   // Elements of the reply that describe no valid item.
   uint32_t unreadable_items = 0;
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -16,6 +16,7 @@
 #include "src/forward_loop_daemon.h"
 #include "src/forward_request.h"
 #include "src/log.h"
+#include "src/long_watch_feed.h"
 #include "src/placement_client.h"
 #include "src/relayed_feed.h"
 #include "src/rendezvous.h"
@@ -62,7 +63,11 @@
         forwarding_settings_(*settings_.forwarding),
         protocol_(std::move(platform.protocol)),
         store_feed_(platform.make_feed(io_, settings_.object_api_address)),
-        feed_(store_feed_.get(), this, this),
+        long_watch_feed_(store_feed_.get(), this),
+        feed_(forwarding_settings_.long_watches ? &long_watch_feed_
+                                                : store_feed_.get(),
+              this,
+              this),
         engine_memory_(platform.make_engine_memory(io_)),
         connector_(MakeForwardConnector(io_)),
         request_memory_(std::make_shared<RequestMemory>(
@@ -241,13 +246,14 @@
     return fmt::format(
         "{{\"config_version\":{},\"routes\":{},\"requests\":{},"
         "\"awaiting_lists\":{},\"connections\":{},\"feeds\":{{{}}},"
+        "\"store_calls\":{},"
         "\"withdrawn\":[{}],\"withdrawals_kept\":{},\"removed_targets\":{},"
         "\"targets\":[{}],\"placement\":{},\"crash_blame\":{},"
         "\"target_signals\":{},\"feed_relay\":{},\"request_memory\":{}}}",
         context_.config ? context_.config->version : 0,
         context_.config ? context_.config->routes.size() : 0,
         caller_server_->open_exchanges(), context_.awaiting_lists.size(),
-        caller_server_->connections(), feeds, withdrawn,
+        caller_server_->connections(), feeds, DumpStoreCalls(), withdrawn,
         withdrawals_.kept_count(), context_.directory.removed_targets().size(),
         targets, placement_client_.Dump(now),
         placement_client_.blame().Dump(now),
@@ -439,6 +445,13 @@
     }
   }
 
+  std::string DumpStoreCalls() const {
+    const LongWatchFeed::Stats& it = long_watch_feed_.stats();
+    return fmt::format(
+        "{{\"watches_confirmed\":{},\"checks\":{},\"failures_shared\":{}}}",
+        it.watches_confirmed, it.checks, it.failures_shared);
+  }
+
   void ExportFeedCounters() {
     for (int i = 0; i < kFeedKindCount; ++i) {
       metrics_.SetCounter(
@@ -446,6 +459,12 @@
           fmt::format("feed=\"{}\"", ToString(static_cast<FeedKind>(i))),
           followers_[static_cast<size_t>(i)]->epoch_changes());
     }
+    const LongWatchFeed::Stats& watches = long_watch_feed_.stats();
+    metrics_.SetCounter("burdockhatch_store_watches_confirmed_total", "",
+                        watches.watches_confirmed);
+    metrics_.SetCounter("burdockhatch_store_checks_total", "", watches.checks);
+    metrics_.SetCounter("burdockhatch_store_failures_shared_total", "",
+                        watches.failures_shared);
   }
 
   // --- Placement ---
@@ -534,6 +553,7 @@
   const ForwardingSettings forwarding_settings_;
   std::unique_ptr<ForwardProtocol> protocol_;
   std::unique_ptr<FleetFeed> store_feed_;
+  LongWatchFeed long_watch_feed_;
   RelayedFeed feed_;
   std::unique_ptr<EngineMemory> engine_memory_;
   std::unique_ptr<ForwardConnector> connector_;
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -222,10 +222,9 @@
   ConnectionPool pool;
 };
 
-// Sets TCP keep-alive so that the connection fails about five seconds after its
-// peer stops acknowledging probes. A sound machine may be silent for a second
-// or two.
-void SetKeepAlive(tcp::socket& socket) {
+// Sets TCP keep-alive so that a connection whose peer is gone fails after
+// `lost_probes` seconds and one more.
+void SetKeepAlive(tcp::socket& socket, int lost_probes) {
   using IdleSeconds =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
   using ProbeIntervalSeconds =
@@ -236,7 +235,7 @@
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(IdleSeconds(1), ignored);
   socket.set_option(ProbeIntervalSeconds(1), ignored);
-  socket.set_option(ProbeCount(4), ignored);
+  socket.set_option(ProbeCount(lost_probes), ignored);
 }
 
 // Closes a connection without a graceful shutdown.
@@ -305,7 +304,7 @@
   void Write() {
     error_code ignored;
     stream_->socket().set_option(tcp::no_delay(true), ignored);
-    SetKeepAlive(stream_->socket());
+    SetKeepAlive(stream_->socket(), call_.lost_probes);
     stream_->expires_at(deadline_);
     // Checks the deadline a last time before the first byte, because the
     // process may have been paused since the call was made.
--- a/src/http_call.h
+++ b/src/http_call.h
@@ -35,6 +35,10 @@
   // pooled connection; if the call fails on it before any byte of the response
   // is read, the request is sent once more on a new connection.
   bool repeatable = false;
+  // TCP keep-alive probes, one a second after a second of silence, without an
+  // answer to which the connection fails. A sound machine may be silent for a
+  // second or two.
+  int lost_probes = 4;
 };
 
 struct HttpReply {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -200,6 +200,7 @@
     reader.ReadDuration<milliseconds>("max_startup_wait_ms",
                                       kStartupWaitMsBounds,
                                       &forwarding->max_startup_wait);
+    reader.ReadBool("long_watches", &forwarding->long_watches);
   } else {
     reader.Require({"engine_address"});
     ReadAddress("engine_address", &reader, &forwarding->engine_address,
--- a/src/settings.h
+++ b/src/settings.h
@@ -97,6 +97,9 @@
   // Whether slow engines get less work, see target_pace.h. Stated in the
   // settings of agents and entries.
   bool target_pace = false;
+  // Entries only: whether fewer calls to the store are made, see
+  // long_watch_feed.h.
+  bool long_watches = false;
 };
 
 struct Settings {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -280,6 +280,21 @@
             Paths{"/target_signals/max_backoff_ms"});
 }
 
+// Guards against a switch for calls to the store that is ignored or not
+// checked.
+TEST(SettingsTest, ReadsLongWatches) {
+  Findings findings;
+  const std::string text =
+      Replace(kForwardingSettings, "\"agent_bus_port\"",
+              "\"long_watches\": true, \"agent_bus_port\"");
+  const auto settings = ParseSettings(text, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  EXPECT_TRUE(settings->forwarding->long_watches);
+  EXPECT_EQ(
+      ListPaths(Replace(text, "\"long_watches\": true", "\"long_watches\": 1")),
+      std::vector<std::string>{"/forwarding/long_watches"});
+}
+
 // Guards against a switch for slow engines that is ignored or not checked.
 TEST(SettingsTest, ReadsTargetPace) {
   Findings findings;
