--- a/src/fleet_directory.cc
+++ b/src/fleet_directory.cc
@@ -13,26 +13,60 @@
 }
 
 void FleetDirectory::PutRecord(const TargetRecord& record, Time now) {
-  for (auto& [id, other] : targets_) {
-    if (id != record.target && other.record.address == record.address) {
-      // Of several targets with one address, only the one that started last can
-      // be there. Without start times, it is the one listed last.
-      const bool is_older = record.started_at < other.record.started_at;
-      if (is_older) {
-        return;
-      }
-      other.is_replaced = true;
-    }
-  }
   KnownTarget& entry = targets_[record.target];
   const bool restarted = entry.record.started_at != record.started_at;
   entry.is_replaced = entry.is_replaced && !restarted;
-  entry.record = record;
+  const std::string former_address =
+      std::exchange(entry.record, record).address;
+  entry.put_number = ++last_put_number_;
   entry.cold_until = now + record.cold_left;
   entry.expires_at.reset();
   entry.is_missing_in_copy = false;
   entry.drains_despite_copy = false;
   removed_targets_.Forget(record.target);
+  if (former_address != record.address) {
+    ResolveAddress(former_address);
+  }
+  ResolveAddress(record.address);
+  ++generation_;
+}
+
+// Of several targets with one address, only the one that started last can be
+// there. Without start times, it is the one listed last.
+bool FleetDirectory::IsListedLater(const KnownTarget& a,
+                                   const KnownTarget& b) const {
+  return std::pair(a.record.started_at, a.put_number) >
+         std::pair(b.record.started_at, b.put_number);
+}
+
+void FleetDirectory::ResolveAddress(const std::string& address) {
+  std::vector<KnownTarget*> here;
+  for (auto& [target, entry] : targets_) {
+    if (entry.record.address == address) {
+      here.push_back(&entry);
+    }
+  }
+  for (KnownTarget* it : here) {
+    it->is_superseded =
+        std::any_of(here.begin(), here.end(), [&](const KnownTarget* other) {
+          return IsListedLater(*other, *it) && !other->is_replaced &&
+                 (!services_ || services_->contains(other->record.service));
+        });
+  }
+}
+
+void FleetDirectory::SetServices(std::set<ServiceId> services) {
+  if (services_ == services) {
+    return;
+  }
+  services_ = std::move(services);
+  std::set<std::string> addresses;
+  for (const auto& [target, entry] : targets_) {
+    addresses.insert(entry.record.address);
+  }
+  for (const std::string& it : addresses) {
+    ResolveAddress(it);
+  }
   ++generation_;
 }
 
@@ -132,7 +166,9 @@
     return;
   }
   removed_targets_.Add(target, it->second.record.started_at, now);
+  const std::string address = it->second.record.address;
   targets_.erase(it);
+  ResolveAddress(address);
 }
 
 void FleetDirectory::SetWithdrawn(std::set<DataCentreId> data_centres) {
@@ -144,13 +180,15 @@
   const auto it = targets_.find(target);
   if (it != targets_.end() && !it->second.is_replaced) {
     it->second.is_replaced = true;
+    ResolveAddress(it->second.record.address);
     ++generation_;
   }
 }
 
 bool FleetDirectory::IsUsable(const KnownTarget& entry, Time now) const {
   const bool has_expired = entry.expires_at && now >= *entry.expires_at;
-  return !entry.record.draining && !entry.is_replaced && !has_expired &&
+  return !entry.record.draining && !entry.is_replaced && !entry.is_superseded &&
+         !has_expired &&
          !withdrawn_data_centres_.contains(entry.record.data_centre);
 }
 
@@ -173,14 +211,21 @@
 }
 
 void FleetDirectory::DropExpiredTargets(Time now) {
-  const size_t dropped = std::erase_if(targets_, [this, now](const auto& it) {
+  std::set<std::string> addresses;
+  const size_t dropped = std::erase_if(targets_, [&](const auto& it) {
     const KnownTarget& entry = it.second;
     const bool has_expired = entry.expires_at && now >= *entry.expires_at;
     if (has_expired && !entry.is_missing_in_copy) {
       removed_targets_.Add(it.first, entry.record.started_at, now);
     }
+    if (has_expired) {
+      addresses.insert(entry.record.address);
+    }
     return has_expired;
   });
+  for (const std::string& it : addresses) {
+    ResolveAddress(it);
+  }
   if (dropped > 0) {
     ++generation_;
   }
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -70,15 +70,23 @@
 
   void SetWithdrawn(std::set<DataCentreId> data_centres);
 
-  // Makes `target` unusable until it restarts: another target has taken over
+  // Makes `target` unusable until it restarts: another target has answered at
   // its address.
   void MarkReplaced(const TargetId& target);
 
+  // The services that the configuration names. Targets of others are listed by
+  // writers that nobody knows, and say nothing of the targets at their address.
+  // Until the first call all services count as named.
+  void SetServices(std::set<ServiceId> services);
+
   struct KnownTarget {
     TargetRecord record;
     Time cold_until{};
     std::optional<Time> expires_at;  // Set during the grace period.
-    bool is_replaced = false;  // Another target has taken over the address.
+    bool is_replaced = false;  // Another target has answered at the address.
+    // Another target that started later is listed at the address.
+    bool is_superseded = false;
+    uint64_t put_number = 0;  // Grows with each record.
     // The target drains, and a copy lists it as ready.
     bool drains_despite_copy = false;
     // The target is missing because a copy lacks it.
@@ -105,6 +113,9 @@
 
  private:
   void PutRecord(const TargetRecord& record, Time now);
+  // Decides which of the targets at an address may be there.
+  void ResolveAddress(const std::string& address);
+  bool IsListedLater(const KnownTarget& a, const KnownTarget& b) const;
   // Corrects a listed record by what is known of the target. Returns nullopt if
   // the listed start is gone.
   std::optional<TargetRecord> CorrectListed(const TargetRecord& listed,
@@ -116,6 +127,8 @@
 
   std::map<TargetId, KnownTarget> targets_;
   std::set<DataCentreId> withdrawn_data_centres_;
+  std::optional<std::set<ServiceId>> services_;
+  uint64_t last_put_number_ = 0;
   uint64_t generation_ = 0;
   StoreRevision revision_;
   bool has_list_ = false;
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -352,6 +352,7 @@
          {"routes", std::to_string(config->routes.size())},
          {"keys", std::to_string(config->keys.size())}});
     context_.config = config;
+    context_.directory.SetServices(NamedServices(*config));
     caller_server_->SetLimits(config->limits);
   }
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -85,6 +85,11 @@
   return mark == PartKey() ? "" : FormatKeys({mark});
 }
 
+// Whether callers take the status as a promise that the request has not run.
+bool PromisesNoExecution(uint32_t status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string_view PriorityResult(uint32_t status) {
   if (status == 503) {
     return "refused";
@@ -912,7 +917,7 @@
     Finish(200, "streamed");
     return;
   }
-  if (attempt->status >= 500) {
+  if (attempt->status >= 500 || PromisesNoExecution(attempt->status)) {
     FailAttempt(attempt, AttemptFailure::kErrorResponse);
     return;
   }
@@ -980,9 +985,9 @@
       attempt->fields.is_wrong_target) {
     context_->directory.MarkReplaced(attempt->target);
   }
+  // A target that does not state that it has not run the request may have.
   if (failure == AttemptFailure::kErrorResponse && attempt->fields.is_signed &&
-      (route_->repeatable ||
-       (attempt->status != 503 && attempt->status != 429))) {
+      (route_->repeatable || !PromisesNoExecution(attempt->status))) {
     KeepErrorResponse(*attempt);
   }
   DropResponse(*attempt);
--- a/src/routes.cc
+++ b/src/routes.cc
@@ -31,6 +31,19 @@
   return route.shares.back().service;
 }
 
+std::set<ServiceId> NamedServices(const RouteConfig& config) {
+  std::set<ServiceId> named;
+  for (const auto& [service, pool] : config.services) {
+    named.insert(service);
+  }
+  for (const Route& route : config.routes) {
+    for (const WeightedService& it : route.shares) {
+      named.insert(it.service);
+    }
+  }
+  return named;
+}
+
 std::set<ServiceId> FindPrioritizedServices(const RouteConfig& config) {
   std::set<Priority> of_accounts;
   bool any_account_without = false;
--- a/src/routes.h
+++ b/src/routes.h
@@ -86,6 +86,9 @@
                        std::string_view host,
                        std::string_view path);
 
+// Returns the services to which the configuration may send requests.
+std::set<ServiceId> NamedServices(const RouteConfig& config);
+
 // Returns the services whose requests may differ in priority.
 std::set<ServiceId> FindPrioritizedServices(const RouteConfig& config);
 
--- a/tests/fleet_directory_test.cc
+++ b/tests/fleet_directory_test.cc
@@ -116,6 +116,49 @@
   EXPECT_EQ(UsableCount(directory, kStart), 1u);
 }
 
+// Guards against items of another writer, with a service that no configuration
+// names, that put the sound targets at their addresses out of use (review/3).
+TEST(FleetDirectoryTest, ItemOfAnUnknownServiceSupersedesNoTarget) {
+  for (const uint64_t started_at : {uint64_t{5}, uint64_t{9}}) {
+    FleetDirectory directory;
+    directory.SetServices({ServiceId("llm")});
+    TargetRecord sound = Record("t1");
+    sound.started_at = 5;
+    TargetRecord foreign = Record("t2");
+    foreign.service = ServiceId("probe");
+    foreign.started_at = started_at;
+    directory.Put(sound, 1, kStart);
+    directory.Put(foreign, 2, kStart);
+    EXPECT_EQ(UsableCount(directory, kStart), 1u);
+    // The configuration names it later.
+    directory.SetServices({ServiceId("llm"), ServiceId("probe")});
+    EXPECT_EQ(UsableCount(directory, kStart), 0u);
+    directory.SetServices({ServiceId("llm")});
+    EXPECT_EQ(UsableCount(directory, kStart), 1u);
+  }
+}
+
+// Guards against a sound target that stays out of use after the item that named
+// its address has proved wrong, or is gone.
+TEST(FleetDirectoryTest, TargetIsUsableAgainWithoutItsSuccessor) {
+  FleetDirectory directory;
+  TargetRecord sound = Record("t1");
+  sound.started_at = 5;
+  TargetRecord latter = Record("t2");
+  latter.started_at = 5;
+  directory.Put(sound, 1, kStart);
+  directory.Put(latter, 2, kStart);
+  directory.MarkReplaced(latter.target);
+  ASSERT_EQ(UsableCount(directory, kStart), 1u);
+  EXPECT_EQ(directory.UsableTargets(ServiceId("llm"), kStart)[0]->record.target,
+            sound.target);
+  directory.Put(sound, 3, kStart);
+  latter.started_at = 6;
+  directory.Put(latter, 4, kStart);
+  directory.Remove(latter.target, 5, false, kStart);
+  EXPECT_EQ(UsableCount(directory, kStart), 1u);
+}
+
 TargetRecord Started(const std::string& id,
                      uint64_t started_at,
                      bool draining = false) {
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -371,15 +371,36 @@
   EXPECT_EQ(exchange_->ends, 1);
 }
 
+class UnprovenRefusalTest : public ForwardRequestTest,
+                            public testing::WithParamInterface<uint32_t> {};
+
+INSTANTIATE_TEST_SUITE_P(Statuses,
+                         UnprovenRefusalTest,
+                         testing::Values(408, 429, 503));
+
 // Guards against reporting a request as not executed when the target returned
-// 503 without stating so.
-TEST_F(ForwardRequestTest, Plain503DoesNotCountAsNotExecuted) {
+// such a status without stating so: the caller sends the order again, and it
+// runs twice (review/1).
+TEST_P(UnprovenRefusalTest, IsNotPassedOnAsAPromise) {
   Send("/once/");
-  Head(0, 503);
+  Head(0, GetParam());
   End(0);
+  EXPECT_EQ(connector_.calls.size(), 1u);
   EXPECT_EQ(exchange_->status, 502u);
 }
 
+// A request that may be repeated is tried elsewhere.
+TEST_P(UnprovenRefusalTest, IsAFailureOfTheTarget) {
+  Send("/read/");
+  Head(0, GetParam());
+  End(0);
+  ASSERT_EQ(connector_.calls.size(), 2u);
+  Head(1);
+  Body(1, "done");
+  End(1);
+  EXPECT_EQ(exchange_->status, 200u);
+}
+
 // Guards against failing a request that one target rejected although another
 // can execute it.
 TEST_F(ForwardRequestTest, NonRepeatableRequestIsRetriedWhenNotExecuted) {
