--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -264,11 +264,14 @@
  private:
   // --- Planned stop ---
 
+  // Callers may expect what ends before the last sixth of a short grace.
   Duration ExitAfterStop() const {
-    return std::max<Duration>(stop_grace() - kStopMargin, kLastResponsesTime);
+    return stop_grace() -
+           std::min<Duration>(kStopMargin, stop_grace() * 7 / 60);
   }
   Duration RequestsEndAfterStop() const {
-    return ExitAfterStop() - kLastResponsesTime;
+    return ExitAfterStop() -
+           std::min<Duration>(kLastResponsesTime, stop_grace() * 3 / 60);
   }
   // Time after the signal for which every request is accepted. As much is left
   // for the last of them.
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -108,6 +108,20 @@
     *field = std::chrono::duration_cast<Field>(Unit(number));
   }
 
+  // The number is in seconds and may have a fraction; `bounds_ms` are in
+  // milliseconds.
+  template <class Field>
+  void ReadSeconds(std::string_view key, Bounds bounds_ms, Field* field) {
+    if (Find(key) == nullptr) {
+      return;
+    }
+    using Seconds = std::chrono::duration<double>;
+    double number = std::chrono::duration_cast<Seconds>(*field).count();
+    ReadNumber(key, static_cast<double>(bounds_ms.min) / 1e3,
+               static_cast<double>(bounds_ms.max) / 1e3, &number);
+    *field = std::chrono::duration_cast<Field>(Seconds(number));
+  }
+
   template <class Tag>
   void ReadId(std::string_view key, StringId<Tag>* field) {
     if (const boost::json::value* it = Find(key)) {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -175,6 +175,20 @@
   }
 }
 
+// Reads a duration from `key`, in seconds, which may stand in place of
+// `ms_key`.
+void ReadSecondsInstead(std::string_view key,
+                        std::string_view ms_key,
+                        Bounds bounds_ms,
+                        ObjectReader* reader,
+                        std::chrono::milliseconds* field,
+                        Findings* findings) {
+  if (reader->Find(key) != nullptr && reader->Find(ms_key) != nullptr) {
+    findings->Add(reader->PathOf(key), "excludes " + std::string(ms_key));
+  }
+  reader->ReadSeconds(key, bounds_ms, field);
+}
+
 void ReadForwardingSettings(const json::value& value,
                             std::string path,
                             Role role,
@@ -195,8 +209,12 @@
     reader.ReadNumber("repeat_ratio", 0, 1, &forwarding->repeat_ratio);
     reader.ReadDuration<milliseconds>("repeat_window_ms", kDeadlineMsBounds,
                                       &forwarding->repeat_window);
-    reader.ReadCount("repeat_allowance", kCallCountBounds,
-                     &forwarding->repeat_allowance);
+    ReadSecondsInstead("repeat_window_s", "repeat_window_ms", kDeadlineMsBounds,
+                       &reader, &forwarding->repeat_window, findings);
+    double allowance = forwarding->repeat_allowance;
+    reader.ReadNumber("repeat_allowance", kCallCountBounds.min,
+                      kCallCountBounds.max, &allowance);
+    forwarding->repeat_allowance = static_cast<uint32_t>(allowance);
     reader.ReadDuration<milliseconds>("max_startup_wait_ms",
                                       kStartupWaitMsBounds,
                                       &forwarding->max_startup_wait);
@@ -208,6 +226,8 @@
   }
   reader.ReadDuration<milliseconds>("stop_grace_ms", kShutdownMsBounds,
                                     &forwarding->stop_grace);
+  ReadSecondsInstead("stop_grace_s", "stop_grace_ms", kShutdownMsBounds,
+                     &reader, &forwarding->stop_grace, findings);
   reader.ReadBool("target_pace", &forwarding->target_pace);
   reader.ReportUnknownKeys();
 }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -176,6 +176,28 @@
             RegionId("ga-north"));
 }
 
+// Guards against a process that does not start because a figure of its
+// deployment became a fraction (review/5).
+TEST(SettingsTest, ReadsForwardingFiguresWithFractions) {
+  std::string text = Replace(kForwardingSettings, "\"stop_grace_ms\": 4000",
+                             "\"stop_grace_s\": 7.5");
+  text =
+      Replace(text, "\"repeat_window_ms\": 5000", "\"repeat_window_s\": 2.25");
+  text =
+      Replace(text, "\"repeat_allowance\": 12", "\"repeat_allowance\": 12.7");
+  Findings findings;
+  const auto settings = ParseSettings(text, &findings);
+  ASSERT_TRUE(settings) << ToString(findings);
+  EXPECT_EQ(settings->forwarding->stop_grace, std::chrono::milliseconds(7'500));
+  EXPECT_EQ(settings->forwarding->repeat_window,
+            std::chrono::milliseconds(2'250));
+  EXPECT_EQ(settings->forwarding->repeat_allowance, 12u);
+  EXPECT_EQ(ListPaths(Replace(text, "7.5", "600.1")),
+            std::vector<std::string>{"/forwarding/stop_grace_s"});
+  EXPECT_EQ(ListPaths(Replace(text, "7.5", "7.5, \"stop_grace_ms\": 7500")),
+            std::vector<std::string>{"/forwarding/stop_grace_s"});
+}
+
 // Guards against a process that starts with invalid forwarding settings.
 TEST(SettingsTest, ReportsPathsOfForwardingFindings) {
   EXPECT_EQ(ListPaths(Replace(kForwardingSettings, "7000", "70000")),
