--- a/src/caller_request_http.cc
+++ b/src/caller_request_http.cc
@@ -127,6 +127,10 @@
     }
   }
   if (!is_header_reported_) {
+    if (!IsBodyFramed()) {
+      error_ = http::error::bad_transfer_encoding;
+      return State::kMalformed;
+    }
     is_header_reported_ = true;
     MeasureFields();
     return State::kHeaderRead;
@@ -136,6 +140,21 @@
   return State::kComplete;
 }
 
+// The parser takes a request with any other coding as one without a body, and
+// the body for the next request.
+bool CallerRequestReader::IsBodyFramed() const {
+  size_t codings = 0;
+  bool is_chunked = false;
+  for (const auto& it : parser_->get()) {
+    if (it.name() == http::field::transfer_encoding) {
+      ++codings;
+      is_chunked = beast::iequals(it.value(), "chunked");
+    }
+  }
+  return codings == 0 ||
+         (codings == 1 && is_chunked && parser_->get().version() >= 11);
+}
+
 uint32_t CallerRequestReader::error_status() const {
   if (error_ == http::error::header_limit) {
     return 431;
--- a/src/caller_request_http.h
+++ b/src/caller_request_http.h
@@ -111,6 +111,8 @@
 
  private:
   void ApplyLimits();
+  // Whether the header says where the body ends (RFC 9112, section 6.3).
+  bool IsBodyFramed() const;
 
   void MeasureFields();
 
--- a/src/forward_request.cc
+++ b/src/forward_request.cc
@@ -912,6 +912,9 @@
     ChooseAttempt(attempt);
     EndAttempt(*attempt, PlacementEvent::kEnded, TargetId(),
                CallOutcome::kAnswered);
+    if (!stream_started_) {
+      exchange_->StartStream(attempt->status, attempt->headers);
+    }
     exchange_->Write(attempt->events.TakeHeldEvents());
     exchange_->EndStream();
     Finish(200, "streamed");
@@ -925,9 +928,11 @@
 }
 
 // A connection that ends before the first event of a resumed stream says
-// nothing about the rest, unless the framing marks the end of the response.
+// nothing about the rest, unless the framing marks the end of the response: a
+// caller may resume behind the last event.
 bool ForwardRequest::IsStreamComplete(const ForwardAttempt& attempt) const {
-  return stream_started_ && !attempt.events.has_partial_event() &&
+  return (stream_started_ || caller_fields_.last_event_id) &&
+         !attempt.events.has_partial_event() &&
          (attempt.has_events || !attempt.ends_with_connection);
 }
 
--- a/tests/caller_server_http_test.cc
+++ b/tests/caller_server_http_test.cc
@@ -538,6 +538,28 @@
   EXPECT_EQ(memory_->Stats().held, 0u);
 }
 
+// Guards against a body that is run as the next request because its coding does
+// not say where it ends.
+TEST_F(CallerServerHttpTest, BodyOfAnotherCodingIsNoRequest) {
+  for (const char* head :
+       {"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: identity", "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+        "Transfer-Encoding:"}) {
+    tcp::socket client(client_io_);
+    client.connect(endpoint_);
+    asio::write(client,
+                asio::buffer("POST /x HTTP/1.1\r\n" + std::string(head) +
+                             "\r\n\r\nPOST /y HTTP/1.1\r\n"
+                             "Content-Length: 0\r\n\r\n"));
+    Run();
+    std::string text(12, ' ');
+    asio::read(client, asio::buffer(text));
+    EXPECT_EQ(text, "HTTP/1.1 400") << head;
+    EXPECT_EQ(exchange_, nullptr) << head;
+  }
+}
+
 // Guards against a full table of connections without input that keeps out a
 // caller with a request.
 TEST_F(CallerServerHttpTest, StalledConnectionGivesWay) {
--- a/tests/forward_request_test.cc
+++ b/tests/forward_request_test.cc
@@ -31,6 +31,9 @@
     fields.prompt = Tokens(Number(headers, "prompt", 5'000));
     fields.max_output = Tokens(Number(headers, "output", 1'000));
     fields.model = "m";
+    if (const int64_t last = Number(headers, "last-event", -1); last >= 0) {
+      fields.last_event_id = static_cast<uint64_t>(last);
+    }
     const std::string part = Text(headers, "part");
     if (!part.empty()) {
       fields.shared_parts = {"first", part};
@@ -1361,6 +1364,22 @@
   EXPECT_FALSE(exchange_->aborted);
 }
 
+// Guards against 502 for a caller that resumes behind the last event, and
+// against sound targets that count as crashed for it.
+TEST_F(ForwardRequestTest, ResumeBehindTheLastEventIsComplete) {
+  Send("/stream/", {{"last-event", "7"}});
+  Head(0, 200, {{"Transfer-Encoding", "chunked"}});
+  End(0);
+  EXPECT_EQ(connector_.calls.size(), 1u);
+  EXPECT_EQ(exchange_->status, 200u);
+  EXPECT_EQ(exchange_->ends, 1);
+  // The end of a connection marks no end here.
+  Send("/stream/", {{"last-event", "7"}});
+  Head(1);
+  End(1);
+  EXPECT_EQ(connector_.calls.size(), 3u);
+}
+
 // Guards against a refusal of another attempt, which a faulty target wrote once
 // more: the request that it seems to refuse may have run.
 TEST_F(ForwardRequestTest, RefusalOfAnotherAttemptProvesNothing) {
