Hold calls back only while the store refuses them, and begin the grace with its return

Trace: after a cut of 5.5 s the list of targets was read 0.8 s after the first other list, as its calls had been shared failures; a target that had left meanwhile stayed usable for 2 s from then on, beyond the 3 s after which the process counts as connected.

Calls without an answer hold nothing back now, held calls are made as soon as one gets through, and the grace of missing targets begins when any list could be read again.

--- a/src/feed_follower.h
+++ b/src/feed_follower.h
@@ -39,6 +39,8 @@
   // The time of the first failed call since the last success; zero while calls
   // succeed.
   Time unavailable_since() const { return unavailable_since_; }
+  // The time of the first successful call after the last failure.
+  Time recovered_at() const { return recovered_at_; }
   uint64_t revision() const { return revision_; }
   StoreEpoch epoch() const { return epoch_; }
   // Times that the list was read in another epoch than before.
--- a/src/fleet_directory.cc
+++ b/src/fleet_directory.cc
@@ -161,7 +161,10 @@
   ++generation_;
   if (store_was_unavailable && !it->second.record.draining) {
     if (!it->second.expires_at) {
-      it->second.expires_at = now + kMissingTargetGrace;
+      const bool returned_lately =
+          now - store_returned_at_ < kMissingTargetGrace;
+      it->second.expires_at =
+          (returned_lately ? store_returned_at_ : now) + kMissingTargetGrace;
     }
     return;
   }
--- a/src/fleet_directory.h
+++ b/src/fleet_directory.h
@@ -68,6 +68,10 @@
                          bool store_was_unavailable,
                          Time now);
 
+  // The grace of targets whose items may have expired during an outage of the
+  // store begins with its return, which other lists may have seen earlier.
+  void SetStoreReturn(Time returned_at) { store_returned_at_ = returned_at; }
+
   void SetWithdrawn(std::set<DataCentreId> data_centres);
 
   // Makes `target` unusable until it restarts: another target has answered at
@@ -129,6 +133,7 @@
   std::set<DataCentreId> withdrawn_data_centres_;
   std::optional<std::set<ServiceId>> services_;
   uint64_t last_put_number_ = 0;
+  Time store_returned_at_{};
   uint64_t generation_ = 0;
   StoreRevision revision_;
   bool has_list_ = false;
--- a/src/fleet_feed.h
+++ b/src/fleet_feed.h
@@ -45,6 +45,8 @@
   uint32_t unreadable_items = 0;
   std::string next;  // Lists only: `after` of the next page; empty on the last.
   std::string reason;  // Set for kFailed, for the log.
+  // For kFailed: the store has answered with an error, and counts the call.
+  bool is_refusal = false;
 };
 
 // The platform's encoding of changes, for another process to decode.
--- a/src/forward_entry_daemon.cc
+++ b/src/forward_entry_daemon.cc
@@ -359,7 +359,19 @@
     caller_server_->SetLimits(config->limits);
   }
 
+  // Returns when the store could first be read again, if that was lately.
+  Time StoreReturn(Time now) const {
+    Time first = now;
+    for (const auto& it : followers_) {
+      if (now - it->recovered_at() < kMissingTargetGrace) {
+        first = std::min(first, it->recovered_at());
+      }
+    }
+    return first;
+  }
+
   void ApplyTargets(const FeedUpdate& update, Time now) {
+    context_.directory.SetStoreReturn(StoreReturn(now));
     if (update.is_snapshot) {
       std::vector<TargetRecord> records;
       for (const FeedItem& it : update.items) {
@@ -452,8 +464,8 @@
   std::string DumpStoreCalls() const {
     const LongWatchFeed::Stats& it = long_watch_feed_.stats();
     return fmt::format(
-        "{{\"watches_confirmed\":{},\"checks\":{},\"failures_shared\":{}}}",
-        it.watches_confirmed, it.checks, it.failures_shared);
+        "{{\"watches_confirmed\":{},\"checks\":{},\"refusals_shared\":{}}}",
+        it.watches_confirmed, it.checks, it.refusals_shared);
   }
 
   void ExportFeedCounters() {
@@ -467,8 +479,8 @@
     metrics_.SetCounter("burdockhatch_store_watches_confirmed_total", "",
                         watches.watches_confirmed);
     metrics_.SetCounter("burdockhatch_store_checks_total", "", watches.checks);
-    metrics_.SetCounter("burdockhatch_store_failures_shared_total", "",
-                        watches.failures_shared);
+    metrics_.SetCounter("burdockhatch_store_refusals_shared_total", "",
+                        watches.refusals_shared);
   }
 
   // --- Placement ---
--- a/src/long_watch_feed.cc
+++ b/src/long_watch_feed.cc
@@ -11,20 +11,17 @@
 void LongWatchFeed::List(FeedKind kind,
                          const std::string& after,
                          Callback done) {
-  if (SharesFailure(kind)) {
-    done(SharedFailure());
-    return;
-  }
   const std::weak_ptr<bool> alive = alive_;
   // A page proves nothing until the follower watches from its revision.
-  store_->List(kind, after,
-               [this, alive, kind, done = std::move(done)](FeedReply reply) {
-                 if (alive.expired()) {
-                   return;
-                 }
-                 NoteOutcome(kind, reply);
-                 done(std::move(reply));
-               });
+  const auto call = [this, alive, kind, after, done] {
+    store_->List(kind, after, [this, alive, kind, done](FeedReply reply) {
+      if (!alive.expired()) {
+        NoteOutcome(kind, reply);
+        done(std::move(reply));
+      }
+    });
+  };
+  MakeOrHold(kind, call, done);
 }
 
 void LongWatchFeed::Watch(FeedKind kind,
@@ -41,21 +38,23 @@
     }
     return;
   }
+  const std::weak_ptr<bool> alive = alive_;
+  const auto call = [this, alive, kind, after, wait, done] {
+    store_->Watch(kind, after, wait,
+                  [this, alive, kind, done](FeedReply reply) {
+                    if (!alive.expired()) {
+                      OnReply(kind, reply);
+                      done(std::move(reply));
+                      HastenChecks();
+                    }
+                  });
+  };
   // A call without a wait follows a failure.
-  if (wait == Duration(0) && SharesFailure(kind)) {
-    done(SharedFailure());
-    return;
+  if (wait == Duration(0)) {
+    MakeOrHold(kind, call, done);
+  } else {
+    call();
   }
-  const std::weak_ptr<bool> alive = alive_;
-  store_->Watch(kind, after, wait,
-                [this, alive, kind, done = std::move(done)](FeedReply reply) {
-                  if (alive.expired()) {
-                    return;
-                  }
-                  OnReply(kind, reply);
-                  done(std::move(reply));
-                  HastenChecks();
-                });
 }
 
 void LongWatchFeed::OpenWatch(FeedKind kind, StoreRevision after) {
@@ -116,10 +115,6 @@
 
 void LongWatchFeed::Check(FeedKind kind) {
   const StoreRevision after = FeedOf(kind).pending->after;
-  if (SharesFailure(kind)) {
-    OnChecked(kind, after, SharedFailure());
-    return;
-  }
   ++stats_.checks;
   FeedOf(kind).checked_at = timers_->Now();
   const std::weak_ptr<bool> alive = alive_;
@@ -168,35 +163,59 @@
 }
 
 void LongWatchFeed::NoteOutcome(FeedKind kind, const FeedReply& reply) {
-  if (reply.status == FeedStatus::kFailed) {
-    failed_at_ = timers_->Now();
-    failed_kind_ = kind;
-    failure_reason_ = reply.reason;
-    return;
-  }
-  failed_at_ = Time();
-  for (Feed& it : feeds_) {
-    it.shared_failures = 0;
+  const bool is_refused =
+      reply.status == FeedStatus::kFailed && reply.is_refusal;
+  if (is_refused) {
+    refused_at_ = timers_->Now();
+    refused_kind_ = kind;
+    refusal_reason_ = reply.reason;
+  } else {
+    refused_at_ = Time();
+    for (Feed& it : feeds_) {
+      it.shared_refusals = 0;
+    }
   }
+  ReleaseHeld(kind, is_refused);
 }
 
-bool LongWatchFeed::SharesFailure(FeedKind kind) {
+void LongWatchFeed::MakeOrHold(FeedKind kind,
+                               std::function<void()> make,
+                               Callback refuse) {
   Feed& feed = FeedOf(kind);
-  if (failed_at_ == Time() || failed_kind_ == kind ||
-      timers_->Now() - failed_at_ >= kFailureShareTime ||
-      feed.shared_failures >= kMaxSharedFailures) {
-    feed.shared_failures = 0;
-    return false;
+  if (refused_at_ == Time() || refused_kind_ == kind ||
+      timers_->Now() - refused_at_ >= kHoldTime ||
+      feed.shared_refusals >= kMaxSharedRefusals) {
+    feed.shared_refusals = 0;
+    make();
+    return;
   }
-  ++feed.shared_failures;
-  ++stats_.failures_shared;
-  return true;
+  auto timer = timers_->Schedule(kMaxHold, [this, kind] {
+    const auto call = std::move(FeedOf(kind).held->make);
+    FeedOf(kind).held.reset();
+    call();
+  });
+  feed.held = HeldCall{std::move(make), std::move(refuse), std::move(timer)};
 }
 
-FeedReply LongWatchFeed::SharedFailure() const {
-  FeedReply reply;
-  reply.reason = failure_reason_;
-  return reply;
+void LongWatchFeed::ReleaseHeld(FeedKind decided_by, bool is_refused) {
+  for (int i = 0; i < kFeedKindCount; ++i) {
+    const auto kind = static_cast<FeedKind>(i);
+    Feed& feed = FeedOf(kind);
+    if (!feed.held || kind == decided_by) {
+      continue;
+    }
+    const HeldCall held = std::move(*std::exchange(feed.held, std::nullopt));
+    if (!is_refused) {
+      held.make();
+      continue;
+    }
+    ++feed.shared_refusals;
+    ++stats_.refusals_shared;
+    FeedReply reply;
+    reply.reason = refusal_reason_;
+    reply.is_refusal = true;
+    held.refuse(std::move(reply));
+  }
 }
 
 void LongWatchFeed::WatchEncoded(FeedKind kind,
--- a/src/long_watch_feed.h
+++ b/src/long_watch_feed.h
@@ -1,5 +1,5 @@
 // Saves calls to the platform's store: keeps watches of the lists that rarely
-// change open for long, and lets one list try a store that has failed for all.
+// change open for long, and lets one list try a store that refuses calls.
 #ifndef SRC_LONG_WATCH_FEED_H_
 #define SRC_LONG_WATCH_FEED_H_
 
@@ -32,16 +32,18 @@
   // list of targets is not watched for 400 ms after a change, and replies may
   // be late.
   static constexpr Duration kProofSlack = std::chrono::milliseconds(600);
-  // Time after a failed call in which the calls of other lists fail, too.
-  static constexpr Duration kFailureShareTime = std::chrono::milliseconds(400);
-  // Calls in a row of one list that fail so. A failure may concern its own list
-  // only.
-  static constexpr int kMaxSharedFailures = 2;
+  // Time after a refused call in which the calls of other lists are held back.
+  static constexpr Duration kHoldTime = std::chrono::milliseconds(400);
+  // Time after which a call that is held back is made.
+  static constexpr Duration kMaxHold = std::chrono::milliseconds(600);
+  // Calls in a row of one list that end with the refusal of another's. A
+  // refusal may concern its own list only.
+  static constexpr int kMaxSharedRefusals = 2;
 
   struct Stats {
     uint64_t watches_confirmed = 0;  // Ended without a call.
     uint64_t checks = 0;
-    uint64_t failures_shared = 0;  // Calls not made after a failed one.
+    uint64_t refusals_shared = 0;  // Calls not made after a refused one.
   };
 
   // `store` and `timers` outlive the feed.
@@ -66,6 +68,12 @@
     Duration wait{0};
     Callback done;
   };
+  // A call that waits for the outcome of another list's.
+  struct HeldCall {
+    std::function<void()> make;
+    Callback refuse;
+    std::unique_ptr<Timer> timer;
+  };
   struct Feed {
     std::optional<PendingWatch> pending;
     std::unique_ptr<Timer> due;  // Of `pending`.
@@ -74,7 +82,8 @@
     uint64_t open_number = 0;
     StoreRevision open_after;
     Time checked_at{};
-    int shared_failures = 0;  // In a row.
+    int shared_refusals = 0;  // In a row.
+    std::optional<HeldCall> held;
   };
 
   Feed& FeedOf(FeedKind kind) { return feeds_[static_cast<size_t>(kind)]; }
@@ -92,18 +101,19 @@
   // Soon checks the lists that lack a change which a reply has shown, each at
   // most once in the time that its follower states.
   void HastenChecks();
-  // Whether a call of `kind` fails because that of another list has just
-  // failed.
-  bool SharesFailure(FeedKind kind);
-  FeedReply SharedFailure() const;
+  // Makes the call, or holds it back while the store refuses others. `refuse`
+  // receives the refusal if it is not made.
+  void MakeOrHold(FeedKind kind, std::function<void()> make, Callback refuse);
+  // Ends the calls that are held back: they are made, or share the refusal.
+  void ReleaseHeld(FeedKind decided_by, bool is_refused);
 
   FleetFeed* store_;
   Timers* timers_;
   RevisionLedger ledger_;
   std::array<Feed, kFeedKindCount> feeds_;
-  Time failed_at_{};  // Of the latest call, if it has failed.
-  FeedKind failed_kind_ = FeedKind::kRoutes;
-  std::string failure_reason_;
+  Time refused_at_{};  // Of the latest call, if it was refused.
+  FeedKind refused_kind_ = FeedKind::kRoutes;
+  std::string refusal_reason_;
   Stats stats_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/fleet_directory_test.cc
+++ b/tests/fleet_directory_test.cc
@@ -59,6 +59,18 @@
   EXPECT_EQ(directory.targets().size(), 1u);
 }
 
+// Guards against a target that left during a cut and is used for two seconds
+// after the list of targets has been read, although the store could be reached
+// before (review/plays/drain.toml).
+TEST(FleetDirectoryTest, GraceBeginsWithTheReturnOfTheStore) {
+  FleetDirectory directory;
+  directory.Put(Record("t1"), 1, kStart);
+  directory.SetStoreReturn(kStart);
+  directory.Remove(TargetId("t1"), 2, true, kStart + milliseconds(800));
+  EXPECT_EQ(UsableCount(directory, kStart + milliseconds(1'900)), 1u);
+  EXPECT_EQ(UsableCount(directory, kStart + kMissingTargetGrace), 0u);
+}
+
 // Guards against a grace period for a target that was draining when the list
 // became unavailable.
 TEST(FleetDirectoryTest, DrainingTargetHasNoGrace) {
